--- /dev/null
+++ b/src/include/galenafork/flow.h
@@ -0,0 +1,56 @@
+/// \file
+/// Flows and the buckets that they hash to.
+
+#ifndef GALENAFORK_FLOW_H
+#define GALENAFORK_FLOW_H
+
+#include <galenafork/endpoint.h>
+#include <galenafork/ids.h>
+
+#include <cstddef>
+#include <functional>
+
+namespace galenafork
+{
+
+/// One caller's flow: the datagrams between a caller's socket and a service
+/// address.
+struct flow_key
+{
+    endpoint caller_;
+    endpoint service_address_;
+
+    friend bool operator==(const flow_key& a, const flow_key& b)
+    {
+        return a.caller_ == b.caller_ &&
+               a.service_address_ == b.service_address_;
+    }
+    friend bool operator<(const flow_key& a, const flow_key& b)
+    {
+        if (a.caller_ != b.caller_)
+        {
+            return a.caller_ < b.caller_;
+        }
+        return a.service_address_ < b.service_address_;
+    }
+};
+
+/// 64-bit hash of a flow, the same on every machine and in every version:
+/// balancers and agents must agree on it.
+std::uint64_t hash_of(const flow_key& flow);
+
+/// The bucket that a flow belongs to.
+bucket_id bucket_of(const flow_key& flow);
+
+} // namespace galenafork
+
+template <>
+struct std::hash<galenafork::flow_key>
+{
+    std::size_t operator()(const galenafork::flow_key& flow) const noexcept
+    {
+        return galenafork::hash_of(flow);
+    }
+};
+
+#endif
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# Checks format and lint of every C++ file of the project.
+# usage: tools/lint.sh [--fix-format]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+mapfile -t files < <(git ls-files --cached --others --exclude-standard \
+    'src/*.cpp' 'src/*.h' 'testsuite/*.cpp' 'testsuite/*.h')
+if [ "${1:-}" = --fix-format ]; then
+    clang-format -i "${files[@]}"
+    exit 0
+fi
+clang-format --dry-run -Werror "${files[@]}"
+cmake --preset release >/dev/null
+report=$(mktemp)
+trap 'rm -f "$report"' EXIT
+status=0
+printf '%s\n' "${files[@]}" | grep '\.cpp$' |
+    xargs -P "${GALENA_JOBS:-$(nproc)}" -n 2 \
+        clang-tidy --quiet -p build/release >"$report" 2>&1 || status=1
+grep -vE '^[0-9]+ warnings? |^Suppressed |^Use -header-filter|^$' "$report" || true
+exit "$status"
