--- a/src/include/galenafork/roster.h
+++ b/src/include/galenafork/roster.h
@@ -10,6 +10,7 @@
 #include <galenafork/endpoint.h>
 #include <galenafork/error.h>
 #include <galenafork/ids.h>
+#include <galenafork/messages.h>
 
 #include <array>
 #include <optional>
@@ -122,6 +123,20 @@
 /// The deputy of `bucket`, or null.
 const member* deputy_of(const roster& r, bucket_id bucket);
 
+/// Lives whose leases have lapsed for good; only ever grows.
+struct lapsed_set
+{
+    std::vector<instance_life> lives_;
+
+    /// True if `m` in its present incarnation has lapsed.
+    bool contains(const member& m) const;
+};
+
+/// The member that opens flows of `bucket`: the home unless it lapsed, else
+/// the deputy unless it lapsed, else null. Allocates nothing.
+const member* effective_home_of(const roster& r, const lapsed_set& lapsed,
+                                bucket_id bucket);
+
 /// The JSON form kept in the platform.
 std::string to_json(const roster& r);
 
