libdaemon: settings, logs, metrics, traces and the control thread

Ruled out: toml++ values handed out to daemons (then each daemon would check types and units on its own and stop at the first fault); ACE_Reactor notify for mail to the control thread (kj watches an eventfd as it is). Before: none. After: a settings file is checked as a whole, all faults with line and column; one key=value log line an event; Prometheus text with quantiles by Boost.Accumulators; spans as OTLP/JSON to a file, UDP or HTTP; health, readiness, metrics, status over HTTP; RPC schema of the daemons.

--- /dev/null
+++ b/src/include/galenafork/metrics.h
@@ -0,0 +1,144 @@
+/// \file
+/// Counters, gauges and distributions, shown as Prometheus text.
+
+#ifndef GALENAFORK_METRICS_H
+#define GALENAFORK_METRICS_H
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace galenafork
+{
+
+/// A count that only rises. Any thread may add to it; never blocks.
+class counter
+{
+public:
+    /// Adds `n`.
+    void add(std::uint64_t n = 1) noexcept
+    {
+        value_.fetch_add(n, std::memory_order_relaxed);
+    }
+
+    /// What has been added so far.
+    std::uint64_t value() const noexcept
+    {
+        return value_.load(std::memory_order_relaxed);
+    }
+
+private:
+    std::atomic<std::uint64_t> value_{0};
+};
+
+/// A value that goes up and down. Any thread may set it; never blocks.
+class gauge
+{
+public:
+    /// Replaces the value.
+    void set(std::int64_t value) noexcept
+    {
+        value_.store(value, std::memory_order_relaxed);
+    }
+
+    /// Adds `n`, which may be negative.
+    void add(std::int64_t n) noexcept
+    {
+        value_.fetch_add(n, std::memory_order_relaxed);
+    }
+
+    /// The present value.
+    std::int64_t value() const noexcept
+    {
+        return value_.load(std::memory_order_relaxed);
+    }
+
+private:
+    std::atomic<std::int64_t> value_{0};
+};
+
+/// Quantiles, sum and count of recorded samples. Any thread may record; a
+/// sample that meets another thread's is dropped rather than waited with, so
+/// recording never blocks.
+class distribution
+{
+public:
+    distribution();
+    ~distribution();
+    distribution(const distribution&) = delete;
+    distribution& operator=(const distribution&) = delete;
+
+    /// Takes one sample in the unit that the metric's name says.
+    void record(double sample) noexcept;
+
+    /// Estimates at one moment.
+    struct snapshot
+    {
+        std::uint64_t count_ = 0;
+        double sum_ = 0;
+        /// Pairs of probability and estimated quantile.
+        std::vector<std::pair<double, double>> quantiles_;
+    };
+
+    /// The estimates so far.
+    snapshot read() const;
+
+private:
+    struct accumulator;
+    mutable std::mutex mutex_;
+    std::unique_ptr<accumulator> accumulator_;
+};
+
+/// One label of a metric.
+struct metric_label
+{
+    std::string name_;
+    std::string value_;
+};
+
+/// Labels that tell the series of one metric apart.
+using metric_labels = std::vector<metric_label>;
+
+/// Owns the metrics of a process. Add them at start from one thread; what is
+/// returned stays valid as long as the registry lives. Metrics of one name
+/// share the help text of the first.
+class metrics_registry
+{
+public:
+    metrics_registry();
+    ~metrics_registry();
+    metrics_registry(const metrics_registry&) = delete;
+    metrics_registry& operator=(const metrics_registry&) = delete;
+
+    /// A new counter. By custom its name ends in `_total`.
+    counter& add_counter(const std::string& name, const std::string& help,
+                         const metric_labels& labels = {});
+
+    /// A new gauge.
+    gauge& add_gauge(const std::string& name, const std::string& help,
+                     const metric_labels& labels = {});
+
+    /// A new distribution, shown as a Prometheus summary.
+    distribution& add_distribution(const std::string& name,
+                                   const std::string& help,
+                                   const metric_labels& labels = {});
+
+    /// All metrics in the Prometheus text format. Any thread may call it.
+    std::string prometheus_text() const;
+
+private:
+    struct family;
+    family& family_of(const std::string& name, const std::string& help,
+                      const char* type);
+
+    mutable std::mutex mutex_;
+    std::vector<std::unique_ptr<family>> families_;
+};
+
+} // namespace galenafork
+
+#endif
--- /dev/null
+++ b/src/include/galenafork/settings.h
@@ -0,0 +1,306 @@
+/// \file
+/// Typed reading of a TOML settings file. The file is checked as a whole: a
+/// daemon declares which keys it reads, and gets all faults of the file at
+/// once, each with its line and column.
+
+#ifndef GALENAFORK_SETTINGS_H
+#define GALENAFORK_SETTINGS_H
+
+#include <galenafork/endpoint.h>
+#include <galenafork/ids.h>
+#include <galenafork/strong_type.h>
+#include <galenafork/time.h>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace galenafork
+{
+
+/// A size in bytes.
+using byte_count = strong_type<struct byte_count_tag, std::uint64_t>;
+
+/// A place in a settings file; both count from 1.
+struct settings_position
+{
+    std::uint32_t line_ = 1;
+    std::uint32_t column_ = 1;
+
+    friend bool operator<(const settings_position& a,
+                          const settings_position& b)
+    {
+        return a.line_ != b.line_ ? a.line_ < b.line_ : a.column_ < b.column_;
+    }
+};
+
+/// One fault of a settings file.
+struct settings_fault
+{
+    settings_position position_;
+    std::string reason_;
+};
+
+/// Type of a value as written in the file.
+enum class setting_kind
+{
+    text,
+    integer,
+    floating,
+    boolean,
+    array,
+    other,
+};
+
+/// One value as written in the file.
+struct setting_value
+{
+    setting_kind kind_ = setting_kind::other;
+    settings_position position_;
+    std::string text_;
+    std::int64_t integer_ = 0;
+    double floating_ = 0;
+    bool boolean_ = false;
+    std::vector<setting_value> items_;
+};
+
+/// A table of the file: the top level or one `[section]`.
+struct settings_table
+{
+    settings_position position_;
+    std::map<std::string, setting_value> values_;
+    std::map<std::string, settings_table> sections_;
+};
+
+/// \name Conversion of one value
+/// Each fails with the reason for a person, without a position. Durations are
+/// texts such as `"150 ms"` (units us, ms, s, min, h), sizes such as
+/// `"64 KiB"` (units B, KiB, MiB).
+/// @{
+tl::expected<void, std::string> convert(const setting_value& value,
+                                        std::string& out);
+tl::expected<void, std::string> convert(const setting_value& value, bool& out);
+tl::expected<void, std::string> convert(const setting_value& value,
+                                        std::uint64_t& out);
+tl::expected<void, std::string> convert(const setting_value& value,
+                                        double& out);
+tl::expected<void, std::string> convert(const setting_value& value,
+                                        endpoint& out);
+tl::expected<void, std::string> convert(const setting_value& value,
+                                        duration& out);
+tl::expected<void, std::string> convert(const setting_value& value,
+                                        byte_count& out);
+/// @}
+
+namespace pvt
+{
+
+tl::expected<void, std::string> convert_name(const setting_value& value,
+                                             std::string& out);
+std::string out_of_range_text(const std::string& low, const std::string& high);
+std::string limit_text(std::uint64_t value);
+std::string limit_text(double value);
+std::string limit_text(duration value);
+std::string limit_text(byte_count value);
+
+} // namespace pvt
+
+/// Converts a text that names a service, an instance or a data centre, or
+/// wraps another number type. Fails like the other conversions.
+template <class Tag, class Rep>
+tl::expected<void, std::string> convert(const setting_value& value,
+                                        strong_type<Tag, Rep>& out)
+{
+    if constexpr (std::is_same_v<Rep, std::string>)
+    {
+        std::string text;
+        auto result = pvt::convert_name(value, text);
+        out = strong_type<Tag, Rep>(text);
+        return result;
+    }
+    else
+    {
+        std::uint64_t number = 0;
+        auto result = convert(value, number);
+        out = strong_type<Tag, Rep>(static_cast<Rep>(number));
+        return result;
+    }
+}
+
+/// Converts an array item by item; the first bad item is the reason.
+template <class T>
+tl::expected<void, std::string> convert(const setting_value& value,
+                                        std::vector<T>& out)
+{
+    if (value.kind_ != setting_kind::array)
+    {
+        return tl::unexpected(std::string("must be an array"));
+    }
+    for (const setting_value& item : value.items_)
+    {
+        T converted{};
+        if (auto result = convert(item, converted); !result)
+        {
+            return result;
+        }
+        out.push_back(converted);
+    }
+    return {};
+}
+
+/// Least and greatest accepted value of a setting.
+template <class T>
+struct setting_range
+{
+    T least_;
+    T greatest_;
+};
+
+/// Collects what one reading of a settings file finds wrong.
+class settings_faults
+{
+public:
+    /// Notes a fault.
+    void add(settings_position position, std::string reason);
+
+    /// All faults in the order of the file.
+    std::vector<settings_fault> sorted() const;
+
+private:
+    std::vector<settings_fault> faults_;
+};
+
+/// Reads the keys of one table. What is read is known; `finish` reports the
+/// rest as unknown.
+class settings_section
+{
+public:
+    /// Reads `table`, named `name` in reasons; both outlive the section.
+    settings_section(std::string name, const settings_table& table,
+                     settings_faults& faults);
+
+    /// Reads a key that must be there.
+    template <class T>
+    settings_section& required(const std::string& key, T& out)
+    {
+        if (find(key) == nullptr)
+        {
+            report_missing(key);
+        }
+        return optional(key, out);
+    }
+
+    /// Reads a key that must be there and within `range`.
+    template <class T>
+    settings_section& required(const std::string& key, T& out,
+                               setting_range<T> range)
+    {
+        if (find(key) == nullptr)
+        {
+            report_missing(key);
+        }
+        return optional(key, out, range);
+    }
+
+    /// Reads a key if it is there; otherwise leaves `out` alone.
+    template <class T>
+    settings_section& optional(const std::string& key, T& out)
+    {
+        read(key, out);
+        return *this;
+    }
+
+    /// Reads a key if it is there; reports a value outside `range`.
+    template <class T>
+    settings_section& optional(const std::string& key, T& out,
+                               setting_range<T> range)
+    {
+        T value = out;
+        if (read(key, value) &&
+            (value < range.least_ || range.greatest_ < value))
+        {
+            report(key,
+                   pvt::out_of_range_text(pvt::limit_text(range.least_),
+                                          pvt::limit_text(range.greatest_)));
+            return *this;
+        }
+        out = value;
+        return *this;
+    }
+
+    /// The sub-table `[name]`, empty if the file has none. Use each once.
+    settings_section section(const std::string& name);
+
+    /// Reports what the daemon itself finds wrong with the value of `key`.
+    void report(const std::string& key, const std::string& reason);
+
+    /// Reports every key and section that was not read.
+    void finish();
+
+private:
+    const setting_value* find(const std::string& key);
+    void report_missing(const std::string& key);
+    std::string full_name(const std::string& key) const;
+
+    template <class T>
+    bool read(const std::string& key, T& out)
+    {
+        const setting_value* value = find(key);
+        if (value == nullptr)
+        {
+            return false;
+        }
+        T converted{};
+        if (auto result = convert(*value, converted); !result)
+        {
+            report(key, result.error());
+            return false;
+        }
+        out = converted;
+        return true;
+    }
+
+    std::string name_;
+    const settings_table* table_;
+    settings_faults* faults_;
+    std::set<std::string> known_;
+};
+
+/// Parses TOML text. Fails with the syntax error.
+tl::expected<settings_table, settings_fault>
+parse_settings(const std::string& text);
+
+/// One line `file:line:column: reason` for each fault.
+std::string describe(const std::string& file,
+                     const std::vector<settings_fault>& faults);
+
+/// Reads settings of type `Settings` from TOML text by the free function
+/// `read_settings(settings_section&, Settings&)`. Fails with all faults.
+template <class Settings>
+tl::expected<Settings, std::vector<settings_fault>>
+settings_from_text(const std::string& text)
+{
+    const auto table = parse_settings(text);
+    if (!table)
+    {
+        return tl::unexpected(std::vector<settings_fault>{table.error()});
+    }
+    settings_faults faults;
+    settings_section top("", *table, faults);
+    Settings settings;
+    read_settings(top, settings);
+    top.finish();
+    auto found = faults.sorted();
+    if (!found.empty())
+    {
+        return tl::unexpected(std::move(found));
+    }
+    return settings;
+}
+
+} // namespace galenafork
+
+#endif
--- /dev/null
+++ b/src/libdaemon/control_loop_test.cpp
@@ -0,0 +1,142 @@
+#include <galenafork/control_loop.h>
+
+#include <csignal>
+#include <doctest/doctest.h>
+#include <kj/compat/http.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace galenafork;
+
+namespace
+{
+
+/// A loop on free loopback ports.
+std::unique_ptr<control_loop> open_loop(const metrics_registry& metrics,
+                                        control_addresses& at)
+{
+    for (std::uint16_t port = 20'000; port < 60'000; port += 2)
+    {
+        at.http_ = {make_v4(127, 0, 0, 1), port};
+        at.rpc_ = {make_v4(127, 0, 0, 1), static_cast<std::uint16_t>(port + 1)};
+        if (auto loop = control_loop::open(at, metrics))
+        {
+            return std::move(*loop);
+        }
+    }
+    return nullptr;
+}
+
+struct http_answer
+{
+    unsigned status_ = 0;
+    std::string body_;
+};
+
+kj::Promise<http_answer> get(control_loop& loop, const endpoint& at,
+                             const std::string& path)
+{
+    static const kj::HttpHeaderTable table;
+    auto client = kj::newHttpClient(loop.timer(), table,
+                                    loop.io().provider->getNetwork(), nullptr);
+    const std::string url = "http://" + to_string(at) + path;
+    auto request = client->request(kj::HttpMethod::GET, url.c_str(),
+                                   kj::HttpHeaders(table), std::uint64_t(0));
+    return request.response
+        .then(
+            [](kj::HttpClient::Response&& response)
+            {
+                const unsigned status = response.statusCode;
+                return response.body->readAllText()
+                    .then(
+                        [status](kj::String&& text) {
+                            return http_answer{status, text.cStr()};
+                        })
+                    .attach(kj::mv(response.body));
+            })
+        .attach(kj::mv(client), kj::mv(request.body));
+}
+
+} // namespace
+
+TEST_CASE("health, readiness, metrics and status answer over HTTP")
+{
+    metrics_registry metrics;
+    metrics.add_counter("seen_total", "Seen.").add(7);
+    control_addresses at;
+    auto loop = open_loop(metrics, at);
+    REQUIRE(loop != nullptr);
+    auto& scope = loop->io().waitScope;
+    const auto ask = [&](const std::string& path)
+    { return get(*loop, at.http_, path).wait(scope); };
+
+    CHECK(ask("/healthz").status_ == 200);
+    CHECK(ask("/readyz").status_ == 503);
+    loop->set_readiness([] { return readiness{false, "no rules"}; });
+    CHECK(ask("/readyz").body_ == "unready: no rules\n");
+    loop->set_readiness([] { return readiness{true, ""}; });
+    CHECK(ask("/readyz").status_ == 200);
+    CHECK(ask("/metrics").body_.find("seen_total 7") != std::string::npos);
+    loop->set_status([] { return std::string("{\"a\":1}"); });
+    CHECK(ask("/status").body_ == "{\"a\":1}\n");
+    CHECK(ask("/nothing").status_ == 404);
+}
+
+TEST_CASE("SIGTERM runs the drain before the loop ends")
+{
+    metrics_registry metrics;
+    control_addresses at;
+    auto loop = open_loop(metrics, at);
+    REQUIRE(loop != nullptr);
+    bool drained = false;
+    loop->set_drain(
+        [&]
+        {
+            return loop->timer()
+                .afterDelay(5 * kj::MILLISECONDS)
+                .then([&] { drained = true; });
+        });
+    ::kill(::getpid(), SIGTERM);
+    CHECK(loop->run() == exit_code::success);
+    CHECK(drained);
+}
+
+TEST_CASE("mail and timers reach the control thread")
+{
+    metrics_registry metrics;
+    control_addresses at;
+    mailbox<int> mail(10);
+    auto loop = open_loop(metrics, at);
+    REQUIRE(loop != nullptr);
+    int ticks = 0;
+    int sum = 0;
+    loop->every(std::chrono::milliseconds(1), [&] { ++ticks; });
+    loop->deliver<int>(mail,
+                       [&](int&& value)
+                       {
+                           sum += value;
+                           if (sum == 6)
+                           {
+                               loop->stop();
+                           }
+                       });
+    mail.post(1);
+    mail.post(2);
+    loop->every(std::chrono::milliseconds(3), [&] { mail.post(3); });
+    CHECK(loop->run() == exit_code::success);
+    CHECK(sum >= 6);
+    CHECK(ticks >= 1);
+}
+
+TEST_CASE("an address that is taken is an error")
+{
+    metrics_registry metrics;
+    control_addresses at;
+    auto loop = open_loop(metrics, at);
+    REQUIRE(loop != nullptr);
+    bool refused = false;
+    // A thread has one event loop at most.
+    std::thread second([&] { refused = !control_loop::open(at, metrics); });
+    second.join();
+    CHECK(refused);
+}
--- /dev/null
+++ b/src/libdaemon/log.cpp
@@ -0,0 +1,148 @@
+#include <galenafork/log.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <chrono>
+#include <ctime>
+
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace galenafork
+{
+
+namespace
+{
+
+log_level least_level = log_level::info;
+
+std::string& program_name()
+{
+    static std::string name = "galenafork";
+    return name;
+}
+
+bool is_plain(char c)
+{
+    const auto byte = static_cast<unsigned char>(c);
+    return byte > ' ' && byte < 0x7f && c != '"' && c != '=' && c != '\\';
+}
+
+void append_escaped(std::string& out, char c)
+{
+    static constexpr char digits[] = "0123456789abcdef";
+    const auto byte = static_cast<unsigned char>(c);
+    if (c == '"' || c == '\\')
+    {
+        out += '\\';
+        out += c;
+    }
+    else if (byte < ' ' || byte == 0x7f)
+    {
+        out += "\\x";
+        out += digits[byte >> 4U];
+        out += digits[byte & 0xfU];
+    }
+    else
+    {
+        out += c;
+    }
+}
+
+std::string utc_now()
+{
+    using namespace std::chrono;
+    const auto now = system_clock::now();
+    const std::time_t seconds = system_clock::to_time_t(now);
+    const auto ms =
+        duration_cast<milliseconds>(now.time_since_epoch()).count() % 1000;
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 32> text{};
+    std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    const std::string fraction = std::to_string(1000 + ms).substr(1);
+    return std::string(text.data()) + "." + fraction + "Z";
+}
+
+void write_line(log_level level, const std::string& line)
+{
+    switch (level)
+    {
+    case log_level::debug:
+        LOG(DEBUG) << line;
+        return;
+    case log_level::info:
+        LOG(INFO) << line;
+        return;
+    case log_level::warning:
+        LOG(WARNING) << line;
+        return;
+    case log_level::error:
+        LOG(ERROR) << line;
+        return;
+    }
+}
+
+} // namespace
+
+const char* to_string(log_level level)
+{
+    switch (level)
+    {
+    case log_level::debug:
+        return "debug";
+    case log_level::info:
+        return "info";
+    case log_level::warning:
+        return "warning";
+    case log_level::error:
+        return "error";
+    }
+    return "error";
+}
+
+void configure_log(log_level least, const std::string& program)
+{
+    least_level = least;
+    program_name() = program;
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::Format, "%msg");
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    el::Loggers::reconfigureAllLoggers(configuration);
+}
+
+std::string quoted_log_value(const std::string& value)
+{
+    if (!value.empty() && std::all_of(value.begin(), value.end(), is_plain))
+    {
+        return value;
+    }
+    std::string out = "\"";
+    for (const char c : value)
+    {
+        append_escaped(out, c);
+    }
+    return out + "\"";
+}
+
+void log_event(log_level level, const std::string& event,
+               std::initializer_list<log_field> fields)
+{
+    if (level < least_level)
+    {
+        return;
+    }
+    std::string line = "time=" + utc_now() + " level=" + to_string(level) +
+                       " program=" + program_name() + " event=" + event;
+    for (const log_field& field : fields)
+    {
+        line += " " + field.key_ + "=" + quoted_log_value(field.value_);
+    }
+    write_line(level, line);
+}
+
+} // namespace galenafork
