Rosters as pure decisions; messages follow the model's findings

Cause: daemons, operators' client and spread all need apply(roster, change). The model's author found that a directory copied from the old home lets two homes open, that promises need the epoch of the watcher set, and that one remembered write id cannot settle a lost answer. Ruled out: copying directories between homes (a home reached by skipping an epoch waits for the wrong member); one last write id. Before: headers. Conclusion: a new home asks every member what it owns.

--- a/src/include/galenafork/ids.h
+++ b/src/include/galenafork/ids.h
@@ -52,6 +52,10 @@
 /// Longest service, instance and data centre name, in bytes.
 inline constexpr std::size_t max_name_bytes = 63;
 
+/// The incarnation that follows `current` when a roster change, not the
+/// instance itself, renews it.
+incarnation next_incarnation(incarnation current);
+
 /// True if `text` may name a service, an instance or a data centre.
 bool is_valid_name(const std::string& text);
 
--- a/src/include/galenafork/messages.h
+++ b/src/include/galenafork/messages.h
@@ -8,6 +8,7 @@
 #include <galenafork/error.h>
 #include <galenafork/flow.h>
 #include <galenafork/ids.h>
+#include <galenafork/time.h>
 #include <galenafork/trace.h>
 
 #include <cstdint>
@@ -66,8 +67,12 @@
     instance_life target_;
     /// Epoch of the sender's roster.
     epoch epoch_;
+    /// Version of the balancer's rules.
+    rules_version rules_version_;
     packet_role role_ = packet_role::to_home;
     std::uint8_t hops_ = 0;
+    /// The rule is retired: known flows go on, no new one opens.
+    bool established_only_ = false;
     flow_key flow_;
     /// Where the balancer takes `stale_notice` (UDP); port 0 for none.
     endpoint balancer_;
@@ -99,33 +104,30 @@
     bool cold_ = false;
 };
 
-/// Asks a watcher for a lease.
+/// Asks a watcher for a lease, and tells any member the sender's load.
 struct heartbeat
 {
     std::uint64_t sequence_ = 0;
     load_report load_;
+    /// Members that the sender knows to have lapsed.
+    std::vector<instance_life> lapsed_;
 };
 
-/// Grants the lease asked for by the heartbeat of that sequence number.
+/// Grants the lease asked for by the heartbeat of that sequence number, if
+/// the sender is a watcher of the receiver.
 struct heartbeat_ack
 {
     std::uint64_t sequence_ = 0;
     load_report load_;
 };
 
-/// The sender, a watcher, will never again ack `lapsed_`.
+/// The sender, a watcher, will never again ack `lapsed_`. Counts only for
+/// whoever holds a roster at least as new as the header's epoch.
 struct lapse_promise
 {
     instance_life lapsed_;
 };
 
-/// A flow and the member that owns it.
-struct directory_entry
-{
-    flow_key flow_;
-    instance_life owner_;
-};
-
 /// Place of a message in a transfer that was cut to fit datagrams.
 struct chunk_position
 {
@@ -133,33 +135,14 @@
     std::uint16_t count_ = 1;
 };
 
-/// Planned change of home: part of the old home's directory of one bucket.
-struct directory_chunk
-{
-    bucket_id bucket_;
-    chunk_position position_;
-    std::vector<directory_entry> entries_;
-};
-
-/// Confirms one `directory_chunk`.
-struct directory_ack
-{
-    bucket_id bucket_;
-    std::uint16_t index_ = 0;
-};
-
-/// Takeover: asks for the flows that the receiver owns in a bucket.
+/// New home to every other member: asks for all it holds of these buckets.
+/// Answered only at an epoch at least as new as the header's and after taking
+/// over `lapsed_`.
 struct ownership_query
 {
-    bucket_id bucket_;
-};
-
-/// Part of the answer to `ownership_query`.
-struct ownership_reply
-{
-    bucket_id bucket_;
-    chunk_position position_;
-    std::vector<flow_key> flows_;
+    std::uint64_t query_ = 0;
+    std::vector<bucket_id> buckets_;
+    std::vector<instance_life> lapsed_;
 };
 
 /// The owner tells the home that a flow has ended.
@@ -228,26 +211,55 @@
     journal_entry entry_;
 };
 
-/// Owner to new partner: part of its live entries of one bucket.
-struct journal_sync
+/// The sender holds every journal entry of the bucket that `home_` held.
+struct journal_mark
 {
     bucket_id bucket_;
+    instance_life home_;
+};
+
+/// The sender may lack journal entries of the bucket for that long yet.
+struct journal_gap
+{
+    bucket_id bucket_;
+    duration remaining_{};
+};
+
+/// Part of the answer to `ownership_query`.
+struct ownership_reply
+{
+    std::uint64_t query_ = 0;
     chunk_position position_;
+    /// Flows that the sender owns.
+    std::vector<flow_key> flows_;
+    /// Entries that the sender holds, its own and those of others.
     std::vector<journal_entry> entries_;
+    std::vector<journal_mark> marks_;
+    std::vector<journal_gap> gaps_;
 };
 
-/// Confirms one `journal_sync`.
+/// Home to its new journal partner: part of all entries it holds of these
+/// buckets.
+struct journal_sync
+{
+    std::uint64_t sync_ = 0;
+    chunk_position position_;
+    std::vector<bucket_id> buckets_;
+    std::vector<journal_entry> entries_;
+};
+
+/// Confirms one chunk of a `journal_sync`.
 struct journal_sync_ack
 {
-    bucket_id bucket_;
+    std::uint64_t sync_ = 0;
     std::uint16_t index_ = 0;
 };
 
 /// Body of a message between two agents of one service.
 using peer_body =
-    std::variant<heartbeat, heartbeat_ack, lapse_promise, directory_chunk,
-                 directory_ack, ownership_query, ownership_reply, flow_closed,
-                 journal_record, journal_ack, journal_sync, journal_sync_ack>;
+    std::variant<heartbeat, heartbeat_ack, lapse_promise, ownership_query,
+                 ownership_reply, flow_closed, journal_record, journal_ack,
+                 journal_sync, journal_sync_ack>;
 
 /// A message between two agents of one service.
 struct peer_message
--- a/src/include/galenafork/roster.h
+++ b/src/include/galenafork/roster.h
@@ -49,6 +49,9 @@
     member_state state_ = member_state::joining;
     /// Instances that grant this member's lease, at most `max_watchers`.
     std::vector<instance_id> watchers_;
+    /// Epoch of the last change of `watchers_`; older promises of this
+    /// member's lapse do not count.
+    epoch watch_epoch_;
 };
 
 /// Most watchers of one member.
@@ -78,10 +81,14 @@
     /// Sorted by instance id.
     std::vector<member> members_;
     std::array<bucket_assignment, bucket_count> buckets_{};
-    /// The write that made this epoch; settles a lost answer.
-    write_id last_write_;
+    /// The writes that made the latest epochs, newest first, at most
+    /// `max_recent_writes`; they settle lost answers.
+    std::vector<write_id> recent_writes_;
 };
 
+/// Writes that a roster remembers.
+inline constexpr std::size_t max_recent_writes = 16;
+
 /// What a change does to a roster.
 enum class roster_change_kind
 {
@@ -105,9 +112,11 @@
 };
 
 /// The roster after `change`, one epoch later. Moves as few buckets as an
-/// even spread by slots needs. Deterministic: every process computes the same
-/// result. Fails with `not_found` if the change names no present member of
-/// that incarnation, `conflict` if it changes nothing.
+/// even spread by slots needs. A member that loses all its watchers at once
+/// (the survivor of two) gets the next incarnation, since a watcher may have
+/// promised the lapse of the present one. Deterministic: every process computes
+/// the same result. Fails with `not_found` if the change names no present
+/// member of that incarnation, `conflict` if it changes nothing.
 tl::expected<roster, error> apply(const roster& current,
                                   const roster_change& change);
 
@@ -132,8 +141,14 @@
     bool contains(const member& m) const;
 };
 
-/// The member that opens flows of `bucket`: the home unless it lapsed, else
-/// the deputy unless it lapsed, else null. Allocates nothing.
+/// The order in which members act for `bucket`: home, deputy, then the other
+/// members in an order fixed by the bucket; lapsed and not serving members are
+/// passed over. `rank` 0 is the effective home, 1 its journal partner. Null if
+/// there are not so many. Allocates nothing.
+const member* successor_of(const roster& r, const lapsed_set& lapsed,
+                           bucket_id bucket, std::size_t rank);
+
+/// The member that opens flows of `bucket`: `successor_of` rank 0.
 const member* effective_home_of(const roster& r, const lapsed_set& lapsed,
                                 bucket_id bucket);
 
--- a/src/libbase/ids.cpp
+++ b/src/libbase/ids.cpp
@@ -15,6 +15,11 @@
 
 } // namespace
 
+incarnation next_incarnation(incarnation current)
+{
+    return incarnation(current.value() + 1);
+}
+
 bool is_valid_name(const std::string& text)
 {
     return !text.empty() && text.size() <= max_name_bytes &&
--- /dev/null
+++ b/src/libflow/roster.cpp
@@ -0,0 +1,295 @@
+#include "roster_assign.h"
+
+#include <galenafork/roster.h>
+
+#include <algorithm>
+
+namespace galenafork
+{
+
+namespace
+{
+
+using members = std::vector<member>;
+
+members::iterator position_of(members& all, const instance_id& instance)
+{
+    return std::lower_bound(all.begin(), all.end(), instance,
+                            [](const member& m, const instance_id& id)
+                            { return m.instance_ < id; });
+}
+
+tl::unexpected<error> no_such_member(const member& m)
+{
+    return tl::unexpected(
+        error{error_code::not_found,
+              "no member " + m.instance_.value() + " of that incarnation"});
+}
+
+tl::unexpected<error> nothing_to_change(const member& m)
+{
+    return tl::unexpected(
+        error{error_code::conflict,
+              "member " + m.instance_.value() + " is so already"});
+}
+
+bool is_present(const members& all, members::iterator at, const member& m)
+{
+    return at != all.end() && at->instance_ == m.instance_ &&
+           at->incarnation_ == m.incarnation_;
+}
+
+// Old index -> new index after a member was put in or taken out.
+void renumber(roster& r, const members& before)
+{
+    std::vector<member_index> new_index(before.size(), no_member);
+    for (std::size_t i = 0; i < before.size(); ++i)
+    {
+        const auto at = position_of(r.members_, before[i].instance_);
+        if (is_present(r.members_, at, before[i]))
+        {
+            new_index[i] = member_index(
+                static_cast<std::uint16_t>(at - r.members_.begin()));
+        }
+    }
+    const auto move = [&](member_index old)
+    { return old == no_member ? no_member : new_index[old.value()]; };
+    for (auto& bucket : r.buckets_)
+    {
+        bucket.home_ = move(bucket.home_);
+        bucket.deputy_ = move(bucket.deputy_);
+    }
+}
+
+tl::expected<void, error> join(roster& r, const member& joiner)
+{
+    const members before = r.members_;
+    const auto at = position_of(r.members_, joiner.instance_);
+    if (is_present(r.members_, at, joiner))
+    {
+        if (at->state_ == joiner.state_ || at->state_ == member_state::draining)
+        {
+            return nothing_to_change(joiner);
+        }
+        at->state_ = joiner.state_;
+        return {};
+    }
+    member added = joiner;
+    added.watchers_.clear();
+    if (at != r.members_.end() && at->instance_ == joiner.instance_)
+    {
+        *at = std::move(added);
+    }
+    else
+    {
+        r.members_.insert(at, std::move(added));
+    }
+    renumber(r, before);
+    return {};
+}
+
+tl::expected<void, error> set_state(roster& r, const member& m,
+                                    member_state state)
+{
+    const auto at = position_of(r.members_, m.instance_);
+    if (!is_present(r.members_, at, m))
+    {
+        return no_such_member(m);
+    }
+    if (at->state_ == state)
+    {
+        return nothing_to_change(m);
+    }
+    at->state_ = state;
+    return {};
+}
+
+tl::expected<void, error> remove(roster& r, const member& m)
+{
+    const members before = r.members_;
+    const auto at = position_of(r.members_, m.instance_);
+    if (!is_present(r.members_, at, m))
+    {
+        return no_such_member(m);
+    }
+    r.members_.erase(at);
+    // The deputy already acts for a home that lapsed: let it stay home.
+    const auto gone = static_cast<std::uint16_t>(
+        std::find_if(before.begin(), before.end(),
+                     [&](const member& x)
+                     { return x.instance_ == m.instance_; }) -
+        before.begin());
+    for (auto& bucket : r.buckets_)
+    {
+        if (bucket.home_.value() == gone)
+        {
+            bucket.home_ = bucket.deputy_;
+            bucket.deputy_ = no_member;
+        }
+    }
+    renumber(r, before);
+    return {};
+}
+
+tl::expected<void, error> change_members(roster& r, const roster_change& change)
+{
+    switch (change.kind_)
+    {
+    case roster_change_kind::join:
+        return join(r, change.member_);
+    case roster_change_kind::drain:
+        return set_state(r, change.member_, member_state::draining);
+    case roster_change_kind::undrain:
+        return set_state(r, change.member_, member_state::serving);
+    case roster_change_kind::remove:
+        return remove(r, change.member_);
+    }
+    return {};
+}
+
+// Marks changed watcher sets; a member whose watchers are all gone goes on
+// under the next incarnation.
+void settle_watchers(const roster& before, roster& next)
+{
+    for (member& m : next.members_)
+    {
+        const member* old = find_member(before, m.instance_);
+        if (old == nullptr || old->incarnation_ != m.incarnation_)
+        {
+            m.watch_epoch_ = next.epoch_;
+            continue;
+        }
+        if (old->watchers_ == m.watchers_)
+        {
+            continue;
+        }
+        m.watch_epoch_ = next.epoch_;
+        const bool keeps_one = std::any_of(
+            old->watchers_.begin(), old->watchers_.end(),
+            [&](const instance_id& id) { return find_member(next, id); });
+        if (!old->watchers_.empty() && !keeps_one)
+        {
+            m.incarnation_ = next_incarnation(m.incarnation_);
+        }
+    }
+}
+
+void remember_write(roster& r, const write_id& write)
+{
+    auto& writes = r.recent_writes_;
+    writes.insert(writes.begin(), write);
+    writes.resize(std::min(writes.size(), max_recent_writes));
+}
+
+bool may_act(const roster& r, const lapsed_set& lapsed, std::size_t index)
+{
+    const member& m = r.members_[index];
+    return m.state_ == member_state::serving && !lapsed.contains(m);
+}
+
+} // namespace
+
+const char* to_string(member_state state)
+{
+    switch (state)
+    {
+    case member_state::joining:
+        return "joining";
+    case member_state::serving:
+        return "serving";
+    case member_state::draining:
+        return "draining";
+    }
+    return "joining";
+}
+
+tl::expected<roster, error> apply(const roster& current,
+                                  const roster_change& change)
+{
+    roster next = current;
+    if (auto changed = change_members(next, change); !changed)
+    {
+        return tl::unexpected(changed.error());
+    }
+    next.epoch_ = epoch(current.epoch_.value() + 1);
+    pvt::assign_watchers(next);
+    settle_watchers(current, next);
+    pvt::assign_buckets(next);
+    remember_write(next, change.write_);
+    return next;
+}
+
+const member* find_member(const roster& r, const instance_id& instance)
+{
+    for (const member& m : r.members_)
+    {
+        if (m.instance_ == instance)
+        {
+            return &m;
+        }
+    }
+    return nullptr;
+}
+
+const member* member_at(const roster& r, member_index index)
+{
+    return index.value() < r.members_.size() ? &r.members_[index.value()]
+                                             : nullptr;
+}
+
+const member* home_of(const roster& r, bucket_id bucket)
+{
+    return member_at(r, r.buckets_[bucket.value()].home_);
+}
+
+const member* deputy_of(const roster& r, bucket_id bucket)
+{
+    return member_at(r, r.buckets_[bucket.value()].deputy_);
+}
+
+bool lapsed_set::contains(const member& m) const
+{
+    return std::any_of(lives_.begin(), lives_.end(),
+                       [&](const instance_life& life)
+                       {
+                           return life.incarnation_ == m.incarnation_ &&
+                                  life.instance_ == m.instance_;
+                       });
+}
+
+const member* successor_of(const roster& r, const lapsed_set& lapsed,
+                           bucket_id bucket, std::size_t rank)
+{
+    const bucket_assignment& assigned = r.buckets_[bucket.value()];
+    std::size_t found = 0;
+    for (const member_index first : {assigned.home_, assigned.deputy_})
+    {
+        const bool can_act =
+            member_at(r, first) != nullptr && may_act(r, lapsed, first.value());
+        if (can_act && found++ == rank)
+        {
+            return member_at(r, first);
+        }
+    }
+    const std::size_t count = r.members_.size();
+    for (std::size_t step = 0; step < count; ++step)
+    {
+        const std::size_t index = (bucket.value() + step) % count;
+        const member_index as_index(static_cast<std::uint16_t>(index));
+        const bool named =
+            as_index == assigned.home_ || as_index == assigned.deputy_;
+        if (!named && may_act(r, lapsed, index) && found++ == rank)
+        {
+            return &r.members_[index];
+        }
+    }
+    return nullptr;
+}
+
+const member* effective_home_of(const roster& r, const lapsed_set& lapsed,
+                                bucket_id bucket)
+{
+    return successor_of(r, lapsed, bucket, 0);
+}
+
+} // namespace galenafork
