--- a/tools/test.sh
+++ b/tools/test.sh
@@ -5,6 +5,9 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 
+# rapidcheck draws its cases from this seed, so that every run is the same.
+export RC_PARAMS="seed=20261204"
+
 passed=0
 failed=0
 
