Wire codec: Cap'n Proto datagrams and PROXY protocol v2

Cause: balancers and agents need one strict codec for the messages of messages.h, and a forwarding path that allocates nothing.

Ruled out: a multi-segment reader (a second segment only adds ways to be malformed) and a builder that owns its memory in the hot path (its destructor clears the buffer it was given). encode_into sizes the message first and builds it in place.

Before: structs only. After: encode, encode_into, decode, encode and parse of PROXY v2 headers. Names, enumerators, buckets, hops, tokens and lists are checked on the way in; a datagram is one segment of exactly its size.

--- /dev/null
+++ b/src/include/galenafork/proxy_protocol.h
@@ -0,0 +1,56 @@
+/// \file
+/// PROXY protocol version 2 for UDP: the header in front of each datagram
+/// between the fabric and the system.
+
+#ifndef GALENAFORK_PROXY_PROTOCOL_H
+#define GALENAFORK_PROXY_PROTOCOL_H
+
+#include <galenafork/endpoint.h>
+#include <galenafork/error.h>
+#include <galenafork/messages.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <tl/expected.hpp>
+
+namespace galenafork
+{
+
+/// Source and destination of a proxied datagram. On the way in the source is
+/// the caller and the destination the service address; answers have them the
+/// other way round.
+struct proxy_header
+{
+    endpoint source_;
+    endpoint destination_;
+};
+
+/// A header that was read, and where the payload starts.
+struct parsed_proxy_header
+{
+    proxy_header header_;
+    std::size_t payload_offset_ = 0;
+};
+
+/// Largest header that `encode_proxy_header` writes, in bytes.
+inline constexpr std::size_t max_proxy_header_bytes = 52;
+
+/// Writes `header` to `buffer`, which has room for `max_proxy_header_bytes`,
+/// and returns its size. The IPv4 form is used if both addresses are IPv4.
+/// Allocates nothing.
+std::size_t encode_proxy_header(const proxy_header& header,
+                                std::uint8_t* buffer);
+
+/// `header` followed by `payload`.
+byte_buffer make_proxy_datagram(const proxy_header& header,
+                                const byte_buffer& payload);
+
+/// Reads the header in front of a datagram. Extensions (TLVs) are skipped.
+/// Fails with `bad_message` if it is not a version 2 header of command PROXY
+/// for UDP over IPv4 or IPv6, or if the datagram ends within it.
+tl::expected<parsed_proxy_header, error>
+parse_proxy_header(const std::uint8_t* bytes, std::size_t size);
+
+} // namespace galenafork
+
+#endif
--- /dev/null
+++ b/src/libwire/decode.cpp
@@ -0,0 +1,245 @@
+#include "fields.h"
+
+#include <galenafork/wire.h>
+
+#include <capnp/message.h>
+#include <cstring>
+#include <exception>
+#include <kj/exception.h>
+
+namespace galenafork
+{
+
+namespace
+{
+
+using namespace pvt;
+using pvt::read;
+
+constexpr std::size_t segment_table_bytes = 8;
+constexpr std::size_t word_bytes = sizeof(capnp::word);
+
+// The deepest message (datagram, peer, chunk, entries, entry, owner, name)
+// has seven levels.
+constexpr int nesting_limit = 8;
+
+// A message may be walked about twice over, as reading a name or a list does
+// not repeat; more means pointers that share targets.
+constexpr std::uint64_t traversal_factor = 2;
+
+forwarded_packet read(schema::ForwardedPacket::Reader in)
+{
+    require(in.getRole() <= static_cast<std::uint8_t>(packet_role::open_here),
+            "unknown packet role");
+    require(in.getHops() <= max_hops, "too many hops");
+    forwarded_packet packet;
+    packet.service_ = service_name(read_name(in.getService()));
+    packet.target_ = read(in.getTarget());
+    packet.epoch_ = epoch(in.getEpoch());
+    packet.role_ = static_cast<packet_role>(in.getRole());
+    packet.hops_ = in.getHops();
+    packet.flow_ = read(in.getFlow());
+    packet.balancer_ = read(in.getBalancer());
+    packet.fabric_ = read(in.getFabric());
+    packet.trace_ = read(in.getTrace());
+    packet.payload_ = read_bytes(in.getPayload(), max_datagram_bytes);
+    return packet;
+}
+
+peer_header read(schema::PeerHeader::Reader in)
+{
+    peer_header header;
+    header.service_ = service_name(read_name(in.getService()));
+    header.sender_ = read(in.getSender());
+    header.target_ = read(in.getTarget());
+    header.epoch_ = epoch(in.getEpoch());
+    return header;
+}
+
+directory_entry read(schema::DirectoryEntry::Reader in)
+{
+    return {read(in.getFlow()), read(in.getOwner())};
+}
+
+template <class Item, class ListReader>
+std::vector<Item> read_list(ListReader in)
+{
+    require(in.size() <= max_list_items, "list is too long");
+    std::vector<Item> items;
+    items.reserve(in.size());
+    for (const auto item : in)
+    {
+        items.push_back(read(item));
+    }
+    return items;
+}
+
+template <class Reader>
+chunk_position read_position(const Reader& in)
+{
+    require(in.getIndex() < in.getCount(), "bad position in a transfer");
+    return {in.getIndex(), in.getCount()};
+}
+
+template <class Beat>
+Beat read_beat(schema::Heartbeat::Reader in)
+{
+    return {in.getSequence(), read(in.getLoad())};
+}
+
+template <class Ack>
+Ack read_ack(schema::TransferAck::Reader in)
+{
+    return {read_bucket(in.getBucket()), in.getIndex()};
+}
+
+directory_chunk read(schema::DirectoryChunk::Reader in)
+{
+    return {read_bucket(in.getBucket()), read_position(in),
+            read_list<directory_entry>(in.getEntries())};
+}
+
+ownership_reply read(schema::OwnershipReply::Reader in)
+{
+    return {read_bucket(in.getBucket()), read_position(in),
+            read_list<flow_key>(in.getFlows())};
+}
+
+journal_sync read(schema::JournalSync::Reader in)
+{
+    return {read_bucket(in.getBucket()), read_position(in),
+            read_list<journal_entry>(in.getEntries())};
+}
+
+peer_body read_body(schema::PeerMessage::Reader in)
+{
+    switch (in.which())
+    {
+    case schema::PeerMessage::HEARTBEAT:
+        return read_beat<heartbeat>(in.getHeartbeat());
+    case schema::PeerMessage::HEARTBEAT_ACK:
+        return read_beat<heartbeat_ack>(in.getHeartbeatAck());
+    case schema::PeerMessage::LAPSE_PROMISE:
+        return lapse_promise{read(in.getLapsePromise())};
+    case schema::PeerMessage::DIRECTORY_CHUNK:
+        return read(in.getDirectoryChunk());
+    case schema::PeerMessage::DIRECTORY_ACK:
+        return read_ack<directory_ack>(in.getDirectoryAck());
+    case schema::PeerMessage::OWNERSHIP_QUERY:
+        return ownership_query{read_bucket(in.getOwnershipQuery())};
+    case schema::PeerMessage::OWNERSHIP_REPLY:
+        return read(in.getOwnershipReply());
+    case schema::PeerMessage::FLOW_CLOSED:
+        return flow_closed{read(in.getFlowClosed())};
+    case schema::PeerMessage::JOURNAL_RECORD:
+        return journal_record{read(in.getJournalRecord())};
+    case schema::PeerMessage::JOURNAL_ACK:
+        return journal_ack{read(in.getJournalAck())};
+    case schema::PeerMessage::JOURNAL_SYNC:
+        return read(in.getJournalSync());
+    case schema::PeerMessage::JOURNAL_SYNC_ACK:
+        return read_ack<journal_sync_ack>(in.getJournalSyncAck());
+    }
+    throw bad_field{"unknown peer message"};
+}
+
+stale_notice read(schema::StaleNotice::Reader in)
+{
+    require(in.getReason() <= static_cast<std::uint8_t>(refusal::malformed),
+            "unknown refusal");
+    stale_notice notice;
+    notice.service_ = service_name(read_name(in.getService()));
+    notice.epoch_ = epoch(in.getEpoch());
+    notice.lapsed_ = read_list<instance_life>(in.getLapsed());
+    notice.reason_ = static_cast<refusal>(in.getReason());
+    return notice;
+}
+
+datagram read(schema::Datagram::Reader in)
+{
+    switch (in.which())
+    {
+    case schema::Datagram::FORWARDED:
+        return read(in.getForwarded());
+    case schema::Datagram::PEER:
+        return peer_message{read(in.getPeer().getHeader()),
+                            read_body(in.getPeer())};
+    case schema::Datagram::STALE:
+        return read(in.getStale());
+    }
+    throw bad_field{"unknown datagram"};
+}
+
+datagram read_segment(const capnp::word* words, std::size_t count)
+{
+    const auto segment = kj::arrayPtr(words, count);
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = traversal_factor * count;
+    options.nestingLimit = nesting_limit;
+    capnp::SegmentArrayMessageReader message(kj::arrayPtr(&segment, 1),
+                                             options);
+    return read(message.getRoot<schema::Datagram>());
+}
+
+bool is_aligned(const std::uint8_t* bytes)
+{
+    return reinterpret_cast<std::uintptr_t>(bytes) % wire_alignment == 0;
+}
+
+datagram read_words(const std::uint8_t* bytes, std::size_t count)
+{
+    if (is_aligned(bytes))
+    {
+        return read_segment(reinterpret_cast<const capnp::word*>(bytes), count);
+    }
+    std::vector<capnp::word> copy(count);
+    std::memcpy(copy.data(), bytes, count * word_bytes);
+    return read_segment(copy.data(), count);
+}
+
+tl::unexpected<error> bad_message(const char* what)
+{
+    return tl::unexpected(error{error_code::bad_message, what});
+}
+
+bool has_one_whole_segment(const std::uint8_t* bytes, std::size_t size)
+{
+    if (size < segment_table_bytes || size > max_datagram_bytes)
+    {
+        return false;
+    }
+    const std::size_t rest = size - segment_table_bytes;
+    return rest % word_bytes == 0 &&
+           load_word(bytes) == static_cast<std::uint64_t>(rest / word_bytes)
+                                   << 32U;
+}
+
+} // namespace
+
+tl::expected<datagram, error> decode(const std::uint8_t* bytes,
+                                     std::size_t size)
+{
+    if (!has_one_whole_segment(bytes, size))
+    {
+        return bad_message("not one whole segment");
+    }
+    try
+    {
+        return read_words(bytes + segment_table_bytes,
+                          (size - segment_table_bytes) / word_bytes);
+    }
+    catch (const bad_field& field)
+    {
+        return bad_message(field.what_);
+    }
+    catch (const kj::Exception&)
+    {
+        return bad_message("broken pointers");
+    }
+    catch (const std::exception& e)
+    {
+        return bad_message(e.what());
+    }
+}
+
+} // namespace galenafork
--- /dev/null
+++ b/src/libwire/encode.cpp
@@ -0,0 +1,283 @@
+#include "fields.h"
+
+#include <galenafork/wire.h>
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <cstring>
+
+namespace galenafork
+{
+
+namespace
+{
+
+using namespace pvt;
+using pvt::write;
+
+// Segment count less one, then the size of the one segment in words.
+constexpr std::size_t segment_table_bytes = 8;
+constexpr std::size_t word_bytes = sizeof(capnp::word);
+
+// First segment of a message that is built on the stack, in words.
+constexpr std::size_t scratch_words = 512;
+
+constexpr std::size_t words_of_bytes(std::size_t bytes)
+{
+    return (bytes + word_bytes - 1) / word_bytes;
+}
+
+// A text ends in a zero byte.
+std::size_t words_of_text(const std::string& text)
+{
+    return words_of_bytes(text.size() + 1);
+}
+
+template <class Schema>
+constexpr std::size_t words_of_struct()
+{
+    return capnp::_::structSize<Schema>().total() / capnp::WORDS;
+}
+
+// Words of a forwarded packet less its texts and payload.
+constexpr std::size_t fixed_packet_words()
+{
+    return 1 + words_of_struct<schema::Datagram>() +
+           words_of_struct<schema::ForwardedPacket>() +
+           words_of_struct<schema::InstanceLife>() +
+           words_of_struct<schema::FlowKey>() +
+           2 * words_of_struct<schema::Endpoint>() +
+           words_of_struct<schema::TraceContext>();
+}
+
+void write(schema::ForwardedPacket::Builder out, const forwarded_packet& value)
+{
+    out.setService(text_of(value.service_.value()));
+    write(out.initTarget(), value.target_);
+    out.setEpoch(value.epoch_.value());
+    out.setRole(static_cast<std::uint8_t>(value.role_));
+    out.setHops(value.hops_);
+    write(out.initFlow(), value.flow_);
+    write(out.initBalancer(), value.balancer_);
+    write(out.initFabric(), value.fabric_);
+    write(out.initTrace(), value.trace_);
+    out.setPayload(data_of(value.payload_));
+}
+
+void write(schema::PeerHeader::Builder out, const peer_header& value)
+{
+    out.setService(text_of(value.service_.value()));
+    write(out.initSender(), value.sender_);
+    write(out.initTarget(), value.target_);
+    out.setEpoch(value.epoch_.value());
+}
+
+void write(schema::DirectoryEntry::Builder out, const directory_entry& value)
+{
+    write(out.initFlow(), value.flow_);
+    write(out.initOwner(), value.owner_);
+}
+
+template <class ListBuilder, class Items>
+void write_list(ListBuilder out, const Items& items)
+{
+    unsigned i = 0;
+    for (const auto& item : items)
+    {
+        write(out[i], item);
+        ++i;
+    }
+}
+
+template <class Builder>
+void write_position(Builder& out, bucket_id bucket,
+                    const chunk_position& position)
+{
+    out.setBucket(bucket.value());
+    out.setIndex(position.index_);
+    out.setCount(position.count_);
+}
+
+unsigned list_size(std::size_t size)
+{
+    return static_cast<unsigned>(size);
+}
+
+// Writes each kind of body into the union of a peer message.
+class body_writer
+{
+public:
+    explicit body_writer(schema::PeerMessage::Builder out) : out_(out) {}
+
+    void operator()(const heartbeat& body)
+    {
+        auto part = out_.initHeartbeat();
+        part.setSequence(body.sequence_);
+        write(part.initLoad(), body.load_);
+    }
+    void operator()(const heartbeat_ack& body)
+    {
+        auto part = out_.initHeartbeatAck();
+        part.setSequence(body.sequence_);
+        write(part.initLoad(), body.load_);
+    }
+    void operator()(const lapse_promise& body)
+    {
+        write(out_.initLapsePromise(), body.lapsed_);
+    }
+    void operator()(const directory_chunk& body)
+    {
+        auto part = out_.initDirectoryChunk();
+        write_position(part, body.bucket_, body.position_);
+        write_list(part.initEntries(list_size(body.entries_.size())),
+                   body.entries_);
+    }
+    void operator()(const directory_ack& body)
+    {
+        auto part = out_.initDirectoryAck();
+        part.setBucket(body.bucket_.value());
+        part.setIndex(body.index_);
+    }
+    void operator()(const ownership_query& body)
+    {
+        out_.setOwnershipQuery(body.bucket_.value());
+    }
+    void operator()(const ownership_reply& body)
+    {
+        auto part = out_.initOwnershipReply();
+        write_position(part, body.bucket_, body.position_);
+        write_list(part.initFlows(list_size(body.flows_.size())), body.flows_);
+    }
+    void operator()(const flow_closed& body)
+    {
+        write(out_.initFlowClosed(), body.flow_);
+    }
+    void operator()(const journal_record& body)
+    {
+        write(out_.initJournalRecord(), body.entry_);
+    }
+    void operator()(const journal_ack& body)
+    {
+        write(out_.initJournalAck(), body.entry_);
+    }
+    void operator()(const journal_sync& body)
+    {
+        auto part = out_.initJournalSync();
+        write_position(part, body.bucket_, body.position_);
+        write_list(part.initEntries(list_size(body.entries_.size())),
+                   body.entries_);
+    }
+    void operator()(const journal_sync_ack& body)
+    {
+        auto part = out_.initJournalSyncAck();
+        part.setBucket(body.bucket_.value());
+        part.setIndex(body.index_);
+    }
+
+private:
+    schema::PeerMessage::Builder out_;
+};
+
+void write_datagram(schema::Datagram::Builder out, const peer_message& value)
+{
+    auto peer = out.initPeer();
+    write(peer.initHeader(), value.header_);
+    std::visit(body_writer(peer), value.body_);
+}
+
+void write_datagram(schema::Datagram::Builder out, const stale_notice& value)
+{
+    auto stale = out.initStale();
+    stale.setService(text_of(value.service_.value()));
+    stale.setEpoch(value.epoch_.value());
+    stale.setReason(static_cast<std::uint8_t>(value.reason_));
+    write_list(stale.initLapsed(list_size(value.lapsed_.size())),
+               value.lapsed_);
+}
+
+void write_segment_table(std::uint8_t* out, std::size_t words)
+{
+    store_word(out, static_cast<std::uint64_t>(words) << 32U);
+}
+
+// The message as one segment, whatever number of segments it was built in.
+byte_buffer flatten(capnp::MessageBuilder& message)
+{
+    const auto segments = message.getSegmentsForOutput();
+    if (segments.size() > 1)
+    {
+        const std::size_t words = message.sizeInWords();
+        capnp::MallocMessageBuilder whole(static_cast<unsigned>(words + 1));
+        whole.setRoot(message.getRoot<schema::Datagram>().asReader());
+        return flatten(whole);
+    }
+    const auto bytes = segments[0].asBytes();
+    byte_buffer result(segment_table_bytes + bytes.size());
+    write_segment_table(result.data(), segments[0].size());
+    std::memcpy(result.data() + segment_table_bytes, bytes.begin(),
+                bytes.size());
+    return result;
+}
+
+template <class Message>
+byte_buffer encode_control(const Message& message)
+{
+    std::array<capnp::word, scratch_words> scratch{};
+    capnp::MallocMessageBuilder builder(
+        kj::arrayPtr(scratch.data(), scratch.size()));
+    write_datagram(builder.initRoot<schema::Datagram>(), message);
+    return flatten(builder);
+}
+
+byte_buffer encode_packet(const forwarded_packet& packet)
+{
+    // Vectors of bytes come from operator new, which aligns for a word.
+    byte_buffer result(encoded_size(packet));
+    encode_into(packet, result.data(), result.size());
+    return result;
+}
+
+} // namespace
+
+std::size_t encoded_size(const forwarded_packet& packet)
+{
+    const std::size_t words = fixed_packet_words() +
+                              words_of_text(packet.service_.value()) +
+                              words_of_text(packet.target_.instance_.value()) +
+                              words_of_bytes(packet.payload_.size());
+    return segment_table_bytes + words * word_bytes;
+}
+
+std::size_t encode_into(const forwarded_packet& packet, std::uint8_t* buffer,
+                        std::size_t capacity)
+{
+    const std::size_t size = encoded_size(packet);
+    if (size > capacity)
+    {
+        return 0;
+    }
+    // Builders take the memory to be zero.
+    std::memset(buffer, 0, size);
+    const std::size_t words = (size - segment_table_bytes) / word_bytes;
+    write_segment_table(buffer, words);
+    // The size is exact, so the builder never runs out of room.
+    capnp::FlatMessageBuilder builder(kj::arrayPtr(
+        reinterpret_cast<capnp::word*>(buffer + segment_table_bytes), words));
+    write(builder.initRoot<schema::Datagram>().initForwarded(), packet);
+    return size;
+}
+
+byte_buffer encode(const datagram& message)
+{
+    if (const auto* packet = std::get_if<forwarded_packet>(&message))
+    {
+        return encode_packet(*packet);
+    }
+    if (const auto* peer = std::get_if<peer_message>(&message))
+    {
+        return encode_control(*peer);
+    }
+    return encode_control(std::get<stale_notice>(message));
+}
+
+} // namespace galenafork
--- /dev/null
+++ b/src/libwire/fields.cpp
@@ -0,0 +1,195 @@
+#include "fields.h"
+
+#include <galenafork/wire.h>
+
+#include <algorithm>
+
+namespace galenafork::pvt
+{
+
+namespace
+{
+
+constexpr std::size_t word_bytes = 8;
+
+} // namespace
+
+std::uint64_t load_word(const std::uint8_t* bytes)
+{
+    std::uint64_t value = 0;
+    for (std::size_t i = word_bytes; i-- > 0;)
+    {
+        value = (value << 8U) | bytes[i];
+    }
+    return value;
+}
+
+void store_word(std::uint8_t* bytes, std::uint64_t value)
+{
+    for (std::size_t i = 0; i < word_bytes; ++i)
+    {
+        bytes[i] = static_cast<std::uint8_t>(value >> (8U * i));
+    }
+}
+
+address_words to_words(const ip_address& address)
+{
+    return {load_word(address.bytes_.data()),
+            load_word(address.bytes_.data() + word_bytes)};
+}
+
+ip_address from_words(std::uint64_t low, std::uint64_t high)
+{
+    ip_address address;
+    store_word(address.bytes_.data(), low);
+    store_word(address.bytes_.data() + word_bytes, high);
+    return address;
+}
+
+capnp::Text::Reader text_of(const std::string& text)
+{
+    return {text.c_str(), text.size()};
+}
+
+capnp::Data::Reader data_of(const byte_buffer& bytes)
+{
+    return {bytes.data(), bytes.size()};
+}
+
+void write(schema::Endpoint::Builder out, const endpoint& value)
+{
+    const address_words words = to_words(value.address_);
+    out.setAddressLow(words.low_);
+    out.setAddressHigh(words.high_);
+    out.setPort(value.port_);
+}
+
+void write(schema::FlowKey::Builder out, const flow_key& value)
+{
+    const address_words caller = to_words(value.caller_.address_);
+    const address_words service = to_words(value.service_address_.address_);
+    out.setCallerLow(caller.low_);
+    out.setCallerHigh(caller.high_);
+    out.setCallerPort(value.caller_.port_);
+    out.setServiceLow(service.low_);
+    out.setServiceHigh(service.high_);
+    out.setServicePort(value.service_address_.port_);
+}
+
+void write(schema::InstanceLife::Builder out, const instance_life& value)
+{
+    out.setInstance(text_of(value.instance_.value()));
+    out.setIncarnation(value.incarnation_.value());
+}
+
+void write(schema::TraceContext::Builder out, const trace_context& value)
+{
+    out.setTraceIdLow(load_word(value.trace_id_.data()));
+    out.setTraceIdHigh(load_word(value.trace_id_.data() + word_bytes));
+    out.setSpanId(load_word(value.span_id_.data()));
+    out.setSampled(value.sampled_);
+}
+
+void write(schema::LoadReport::Builder out, const load_report& value)
+{
+    out.setInFlight(value.in_flight_);
+    out.setSlots(value.slots_.value());
+    out.setReportedPermille(value.reported_permille_);
+    out.setCold(value.cold_);
+}
+
+void write(schema::JournalEntry::Builder out, const journal_entry& value)
+{
+    write(out.initFlow(), value.key_.flow_);
+    out.setMessageId(value.key_.message_id_);
+    out.setToken(data_of(value.key_.token_));
+    write(out.initOwner(), value.owner_);
+    out.setState(static_cast<std::uint8_t>(value.state_));
+    out.setAnswer(data_of(value.answer_));
+}
+
+void require(bool valid, const char* what)
+{
+    if (!valid)
+    {
+        throw bad_field{what};
+    }
+}
+
+std::string read_name(capnp::Text::Reader text)
+{
+    require(text.size() <= max_name_bytes, "name is too long");
+    std::string name(text.begin(), text.size());
+    require(is_valid_name(name), "bad name");
+    return name;
+}
+
+byte_buffer read_bytes(capnp::Data::Reader data, std::size_t limit)
+{
+    require(data.size() <= limit, "byte string is too long");
+    return {data.begin(), data.end()};
+}
+
+bucket_id read_bucket(std::uint16_t value)
+{
+    require(value < bucket_count, "no such bucket");
+    return bucket_id(value);
+}
+
+endpoint read(schema::Endpoint::Reader in)
+{
+    return {from_words(in.getAddressLow(), in.getAddressHigh()), in.getPort()};
+}
+
+flow_key read(schema::FlowKey::Reader in)
+{
+    flow_key flow;
+    flow.caller_ = {from_words(in.getCallerLow(), in.getCallerHigh()),
+                    in.getCallerPort()};
+    flow.service_address_ = {
+        from_words(in.getServiceLow(), in.getServiceHigh()),
+        in.getServicePort()};
+    return flow;
+}
+
+instance_life read(schema::InstanceLife::Reader in)
+{
+    return {instance_id(read_name(in.getInstance())),
+            incarnation(in.getIncarnation())};
+}
+
+trace_context read(schema::TraceContext::Reader in)
+{
+    trace_context trace;
+    store_word(trace.trace_id_.data(), in.getTraceIdLow());
+    store_word(trace.trace_id_.data() + word_bytes, in.getTraceIdHigh());
+    store_word(trace.span_id_.data(), in.getSpanId());
+    trace.sampled_ = in.getSampled();
+    return trace;
+}
+
+load_report read(schema::LoadReport::Reader in)
+{
+    load_report load;
+    load.in_flight_ = in.getInFlight();
+    load.slots_ = slot_count(in.getSlots());
+    load.reported_permille_ = in.getReportedPermille();
+    load.cold_ = in.getCold();
+    return load;
+}
+
+journal_entry read(schema::JournalEntry::Reader in)
+{
+    require(in.getState() <= static_cast<std::uint8_t>(journal_state::refused),
+            "unknown journal state");
+    journal_entry entry;
+    entry.key_.flow_ = read(in.getFlow());
+    entry.key_.message_id_ = in.getMessageId();
+    entry.key_.token_ = read_bytes(in.getToken(), max_token_bytes);
+    entry.owner_ = read(in.getOwner());
+    entry.state_ = static_cast<journal_state>(in.getState());
+    entry.answer_ = read_bytes(in.getAnswer(), max_datagram_bytes);
+    return entry;
+}
+
+} // namespace galenafork::pvt
--- /dev/null
+++ b/src/libwire/galenafork.capnp
@@ -0,0 +1,142 @@
+# Datagrams between balancers and agents. The C++ beside this file is made by
+#   capnp compile -oc++ src/libwire/galenafork.capnp
+# and committed. src/include/galenafork/messages.h says what each message means.
+
+@0xb7c3a5d1e94f2086;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("galenafork::pvt::schema");
+
+# An address takes two words: bytes 0-7 and 8-15, each read little-endian.
+struct Endpoint {
+  addressLow @0 :UInt64;
+  addressHigh @1 :UInt64;
+  port @2 :UInt16;
+}
+
+struct FlowKey {
+  callerLow @0 :UInt64;
+  callerHigh @1 :UInt64;
+  serviceLow @2 :UInt64;
+  serviceHigh @3 :UInt64;
+  callerPort @4 :UInt16;
+  servicePort @5 :UInt16;
+}
+
+struct InstanceLife {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct TraceContext {
+  traceIdLow @0 :UInt64;
+  traceIdHigh @1 :UInt64;
+  spanId @2 :UInt64;
+  sampled @3 :Bool;
+}
+
+struct ForwardedPacket {
+  service @0 :Text;
+  target @1 :InstanceLife;
+  epoch @2 :UInt64;
+  role @3 :UInt8;
+  hops @4 :UInt8;
+  flow @5 :FlowKey;
+  balancer @6 :Endpoint;
+  fabric @7 :Endpoint;
+  trace @8 :TraceContext;
+  payload @9 :Data;
+}
+
+struct PeerHeader {
+  service @0 :Text;
+  sender @1 :InstanceLife;
+  target @2 :InstanceLife;
+  epoch @3 :UInt64;
+}
+
+struct LoadReport {
+  inFlight @0 :UInt32;
+  slots @1 :UInt32;
+  reportedPermille @2 :UInt32;
+  cold @3 :Bool;
+}
+
+struct Heartbeat {
+  sequence @0 :UInt64;
+  load @1 :LoadReport;
+}
+
+struct DirectoryEntry {
+  flow @0 :FlowKey;
+  owner @1 :InstanceLife;
+}
+
+struct DirectoryChunk {
+  bucket @0 :UInt16;
+  index @1 :UInt16;
+  count @2 :UInt16;
+  entries @3 :List(DirectoryEntry);
+}
+
+# Confirms one message of a transfer.
+struct TransferAck {
+  bucket @0 :UInt16;
+  index @1 :UInt16;
+}
+
+struct OwnershipReply {
+  bucket @0 :UInt16;
+  index @1 :UInt16;
+  count @2 :UInt16;
+  flows @3 :List(FlowKey);
+}
+
+struct JournalEntry {
+  flow @0 :FlowKey;
+  messageId @1 :UInt16;
+  token @2 :Data;
+  owner @3 :InstanceLife;
+  state @4 :UInt8;
+  answer @5 :Data;
+}
+
+struct JournalSync {
+  bucket @0 :UInt16;
+  index @1 :UInt16;
+  count @2 :UInt16;
+  entries @3 :List(JournalEntry);
+}
+
+struct PeerMessage {
+  header @0 :PeerHeader;
+  union {
+    heartbeat @1 :Heartbeat;
+    heartbeatAck @2 :Heartbeat;
+    lapsePromise @3 :InstanceLife;
+    directoryChunk @4 :DirectoryChunk;
+    directoryAck @5 :TransferAck;
+    ownershipQuery @6 :UInt16;
+    ownershipReply @7 :OwnershipReply;
+    flowClosed @8 :FlowKey;
+    journalRecord @9 :JournalEntry;
+    journalAck @10 :JournalEntry;
+    journalSync @11 :JournalSync;
+    journalSyncAck @12 :TransferAck;
+  }
+}
+
+struct StaleNotice {
+  service @0 :Text;
+  epoch @1 :UInt64;
+  lapsed @2 :List(InstanceLife);
+  reason @3 :UInt8;
+}
+
+struct Datagram {
+  union {
+    forwarded @0 :ForwardedPacket;
+    peer @1 :PeerMessage;
+    stale @2 :StaleNotice;
+  }
+}
--- /dev/null
+++ b/src/libwire/proxy_protocol.cpp
@@ -0,0 +1,145 @@
+#include <galenafork/proxy_protocol.h>
+
+#include <algorithm>
+#include <array>
+
+namespace galenafork
+{
+
+namespace
+{
+
+constexpr std::array<std::uint8_t, 12> signature{
+    0x0d, 0x0a, 0x0d, 0x0a, 0x00, 0x0d, 0x0a, 0x51, 0x55, 0x49, 0x54, 0x0a};
+constexpr std::uint8_t version_2_proxy = 0x21;
+constexpr std::uint8_t udp_over_v4 = 0x12;
+constexpr std::uint8_t udp_over_v6 = 0x22;
+
+constexpr std::size_t command_offset = 12;
+constexpr std::size_t family_offset = 13;
+constexpr std::size_t length_offset = 14;
+constexpr std::size_t fixed_bytes = 16;
+constexpr std::size_t v4_bytes = 4;
+constexpr std::size_t v6_bytes = 16;
+constexpr std::size_t port_bytes = 2;
+
+constexpr std::size_t address_block_bytes(std::size_t address_bytes)
+{
+    return 2 * (address_bytes + port_bytes);
+}
+
+static_assert(fixed_bytes + address_block_bytes(v6_bytes) ==
+              max_proxy_header_bytes);
+
+tl::unexpected<error> bad_header(const char* what)
+{
+    return tl::unexpected(error{error_code::bad_message, what});
+}
+
+void put_u16(std::uint8_t* out, std::size_t value)
+{
+    out[0] = static_cast<std::uint8_t>(value >> 8U);
+    out[1] = static_cast<std::uint8_t>(value);
+}
+
+std::uint16_t get_u16(const std::uint8_t* in)
+{
+    return static_cast<std::uint16_t>((in[0] << 8U) | in[1]);
+}
+
+// Copies the last `address_bytes` of an address: all of it, or its IPv4 part.
+void put_address(std::uint8_t* out, const ip_address& address,
+                 std::size_t address_bytes)
+{
+    std::copy(address.bytes_.end() - static_cast<std::ptrdiff_t>(address_bytes),
+              address.bytes_.end(), out);
+}
+
+ip_address get_address(const std::uint8_t* in, std::size_t address_bytes)
+{
+    if (address_bytes == v4_bytes)
+    {
+        return make_v4(in[0], in[1], in[2], in[3]);
+    }
+    ip_address address;
+    std::copy(in, in + v6_bytes, address.bytes_.begin());
+    return address;
+}
+
+proxy_header get_block(const std::uint8_t* in, std::size_t address_bytes)
+{
+    proxy_header header;
+    const std::uint8_t* ports = in + 2 * address_bytes;
+    header.source_.address_ = get_address(in, address_bytes);
+    header.destination_.address_ =
+        get_address(in + address_bytes, address_bytes);
+    header.source_.port_ = get_u16(ports);
+    header.destination_.port_ = get_u16(ports + port_bytes);
+    return header;
+}
+
+} // namespace
+
+std::size_t encode_proxy_header(const proxy_header& header,
+                                std::uint8_t* buffer)
+{
+    const bool v4 =
+        header.source_.address_.is_v4() && header.destination_.address_.is_v4();
+    const std::size_t address_bytes = v4 ? v4_bytes : v6_bytes;
+    const std::size_t block_bytes = address_block_bytes(address_bytes);
+    std::copy(signature.begin(), signature.end(), buffer);
+    buffer[command_offset] = version_2_proxy;
+    buffer[family_offset] = v4 ? udp_over_v4 : udp_over_v6;
+    put_u16(buffer + length_offset, block_bytes);
+
+    std::uint8_t* block = buffer + fixed_bytes;
+    std::uint8_t* ports = block + 2 * address_bytes;
+    put_address(block, header.source_.address_, address_bytes);
+    put_address(block + address_bytes, header.destination_.address_,
+                address_bytes);
+    put_u16(ports, header.source_.port_);
+    put_u16(ports + port_bytes, header.destination_.port_);
+    return fixed_bytes + block_bytes;
+}
+
+byte_buffer make_proxy_datagram(const proxy_header& header,
+                                const byte_buffer& payload)
+{
+    byte_buffer result(max_proxy_header_bytes);
+    result.resize(encode_proxy_header(header, result.data()));
+    result.insert(result.end(), payload.begin(), payload.end());
+    return result;
+}
+
+tl::expected<parsed_proxy_header, error>
+parse_proxy_header(const std::uint8_t* bytes, std::size_t size)
+{
+    if (size < fixed_bytes ||
+        !std::equal(signature.begin(), signature.end(), bytes))
+    {
+        return bad_header("no PROXY v2 header");
+    }
+    if (bytes[command_offset] != version_2_proxy)
+    {
+        return bad_header("PROXY v2: not the command PROXY");
+    }
+    const std::uint8_t family = bytes[family_offset];
+    if (family != udp_over_v4 && family != udp_over_v6)
+    {
+        return bad_header("PROXY v2: not UDP over IPv4 or IPv6");
+    }
+    const std::size_t address_bytes =
+        family == udp_over_v4 ? v4_bytes : v6_bytes;
+    const std::size_t length = get_u16(bytes + length_offset);
+    if (length < address_block_bytes(address_bytes) ||
+        fixed_bytes + length > size)
+    {
+        return bad_header("PROXY v2: truncated header");
+    }
+    parsed_proxy_header result;
+    result.header_ = get_block(bytes + fixed_bytes, address_bytes);
+    result.payload_offset_ = fixed_bytes + length;
+    return result;
+}
+
+} // namespace galenafork
--- /dev/null
+++ b/src/libwire/samples.h
@@ -0,0 +1,92 @@
+/// \file
+/// One message of each kind, for the tests of this folder.
+
+#ifndef GALENAFORK_LIBWIRE_SAMPLES_H
+#define GALENAFORK_LIBWIRE_SAMPLES_H
+
+#include <galenafork/messages.h>
+
+#include <utility>
+#include <vector>
+
+namespace galenafork::test
+{
+
+/// A flow to the workshop's orders service.
+inline flow_key sample_flow()
+{
+    return {*parse_endpoint("192.0.2.7:4711"),
+            *parse_endpoint("10.9.0.1:5683")};
+}
+
+/// One life of instance `orders-1`.
+inline instance_life sample_life()
+{
+    return {instance_id("orders-1"), incarnation(0x1122334455667788U)};
+}
+
+/// A packet in which no field has its default value.
+inline forwarded_packet sample_packet()
+{
+    forwarded_packet packet;
+    packet.service_ = service_name("orders");
+    packet.target_ = sample_life();
+    packet.epoch_ = epoch(42);
+    packet.role_ = packet_role::open_here;
+    packet.hops_ = 2;
+    packet.flow_ = sample_flow();
+    packet.balancer_ = *parse_endpoint("10.1.0.1:7000");
+    packet.fabric_ = *parse_endpoint("[2001:db8::5]:7001");
+    packet.trace_.trace_id_ = {1, 2, 3};
+    packet.trace_.span_id_ = {4, 5, 6};
+    packet.trace_.sampled_ = true;
+    packet.payload_ = {10, 20, 30, 40, 50, 60, 70, 80, 90};
+    return packet;
+}
+
+/// An entry in which no field has its default value.
+inline journal_entry sample_entry()
+{
+    return {{sample_flow(), 77, {1, 2, 3, 4}},
+            sample_life(),
+            journal_state::finished,
+            {9, 8, 7}};
+}
+
+/// `body` from `orders-1` to `orders-2`.
+inline peer_message sample_peer(peer_body body)
+{
+    return {{service_name("orders"), sample_life(),
+             instance_life{instance_id("orders-2"), incarnation(5)}, epoch(42)},
+            std::move(body)};
+}
+
+/// One datagram of each kind.
+inline std::vector<datagram> sample_datagrams()
+{
+    const load_report load{3, slot_count(4), 500, true};
+    const directory_entry owned{sample_flow(), sample_life()};
+    return {
+        sample_packet(),
+        sample_peer(heartbeat{7, load}),
+        sample_peer(heartbeat_ack{7, load}),
+        sample_peer(lapse_promise{sample_life()}),
+        sample_peer(directory_chunk{bucket_id(9), {0, 2}, {owned, owned}}),
+        sample_peer(directory_ack{bucket_id(9), 1}),
+        sample_peer(ownership_query{bucket_id(255)}),
+        sample_peer(ownership_reply{bucket_id(9), {1, 2}, {sample_flow()}}),
+        sample_peer(flow_closed{sample_flow()}),
+        sample_peer(journal_record{sample_entry()}),
+        sample_peer(journal_ack{sample_entry()}),
+        sample_peer(journal_sync{bucket_id(9), {0, 1}, {sample_entry()}}),
+        sample_peer(journal_sync_ack{bucket_id(9), 3}),
+        stale_notice{service_name("orders"),
+                     epoch(43),
+                     {sample_life()},
+                     refusal::stale_incarnation},
+    };
+}
+
+} // namespace galenafork::test
+
+#endif
--- /dev/null
+++ b/src/libwire/wire_test.cpp
@@ -0,0 +1,173 @@
+#include "samples.h"
+
+#include <galenafork/proxy_protocol.h>
+#include <galenafork/wire.h>
+
+#include <doctest/doctest.h>
+
+using namespace galenafork;
+
+TEST_CASE("every datagram is read back as it was written")
+{
+    for (const datagram& message : test::sample_datagrams())
+    {
+        CAPTURE(message.index());
+        const byte_buffer bytes = encode(message);
+        const auto read = decode(bytes.data(), bytes.size());
+        REQUIRE(read.has_value());
+        CHECK(read->index() == message.index());
+        CHECK(encode(*read) == bytes);
+    }
+}
+
+TEST_CASE("the fields of a forwarded packet survive")
+{
+    const forwarded_packet packet = test::sample_packet();
+    const byte_buffer bytes = encode(packet);
+    const auto read = decode(bytes.data(), bytes.size());
+    REQUIRE(read.has_value());
+    const auto& copy = std::get<forwarded_packet>(*read);
+    CHECK(copy.service_ == packet.service_);
+    CHECK(copy.target_ == packet.target_);
+    CHECK(copy.epoch_ == packet.epoch_);
+    CHECK(copy.role_ == packet.role_);
+    CHECK(copy.hops_ == packet.hops_);
+    CHECK(copy.flow_ == packet.flow_);
+    CHECK(copy.balancer_ == packet.balancer_);
+    CHECK(copy.fabric_ == packet.fabric_);
+    CHECK(copy.trace_.trace_id_ == packet.trace_.trace_id_);
+    CHECK(copy.trace_.span_id_ == packet.trace_.span_id_);
+    CHECK(copy.trace_.sampled_ == packet.trace_.sampled_);
+    CHECK(copy.payload_ == packet.payload_);
+}
+
+TEST_CASE("the fields of a journal entry survive")
+{
+    const journal_entry entry = test::sample_entry();
+    peer_message message = test::sample_peer(journal_ack{entry});
+    const byte_buffer bytes = encode(message);
+    const auto read = decode(bytes.data(), bytes.size());
+    REQUIRE(read.has_value());
+    const auto& body = std::get<peer_message>(*read).body_;
+    const auto& copy = std::get<journal_ack>(body).entry_;
+    CHECK(copy.key_ == entry.key_);
+    CHECK(copy.owner_ == entry.owner_);
+    CHECK(copy.state_ == entry.state_);
+    CHECK(copy.answer_ == entry.answer_);
+}
+
+TEST_CASE("a buffer too small for a packet is left alone")
+{
+    const forwarded_packet packet = test::sample_packet();
+    alignas(wire_alignment) std::array<std::uint8_t, 512> buffer{};
+    const std::size_t size = encoded_size(packet);
+    CHECK(encode_into(packet, buffer.data(), size - 1) == 0);
+    CHECK(buffer == std::array<std::uint8_t, 512>{});
+    CHECK(encode_into(packet, buffer.data(), size) == size);
+}
+
+TEST_CASE("a datagram is read at any alignment")
+{
+    const byte_buffer bytes = encode(test::sample_packet());
+    byte_buffer shifted(1);
+    shifted.insert(shifted.end(), bytes.begin(), bytes.end());
+    CHECK(decode(shifted.data() + 1, bytes.size()).has_value());
+}
+
+TEST_CASE("transfers cut as advised fit a datagram with the longest names")
+{
+    constexpr std::size_t mtu_payload = 1400;
+    const instance_life life{instance_id(std::string(max_name_bytes, 'i')),
+                             incarnation(1)};
+    peer_message message;
+    message.header_ = {service_name(std::string(max_name_bytes, 's')), life,
+                       life, epoch(1)};
+    directory_chunk chunk;
+    chunk.entries_.assign(directory_chunk_items, {flow_key{}, life});
+    message.body_ = chunk;
+    CHECK(encode(message).size() < mtu_payload);
+
+    ownership_reply reply;
+    reply.flows_.resize(ownership_reply_items);
+    message.body_ = reply;
+    CHECK(encode(message).size() < mtu_payload);
+}
+
+TEST_CASE("values over their limits are refused")
+{
+    std::vector<datagram> messages;
+    forwarded_packet packet = test::sample_packet();
+    packet.hops_ = max_hops + 1;
+    messages.emplace_back(packet);
+    packet = test::sample_packet();
+    packet.service_ = service_name("Not A Name");
+    messages.emplace_back(packet);
+    packet = test::sample_packet();
+    packet.target_.instance_ = instance_id("");
+    messages.emplace_back(packet);
+    messages.emplace_back(
+        test::sample_peer(ownership_query{bucket_id(bucket_count)}));
+    directory_chunk chunk;
+    chunk.position_ = {1, 1};
+    messages.emplace_back(test::sample_peer(chunk));
+    journal_entry entry = test::sample_entry();
+    entry.key_.token_.resize(max_token_bytes + 1);
+    messages.emplace_back(test::sample_peer(journal_record{entry}));
+    ownership_reply reply;
+    reply.flows_.resize(max_list_items + 1);
+    messages.emplace_back(test::sample_peer(reply));
+    for (const datagram& message : messages)
+    {
+        const byte_buffer bytes = encode(message);
+        const auto read = decode(bytes.data(), bytes.size());
+        REQUIRE_FALSE(read.has_value());
+        CHECK(read.error().code_ == error_code::bad_message);
+    }
+}
+
+TEST_CASE("PROXY headers are read back as they were written")
+{
+    for (const char* caller : {"192.0.2.7:4711", "[2001:db8::7]:4711"})
+    {
+        CAPTURE(caller);
+        const proxy_header header{*parse_endpoint(caller),
+                                  *parse_endpoint("10.9.0.1:5683")};
+        const byte_buffer bytes = make_proxy_datagram(header, {1, 2, 3});
+        const auto read = parse_proxy_header(bytes.data(), bytes.size());
+        REQUIRE(read.has_value());
+        CHECK(read->header_.source_ == header.source_);
+        CHECK(read->header_.destination_ == header.destination_);
+        CHECK(read->payload_offset_ == bytes.size() - 3);
+    }
+}
+
+TEST_CASE("a PROXY header matches the published layout")
+{
+    const proxy_header header{*parse_endpoint("192.0.2.7:258"),
+                              *parse_endpoint("10.9.0.1:5683")};
+    const byte_buffer expected{0x0d, 0x0a, 0x0d, 0x0a, 0x00, 0x0d, 0x0a,
+                               0x51, 0x55, 0x49, 0x54, 0x0a, 0x21, 0x12,
+                               0x00, 0x0c, 192,  0,    2,    7,    10,
+                               9,    0,    1,    1,    2,    0x16, 0x33};
+    CHECK(make_proxy_datagram(header, {}) == expected);
+}
+
+TEST_CASE("other PROXY headers are refused")
+{
+    const proxy_header header{*parse_endpoint("192.0.2.7:258"),
+                              *parse_endpoint("10.9.0.1:5683")};
+    const byte_buffer good = make_proxy_datagram(header, {9});
+    for (const std::size_t changed : {0, 11, 12, 13, 14})
+    {
+        CAPTURE(changed);
+        byte_buffer bad = good;
+        bad[changed] ^= 0x31U;
+        CHECK_FALSE(parse_proxy_header(bad.data(), bad.size()).has_value());
+    }
+    byte_buffer with_extension = good;
+    with_extension[15] += 1;
+    const auto read =
+        parse_proxy_header(with_extension.data(), with_extension.size());
+    REQUIRE(read.has_value());
+    CHECK(read->payload_offset_ == good.size());
+}
