--- a/src/include/galenafork/wire.h
+++ b/src/include/galenafork/wire.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <tl/expected.hpp>
+#include <vector>
 
 namespace galenafork
 {
@@ -27,18 +28,23 @@
 /// place.
 inline constexpr std::size_t wire_alignment = 8;
 
-/// Most items that a sender puts into one `directory_chunk`; with the longest
-/// names such a datagram stays below 1,400 bytes.
-inline constexpr std::size_t directory_chunk_items = 7;
-
-/// Most items that a sender puts into one `ownership_reply`; such a datagram
-/// stays below 1,400 bytes.
-inline constexpr std::size_t ownership_reply_items = 24;
+/// Largest peer message that `split` aims at, in bytes: it passes a network of
+/// 1,500 byte packets unfragmented. Only a journal entry that is larger by
+/// itself makes a larger message.
+inline constexpr std::size_t max_chunk_bytes = 1400;
 
 /// The datagram that holds `message`. The caller keeps lists, names and tokens
 /// within their limits; the receiver's `decode` refuses others. Does not fail.
 byte_buffer encode(const datagram& message);
 
+/// Cuts `whole` into messages that keep `max_chunk_bytes` and
+/// `max_list_items`, with their `position_` set; at least one. Fits any
+/// header.
+std::vector<ownership_reply> split(const ownership_reply& whole);
+
+/// As above; each part names all of the buckets.
+std::vector<journal_sync> split(const journal_sync& whole);
+
 /// Bytes that `encode_into` writes for `packet`.
 std::size_t encoded_size(const forwarded_packet& packet);
 
--- a/src/libwire/decode.cpp
+++ b/src/libwire/decode.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t segment_table_bytes = 8;
 constexpr std::size_t word_bytes = sizeof(capnp::word);
 
-// The deepest message (datagram, peer, chunk, entries, entry, owner, name)
+// The deepest message (datagram, peer, reply, entries, entry, owner, name)
 // has seven levels.
 constexpr int nesting_limit = 8;
 
@@ -43,6 +43,8 @@
     packet.fabric_ = read(in.getFabric());
     packet.trace_ = read(in.getTrace());
     packet.payload_ = read_bytes(in.getPayload(), max_datagram_bytes);
+    packet.rules_version_ = rules_version(in.getRulesVersion());
+    packet.established_only_ = in.getEstablishedOnly();
     return packet;
 }
 
@@ -56,9 +58,21 @@
     return header;
 }
 
-directory_entry read(schema::DirectoryEntry::Reader in)
+journal_mark read(schema::JournalMark::Reader in)
 {
-    return {read(in.getFlow()), read(in.getOwner())};
+    return {read_bucket(in.getBucket()), read(in.getHome())};
+}
+
+journal_gap read(schema::JournalGap::Reader in)
+{
+    require(in.getRemainingMicroseconds() >= 0, "negative time");
+    return {read_bucket(in.getBucket()),
+            duration(in.getRemainingMicroseconds())};
+}
+
+bucket_id read(std::uint16_t bucket)
+{
+    return read_bucket(bucket);
 }
 
 template <class Item, class ListReader>
@@ -81,52 +95,59 @@
     return {in.getIndex(), in.getCount()};
 }
 
-template <class Beat>
-Beat read_beat(schema::Heartbeat::Reader in)
+heartbeat read(schema::Heartbeat::Reader in)
 {
-    return {in.getSequence(), read(in.getLoad())};
+    return {in.getSequence(), read(in.getLoad()),
+            read_list<instance_life>(in.getLapsed())};
 }
 
-template <class Ack>
-Ack read_ack(schema::TransferAck::Reader in)
+heartbeat_ack read(schema::HeartbeatAck::Reader in)
 {
-    return {read_bucket(in.getBucket()), in.getIndex()};
+    return {in.getSequence(), read(in.getLoad())};
 }
 
-directory_chunk read(schema::DirectoryChunk::Reader in)
+ownership_query read(schema::OwnershipQuery::Reader in)
 {
-    return {read_bucket(in.getBucket()), read_position(in),
-            read_list<directory_entry>(in.getEntries())};
+    return {in.getQuery(), read_list<bucket_id>(in.getBuckets()),
+            read_list<instance_life>(in.getLapsed())};
 }
 
 ownership_reply read(schema::OwnershipReply::Reader in)
 {
-    return {read_bucket(in.getBucket()), read_position(in),
-            read_list<flow_key>(in.getFlows())};
+    ownership_reply reply;
+    reply.query_ = in.getQuery();
+    reply.position_ = read_position(in);
+    reply.flows_ = read_list<flow_key>(in.getFlows());
+    reply.entries_ = read_list<journal_entry>(in.getEntries());
+    reply.marks_ = read_list<journal_mark>(in.getMarks());
+    reply.gaps_ = read_list<journal_gap>(in.getGaps());
+    return reply;
 }
 
 journal_sync read(schema::JournalSync::Reader in)
 {
-    return {read_bucket(in.getBucket()), read_position(in),
+    return {in.getSync(), read_position(in),
+            read_list<bucket_id>(in.getBuckets()),
             read_list<journal_entry>(in.getEntries())};
 }
 
+journal_sync_ack read(schema::JournalSyncAck::Reader in)
+{
+    return {in.getSync(), in.getIndex()};
+}
+
 peer_body read_body(schema::PeerMessage::Reader in)
 {
     switch (in.which())
     {
     case schema::PeerMessage::HEARTBEAT:
-        return read_beat<heartbeat>(in.getHeartbeat());
+        return read(in.getHeartbeat());
     case schema::PeerMessage::HEARTBEAT_ACK:
-        return read_beat<heartbeat_ack>(in.getHeartbeatAck());
+        return read(in.getHeartbeatAck());
     case schema::PeerMessage::LAPSE_PROMISE:
         return lapse_promise{read(in.getLapsePromise())};
-    case schema::PeerMessage::DIRECTORY_CHUNK:
-        return read(in.getDirectoryChunk());
-    case schema::PeerMessage::DIRECTORY_ACK:
-        return read_ack<directory_ack>(in.getDirectoryAck());
     case schema::PeerMessage::OWNERSHIP_QUERY:
-        return ownership_query{read_bucket(in.getOwnershipQuery())};
+        return read(in.getOwnershipQuery());
     case schema::PeerMessage::OWNERSHIP_REPLY:
         return read(in.getOwnershipReply());
     case schema::PeerMessage::FLOW_CLOSED:
@@ -138,7 +159,7 @@
     case schema::PeerMessage::JOURNAL_SYNC:
         return read(in.getJournalSync());
     case schema::PeerMessage::JOURNAL_SYNC_ACK:
-        return read_ack<journal_sync_ack>(in.getJournalSyncAck());
+        return read(in.getJournalSyncAck());
     }
     throw bad_field{"unknown peer message"};
 }
--- a/src/libwire/encode.cpp
+++ b/src/libwire/encode.cpp
@@ -62,6 +62,8 @@
     write(out.initFabric(), value.fabric_);
     write(out.initTrace(), value.trace_);
     out.setPayload(data_of(value.payload_));
+    out.setRulesVersion(value.rules_version_.value());
+    out.setEstablishedOnly(value.established_only_);
 }
 
 void write(schema::PeerHeader::Builder out, const peer_header& value)
@@ -72,10 +74,16 @@
     out.setEpoch(value.epoch_.value());
 }
 
-void write(schema::DirectoryEntry::Builder out, const directory_entry& value)
+void write(schema::JournalMark::Builder out, const journal_mark& value)
 {
-    write(out.initFlow(), value.flow_);
-    write(out.initOwner(), value.owner_);
+    out.setBucket(value.bucket_.value());
+    write(out.initHome(), value.home_);
+}
+
+void write(schema::JournalGap::Builder out, const journal_gap& value)
+{
+    out.setBucket(value.bucket_.value());
+    out.setRemainingMicroseconds(value.remaining_.count());
 }
 
 template <class ListBuilder, class Items>
@@ -89,18 +97,28 @@
     }
 }
 
+void write_buckets(capnp::List<std::uint16_t>::Builder out,
+                   const std::vector<bucket_id>& buckets)
+{
+    unsigned i = 0;
+    for (const bucket_id bucket : buckets)
+    {
+        out.set(i, bucket.value());
+        ++i;
+    }
+}
+
 template <class Builder>
-void write_position(Builder& out, bucket_id bucket,
-                    const chunk_position& position)
+void write_position(Builder& out, const chunk_position& position)
 {
-    out.setBucket(bucket.value());
     out.setIndex(position.index_);
     out.setCount(position.count_);
 }
 
-unsigned list_size(std::size_t size)
+template <class Items>
+unsigned list_size(const Items& items)
 {
-    return static_cast<unsigned>(size);
+    return static_cast<unsigned>(items.size());
 }
 
 // Writes each kind of body into the union of a peer message.
@@ -114,6 +132,7 @@
         auto part = out_.initHeartbeat();
         part.setSequence(body.sequence_);
         write(part.initLoad(), body.load_);
+        write_list(part.initLapsed(list_size(body.lapsed_)), body.lapsed_);
     }
     void operator()(const heartbeat_ack& body)
     {
@@ -125,28 +144,23 @@
     {
         write(out_.initLapsePromise(), body.lapsed_);
     }
-    void operator()(const directory_chunk& body)
-    {
-        auto part = out_.initDirectoryChunk();
-        write_position(part, body.bucket_, body.position_);
-        write_list(part.initEntries(list_size(body.entries_.size())),
-                   body.entries_);
-    }
-    void operator()(const directory_ack& body)
-    {
-        auto part = out_.initDirectoryAck();
-        part.setBucket(body.bucket_.value());
-        part.setIndex(body.index_);
-    }
     void operator()(const ownership_query& body)
     {
-        out_.setOwnershipQuery(body.bucket_.value());
+        auto part = out_.initOwnershipQuery();
+        part.setQuery(body.query_);
+        write_buckets(part.initBuckets(list_size(body.buckets_)),
+                      body.buckets_);
+        write_list(part.initLapsed(list_size(body.lapsed_)), body.lapsed_);
     }
     void operator()(const ownership_reply& body)
     {
         auto part = out_.initOwnershipReply();
-        write_position(part, body.bucket_, body.position_);
-        write_list(part.initFlows(list_size(body.flows_.size())), body.flows_);
+        part.setQuery(body.query_);
+        write_position(part, body.position_);
+        write_list(part.initFlows(list_size(body.flows_)), body.flows_);
+        write_list(part.initEntries(list_size(body.entries_)), body.entries_);
+        write_list(part.initMarks(list_size(body.marks_)), body.marks_);
+        write_list(part.initGaps(list_size(body.gaps_)), body.gaps_);
     }
     void operator()(const flow_closed& body)
     {
@@ -163,14 +177,16 @@
     void operator()(const journal_sync& body)
     {
         auto part = out_.initJournalSync();
-        write_position(part, body.bucket_, body.position_);
-        write_list(part.initEntries(list_size(body.entries_.size())),
-                   body.entries_);
+        part.setSync(body.sync_);
+        write_position(part, body.position_);
+        write_buckets(part.initBuckets(list_size(body.buckets_)),
+                      body.buckets_);
+        write_list(part.initEntries(list_size(body.entries_)), body.entries_);
     }
     void operator()(const journal_sync_ack& body)
     {
         auto part = out_.initJournalSyncAck();
-        part.setBucket(body.bucket_.value());
+        part.setSync(body.sync_);
         part.setIndex(body.index_);
     }
 
@@ -191,8 +207,7 @@
     stale.setService(text_of(value.service_.value()));
     stale.setEpoch(value.epoch_.value());
     stale.setReason(static_cast<std::uint8_t>(value.reason_));
-    write_list(stale.initLapsed(list_size(value.lapsed_.size())),
-               value.lapsed_);
+    write_list(stale.initLapsed(list_size(value.lapsed_)), value.lapsed_);
 }
 
 void write_segment_table(std::uint8_t* out, std::size_t words)
--- a/src/libwire/galenafork.capnp
+++ b/src/libwire/galenafork.capnp
@@ -46,6 +46,8 @@
   fabric @7 :Endpoint;
   trace @8 :TraceContext;
   payload @9 :Data;
+  rulesVersion @10 :UInt64;
+  establishedOnly @11 :Bool;
 }
 
 struct PeerHeader {
@@ -65,64 +67,75 @@
 struct Heartbeat {
   sequence @0 :UInt64;
   load @1 :LoadReport;
+  lapsed @2 :List(InstanceLife);
+}
+
+struct HeartbeatAck {
+  sequence @0 :UInt64;
+  load @1 :LoadReport;
+}
+
+struct OwnershipQuery {
+  query @0 :UInt64;
+  buckets @1 :List(UInt16);
+  lapsed @2 :List(InstanceLife);
 }
 
-struct DirectoryEntry {
+struct JournalEntry {
   flow @0 :FlowKey;
-  owner @1 :InstanceLife;
+  messageId @1 :UInt16;
+  token @2 :Data;
+  owner @3 :InstanceLife;
+  state @4 :UInt8;
+  answer @5 :Data;
 }
 
-struct DirectoryChunk {
+struct JournalMark {
   bucket @0 :UInt16;
-  index @1 :UInt16;
-  count @2 :UInt16;
-  entries @3 :List(DirectoryEntry);
+  home @1 :InstanceLife;
 }
 
-# Confirms one message of a transfer.
-struct TransferAck {
+struct JournalGap {
   bucket @0 :UInt16;
-  index @1 :UInt16;
+  remainingMicroseconds @1 :Int64;
 }
 
 struct OwnershipReply {
-  bucket @0 :UInt16;
+  query @0 :UInt64;
   index @1 :UInt16;
   count @2 :UInt16;
   flows @3 :List(FlowKey);
-}
-
-struct JournalEntry {
-  flow @0 :FlowKey;
-  messageId @1 :UInt16;
-  token @2 :Data;
-  owner @3 :InstanceLife;
-  state @4 :UInt8;
-  answer @5 :Data;
+  entries @4 :List(JournalEntry);
+  marks @5 :List(JournalMark);
+  gaps @6 :List(JournalGap);
 }
 
 struct JournalSync {
-  bucket @0 :UInt16;
+  sync @0 :UInt64;
   index @1 :UInt16;
   count @2 :UInt16;
-  entries @3 :List(JournalEntry);
+  buckets @3 :List(UInt16);
+  entries @4 :List(JournalEntry);
+}
+
+struct JournalSyncAck {
+  sync @0 :UInt64;
+  index @1 :UInt16;
 }
 
 struct PeerMessage {
   header @0 :PeerHeader;
   union {
     heartbeat @1 :Heartbeat;
-    heartbeatAck @2 :Heartbeat;
+    heartbeatAck @2 :HeartbeatAck;
     lapsePromise @3 :InstanceLife;
-    directoryChunk @4 :DirectoryChunk;
-    directoryAck @5 :TransferAck;
-    ownershipQuery @6 :UInt16;
-    ownershipReply @7 :OwnershipReply;
-    flowClosed @8 :FlowKey;
-    journalRecord @9 :JournalEntry;
-    journalAck @10 :JournalEntry;
-    journalSync @11 :JournalSync;
-    journalSyncAck @12 :TransferAck;
+    ownershipQuery @4 :OwnershipQuery;
+    ownershipReply @5 :OwnershipReply;
+    flowClosed @6 :FlowKey;
+    journalRecord @7 :JournalEntry;
+    journalAck @8 :JournalEntry;
+    journalSync @9 :JournalSync;
+    journalSyncAck @10 :JournalSyncAck;
   }
 }
 
--- a/src/libwire/samples.h
+++ b/src/libwire/samples.h
@@ -40,6 +40,8 @@
     packet.trace_.trace_id_ = {1, 2, 3};
     packet.trace_.span_id_ = {4, 5, 6};
     packet.trace_.sampled_ = true;
+    packet.rules_version_ = rules_version(17);
+    packet.established_only_ = true;
     packet.payload_ = {10, 20, 30, 40, 50, 60, 70, 80, 90};
     return packet;
 }
@@ -65,21 +67,26 @@
 inline std::vector<datagram> sample_datagrams()
 {
     const load_report load{3, slot_count(4), 500, true};
-    const directory_entry owned{sample_flow(), sample_life()};
+    const bucket_id bucket{255};
+    ownership_reply reply;
+    reply.query_ = 8;
+    reply.position_ = {1, 2};
+    reply.flows_ = {sample_flow(), sample_flow()};
+    reply.entries_ = {sample_entry(), sample_entry()};
+    reply.marks_ = {{bucket, sample_life()}};
+    reply.gaps_ = {{bucket, std::chrono::seconds(3)}};
     return {
         sample_packet(),
-        sample_peer(heartbeat{7, load}),
+        sample_peer(heartbeat{7, load, {sample_life()}}),
         sample_peer(heartbeat_ack{7, load}),
         sample_peer(lapse_promise{sample_life()}),
-        sample_peer(directory_chunk{bucket_id(9), {0, 2}, {owned, owned}}),
-        sample_peer(directory_ack{bucket_id(9), 1}),
-        sample_peer(ownership_query{bucket_id(255)}),
-        sample_peer(ownership_reply{bucket_id(9), {1, 2}, {sample_flow()}}),
+        sample_peer(ownership_query{8, {bucket}, {sample_life()}}),
+        sample_peer(reply),
         sample_peer(flow_closed{sample_flow()}),
         sample_peer(journal_record{sample_entry()}),
         sample_peer(journal_ack{sample_entry()}),
-        sample_peer(journal_sync{bucket_id(9), {0, 1}, {sample_entry()}}),
-        sample_peer(journal_sync_ack{bucket_id(9), 3}),
+        sample_peer(journal_sync{9, {0, 1}, {bucket}, {sample_entry()}}),
+        sample_peer(journal_sync_ack{9, 3}),
         stale_notice{service_name("orders"),
                      epoch(43),
                      {sample_life()},
