--- /dev/null
+++ b/src/include/galenafork/spread.h
@@ -0,0 +1,169 @@
+/// \file
+/// What a balancer knows of rules and rosters, and how it spreads among
+/// balancers: merging in any order, digests, and differences.
+
+#ifndef GALENAFORK_SPREAD_H
+#define GALENAFORK_SPREAD_H
+
+#include <galenafork/roster.h>
+#include <galenafork/routing.h>
+#include <galenafork/rules_object.h>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <tl/expected.hpp>
+#include <variant>
+#include <vector>
+
+namespace galenafork
+{
+
+/// One step of a roster, which leads to `epoch_`.
+struct service_change
+{
+    service_name service_;
+    epoch epoch_;
+    roster_change change_;
+};
+
+/// Lives of one service that have lapsed for good.
+struct lapsed_update
+{
+    service_name service_;
+    std::vector<instance_life> lives_;
+};
+
+/// Anything that one balancer tells another.
+using spread_update =
+    std::variant<rules_in_force, roster, service_change, lapsed_update>;
+
+/// What is known of one service.
+struct service_state
+{
+    /// Null until known.
+    std::shared_ptr<const roster> roster_;
+    /// Sorted; grows but for lives that are no member any more.
+    lapsed_set lapsed_;
+    /// The latest steps in order, at most `max_recent_changes`; the last one
+    /// leads to `roster_`.
+    std::vector<service_change> recent_;
+};
+
+/// All that a balancer knows. Every part only moves forward: rules by their
+/// version, rosters by their epoch, lapsed lives as a growing set.
+struct spread_state
+{
+    /// Null until known.
+    std::shared_ptr<const rules_in_force> rules_;
+    std::map<service_name, service_state> services_;
+};
+
+/// Steps of a roster that are kept for those who lag.
+inline constexpr std::size_t max_recent_changes = 8;
+
+/// Lapsed lives kept of one service, beyond those of its members.
+inline constexpr std::size_t max_lapsed_lives = 64;
+
+/// Retired rules that are kept; the latest go first.
+inline constexpr std::size_t max_retired_rules = 512;
+
+/// What came of an update.
+enum class merge_result
+{
+    /// It was news.
+    applied,
+    /// Known already, or older than what is known; nothing changed.
+    old,
+    /// It builds on an epoch that is not known here: pull the whole roster.
+    gap,
+    /// It contradicts what is known; nothing changed.
+    bad,
+};
+
+/// The enumerator's name.
+const char* to_string(merge_result result);
+
+/// \name Merging
+/// Each may come late, twice or out of order; versions never go back.
+/// @{
+merge_result merge(spread_state& state, const rules_in_force& update);
+merge_result merge(spread_state& state, const roster& update);
+merge_result merge(spread_state& state, const service_change& update);
+merge_result merge(spread_state& state, const lapsed_update& update);
+merge_result merge(spread_state& state, const spread_update& update);
+/// @}
+
+/// The step from `before` to `after`, if there is one step between them whose
+/// outcome `apply` reproduces; else nothing.
+std::optional<service_change> change_between(const roster& before,
+                                             const roster& after);
+
+/// The rules of a platform object, with the retired rules out of its history.
+/// Fails with `bad_rule`.
+tl::expected<rules_in_force, error> rules_from(const rules_object& object);
+
+/// The rules of a file accepted as `version`, with the lines of `retired`
+/// rules. Fails with `bad_rule`.
+tl::expected<rules_in_force, error> rules_from(rules_version version,
+                                               const std::string& text,
+                                               const std::string& retired);
+
+/// Groups that services fall into by their names.
+inline constexpr std::uint16_t digest_groups = 64;
+
+/// What a balancer knows, in short.
+struct spread_digest
+{
+    rules_version rules_version_;
+    std::array<std::uint64_t, digest_groups> groups_{};
+
+    friend bool operator==(const spread_digest& a, const spread_digest& b)
+    {
+        return a.rules_version_ == b.rules_version_ && a.groups_ == b.groups_;
+    }
+};
+
+/// The digest of `state`; equal for states that know the same.
+spread_digest digest_of(const spread_state& state);
+
+/// What is known of one service, in short.
+struct service_version
+{
+    service_name service_;
+    /// Zero if no roster is known.
+    epoch epoch_;
+    /// Members of that roster that are known to have lapsed.
+    std::uint32_t lapsed_ = 0;
+};
+
+/// What is known of the services of some groups.
+struct spread_versions
+{
+    rules_version rules_version_;
+    std::vector<std::uint16_t> groups_;
+    std::vector<service_version> services_;
+};
+
+/// The versions to send to the peer whose digest is `theirs`, so that it
+/// answers what is missing here. No groups if both know the same.
+spread_versions versions_for(const spread_state& state,
+                             const spread_digest& theirs);
+
+/// The versions of every group.
+spread_versions all_versions(const spread_state& state);
+
+/// What `state` knows beyond `have`: steps where they suffice, else whole
+/// rosters.
+std::vector<spread_update> updates_beyond(const spread_state& state,
+                                          const spread_versions& have);
+
+/// The table for the traffic threads; null until rules are known. Shares the
+/// unchanged parts of `previous`, which may be null.
+std::shared_ptr<const routing_snapshot>
+build_snapshot(const spread_state& state, const routing_snapshot* previous);
+
+} // namespace galenafork
+
+#endif
--- /dev/null
+++ b/src/libbalancer/change_between.cpp
@@ -0,0 +1,105 @@
+#include <galenafork/spread.h>
+
+namespace galenafork
+{
+
+namespace
+{
+
+bool same_member(const member& a, const member& b)
+{
+    return a.instance_ == b.instance_ && a.incarnation_ == b.incarnation_ &&
+           a.data_centre_ == b.data_centre_ && a.packets_ == b.packets_ &&
+           a.control_ == b.control_ && a.slots_ == b.slots_ &&
+           a.state_ == b.state_ && a.watchers_ == b.watchers_ &&
+           a.watch_epoch_ == b.watch_epoch_;
+}
+
+bool same_roster(const roster& a, const roster& b)
+{
+    if (a.epoch_ != b.epoch_ || a.members_.size() != b.members_.size() ||
+        !(a.buckets_ == b.buckets_) || a.recent_writes_ != b.recent_writes_)
+    {
+        return false;
+    }
+    for (std::size_t i = 0; i < a.members_.size(); ++i)
+    {
+        if (!same_member(a.members_[i], b.members_[i]))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// The step that changed member `was` (null: new) to `is` (null: gone).
+std::optional<roster_change_kind> kind_of(const member* was, const member* is)
+{
+    if (is == nullptr)
+    {
+        return roster_change_kind::remove;
+    }
+    if (was == nullptr || was->incarnation_ != is->incarnation_)
+    {
+        return roster_change_kind::join;
+    }
+    if (was->state_ == is->state_)
+    {
+        return std::nullopt;
+    }
+    if (is->state_ == member_state::draining)
+    {
+        return roster_change_kind::drain;
+    }
+    return was->state_ == member_state::draining ? roster_change_kind::undrain
+                                                 : roster_change_kind::join;
+}
+
+} // namespace
+
+std::optional<service_change> change_between(const roster& before,
+                                             const roster& after)
+{
+    if (after.epoch_.value() != before.epoch_.value() + 1 ||
+        after.recent_writes_.empty())
+    {
+        return std::nullopt;
+    }
+    const auto attempt =
+        [&](const member* was,
+            const member* is) -> std::optional<service_change>
+    {
+        const auto kind = kind_of(was, is);
+        if (!kind)
+        {
+            return std::nullopt;
+        }
+        service_change step{after.service_, after.epoch_, {}};
+        step.change_ = {*kind, is == nullptr ? *was : *is,
+                        after.recent_writes_.front()};
+        const auto outcome = apply(before, step.change_);
+        if (!outcome || !same_roster(*outcome, after))
+        {
+            return std::nullopt;
+        }
+        return step;
+    };
+    for (const member& m : before.members_)
+    {
+        if (auto step = attempt(&m, find_member(after, m.instance_)))
+        {
+            return step;
+        }
+    }
+    for (const member& m : after.members_)
+    {
+        const bool is_new = find_member(before, m.instance_) == nullptr;
+        if (auto step = is_new ? attempt(nullptr, &m) : std::nullopt)
+        {
+            return step;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace galenafork
--- /dev/null
+++ b/src/libbalancer/merge.cpp
@@ -0,0 +1,147 @@
+#include <galenafork/spread.h>
+
+#include <algorithm>
+
+namespace galenafork
+{
+
+namespace
+{
+
+bool is_member(const roster& r, const instance_life& life)
+{
+    const member* m = find_member(r, life.instance_);
+    return m != nullptr && m->incarnation_ == life.incarnation_;
+}
+
+// Lives that are no member cannot come back, but a life that is newer than
+// the roster known here looks the same: only a bound drops them.
+void trim_lapsed(service_state& service)
+{
+    auto& lives = service.lapsed_.lives_;
+    const auto is_idle = [&](const instance_life& life)
+    { return !service.roster_ || !is_member(*service.roster_, life); };
+    auto idle = static_cast<std::size_t>(
+        std::count_if(lives.begin(), lives.end(), is_idle));
+    const auto drop = [&](const instance_life& life)
+    {
+        const bool dropped = idle > max_lapsed_lives && is_idle(life);
+        idle -= dropped ? 1 : 0;
+        return dropped;
+    };
+    lives.erase(std::remove_if(lives.begin(), lives.end(), drop), lives.end());
+}
+
+void remember_change(service_state& service, const service_change& change)
+{
+    auto& recent = service.recent_;
+    if (!recent.empty() &&
+        recent.back().epoch_.value() + 1 != change.epoch_.value())
+    {
+        recent.clear();
+    }
+    if (recent.size() == max_recent_changes)
+    {
+        recent.erase(recent.begin());
+    }
+    recent.push_back(change);
+}
+
+void take_roster(service_state& service, std::shared_ptr<const roster> next)
+{
+    service.roster_ = std::move(next);
+    trim_lapsed(service);
+}
+
+} // namespace
+
+const char* to_string(merge_result result)
+{
+    switch (result)
+    {
+    case merge_result::applied:
+        return "applied";
+    case merge_result::old:
+        return "old";
+    case merge_result::gap:
+        return "gap";
+    case merge_result::bad:
+        return "bad";
+    }
+    return "bad";
+}
+
+merge_result merge(spread_state& state, const rules_in_force& update)
+{
+    if (state.rules_ && update.version_ <= state.rules_->version_)
+    {
+        return merge_result::old;
+    }
+    state.rules_ = std::make_shared<const rules_in_force>(update);
+    return merge_result::applied;
+}
+
+merge_result merge(spread_state& state, const roster& update)
+{
+    service_state& service = state.services_[update.service_];
+    const roster* known = service.roster_.get();
+    if (known != nullptr && update.epoch_ <= known->epoch_)
+    {
+        return merge_result::old;
+    }
+    if (known != nullptr)
+    {
+        if (const auto step = change_between(*known, update))
+        {
+            remember_change(service, *step);
+        }
+        else
+        {
+            service.recent_.clear();
+        }
+    }
+    take_roster(service, std::make_shared<const roster>(update));
+    return merge_result::applied;
+}
+
+merge_result merge(spread_state& state, const service_change& update)
+{
+    const auto at = state.services_.find(update.service_);
+    const roster* known =
+        at == state.services_.end() ? nullptr : at->second.roster_.get();
+    if (known == nullptr || known->epoch_.value() + 1 < update.epoch_.value())
+    {
+        return merge_result::gap;
+    }
+    if (update.epoch_ <= known->epoch_)
+    {
+        return merge_result::old;
+    }
+    auto next = apply(*known, update.change_);
+    if (!next)
+    {
+        return merge_result::bad;
+    }
+    remember_change(at->second, update);
+    take_roster(at->second, std::make_shared<const roster>(std::move(*next)));
+    return merge_result::applied;
+}
+
+merge_result merge(spread_state& state, const lapsed_update& update)
+{
+    service_state& service = state.services_[update.service_];
+    auto& lives = service.lapsed_.lives_;
+    const auto before = lives;
+    lives.insert(lives.end(), update.lives_.begin(), update.lives_.end());
+    std::sort(lives.begin(), lives.end());
+    lives.erase(std::unique(lives.begin(), lives.end()), lives.end());
+    trim_lapsed(service);
+    return lives == before ? merge_result::old : merge_result::applied;
+}
+
+merge_result merge(spread_state& state, const spread_update& update)
+{
+    return std::visit([&](const auto& u) { return merge(state, u); }, update);
+}
+
+} // namespace galenafork
