--- /dev/null
+++ b/src/include/galenafork/agent_core.h
@@ -0,0 +1,323 @@
+/// \file
+/// The agent's decisions: (state, event, now) -> actions. The daemon, trace
+/// replay and the tests drive this same code.
+
+#ifndef GALENAFORK_AGENT_CORE_H
+#define GALENAFORK_AGENT_CORE_H
+
+#include <galenafork/journal.h>
+#include <galenafork/lease.h>
+#include <galenafork/member_view.h>
+#include <galenafork/messages.h>
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace galenafork
+{
+
+/// Times and bounds of flows and packets.
+struct flow_settings
+{
+    /// A flow without packets for so long has ended.
+    duration idle_timeout_ = std::chrono::seconds(60);
+    /// How long a packet waits for a home that may not open yet.
+    duration hold_time_ = std::chrono::milliseconds(1500);
+    /// Most packets that wait.
+    std::size_t max_held_ = 4096;
+    /// Between two tries of a takeover query.
+    duration query_interval_ = std::chrono::milliseconds(50);
+    /// Between two notices to the same balancer.
+    duration notice_interval_ = std::chrono::milliseconds(20);
+    /// Time that the upstream gets for a non-idempotent request.
+    duration request_time_ = std::chrono::seconds(5);
+};
+
+/// All settings of the decisions.
+struct agent_settings
+{
+    lease_settings lease_;
+    journal_settings journal_;
+    flow_settings flow_;
+};
+
+/// What the agent's codec found in a caller's packet. Absent for opaque flows
+/// and for packets that are no request.
+struct request_info
+{
+    request_key key_;
+    bool idempotent_ = true;
+};
+
+/// One flow that this agent owns.
+struct owned_flow
+{
+    instant last_packet_;
+    endpoint fabric_;
+    /// Number of the home's newest placement of this flow here.
+    std::uint64_t placement_ = 0;
+    /// Requests at the upstream.
+    std::uint32_t in_flight_ = 0;
+};
+
+/// One flow of a bucket of this home that another member owns.
+struct directory_record
+{
+    instance_life owner_;
+    instant last_packet_;
+    /// Number of this placement; a later one of the flow has a higher number.
+    std::uint64_t placement_ = 0;
+};
+
+/// This agent's part in one bucket.
+struct bucket_state
+{
+    /// This agent is the effective home.
+    bool home_ = false;
+    /// As home: the directory is complete, flows may open.
+    bool complete_ = false;
+    /// As home: the journal partner has every entry.
+    bool synced_ = false;
+    /// As home: entries may be missing until then.
+    std::optional<instant> gap_until_;
+    /// As partner: the home whose entries are all here, and the lapsed
+    /// members whose entries that includes.
+    std::optional<instance_life> mark_home_;
+    std::vector<instance_life> mark_lapsed_;
+    /// The last effective home that this agent knew.
+    std::optional<instance_life> last_home_;
+    /// As home that is not complete: the home before it.
+    std::optional<instance_life> predecessor_;
+};
+
+/// A caller's packet with what the codec found in it.
+struct arrived_packet
+{
+    forwarded_packet packet_;
+    std::optional<request_info> request_;
+    /// How long it may wait for a home that may not open yet.
+    instant deadline_;
+};
+
+/// The takeover query in progress; covers every incomplete bucket.
+struct ownership_round
+{
+    std::uint64_t query_ = 0;
+    std::vector<bucket_id> buckets_;
+    instant last_sent_;
+    /// Chunks still missing, by peer; a peer that has not answered at all is
+    /// absent.
+    std::map<instance_life, std::vector<bool>> received_;
+    std::vector<journal_mark> marks_;
+};
+
+/// The answer to a peer's query, cut once and sent again on each repeat.
+struct cached_answer
+{
+    std::uint64_t query_ = 0;
+    std::vector<ownership_reply> chunks_;
+};
+
+/// A transfer of journal entries to a new partner in progress.
+struct sync_round
+{
+    std::uint64_t sync_ = 0;
+    instance_life partner_;
+    instant last_sent_;
+    std::vector<journal_sync> chunks_;
+    std::vector<bool> acked_;
+};
+
+/// A transfer from a home that arrives in parts.
+struct sync_arrival
+{
+    std::uint64_t sync_ = 0;
+    std::vector<bool> received_;
+};
+
+/// A non-idempotent request that waits for the partner's ack.
+struct pending_record
+{
+    forwarded_packet packet_;
+    journal_entry entry_;
+    /// For a refusal: the reason.
+    refusal reason_ = refusal::none;
+    instant last_sent_;
+    instant deadline_;
+};
+
+/// What this agent last heard of a peer's load.
+struct peer_load
+{
+    load_report report_;
+    instant heard_;
+    /// Flows that this home gave the peer since.
+    std::uint32_t assigned_since_ = 0;
+};
+
+/// Chooses the owner of a new flow: this agent or a live, serving peer.
+struct agent_state;
+using owner_chooser = instance_life (*)(const agent_state& state,
+                                        bucket_id bucket, instant now,
+                                        std::uint64_t draw);
+
+/// Everything that the decisions keep.
+struct agent_state
+{
+    agent_settings settings_;
+    instance_life self_;
+    member_view view_;
+    lease_state lease_;
+    watch_state watch_;
+    std::array<bucket_state, bucket_count> buckets_{};
+    std::unordered_map<flow_key, owned_flow> owned_;
+    std::unordered_map<flow_key, directory_record> directory_;
+    journal_state_table journal_;
+    std::deque<arrived_packet> held_;
+    std::optional<ownership_round> query_;
+    std::map<instance_life, cached_answer> answers_;
+    std::map<instance_life, sync_round> syncs_;
+    std::map<instance_life, sync_arrival> sync_arrivals_;
+    std::map<request_key, pending_record> records_;
+    std::map<instance_id, peer_load> loads_;
+    /// Balancers that sent packets lately, and when each was last sent a
+    /// notice.
+    std::map<endpoint, instant> balancers_;
+    load_report load_;
+    owner_chooser choose_owner_ = nullptr;
+    /// State of the random number generator; seeded by the caller.
+    std::uint64_t random_ = 0;
+    std::uint64_t next_round_ = 1;
+    /// True once this incarnation has lapsed or was removed: it acts no more.
+    bool fenced_ = false;
+    std::optional<instant> last_heartbeat_;
+    /// Last search for idle flows and expired entries.
+    std::optional<instant> last_sweep_;
+    /// Last requests to remove a member.
+    std::map<instance_life, instant> removals_asked_;
+};
+
+/// Sends a message to another agent.
+struct send_peer
+{
+    peer_message message_;
+    endpoint to_;
+};
+
+/// Passes a caller's packet to another agent.
+struct send_packet
+{
+    forwarded_packet packet_;
+    endpoint to_;
+};
+
+/// Tells a balancer that its roster is old.
+struct send_notice
+{
+    stale_notice notice_;
+    endpoint to_;
+};
+
+/// Passes a packet to the upstream on the flow's own socket.
+struct deliver
+{
+    forwarded_packet packet_;
+    std::optional<request_info> request_;
+    /// For a non-idempotent request: how long the upstream may take.
+    std::optional<duration> time_left_;
+};
+
+/// Sends the caller the stored answer of a repeated request.
+struct reply_stored
+{
+    flow_key flow_;
+    endpoint fabric_;
+    byte_buffer answer_;
+};
+
+/// Refuses a caller's packet. `verdict_` is told to the caller if the packet
+/// is a request that can be answered; else the packet is dropped and counted.
+struct refuse
+{
+    forwarded_packet packet_;
+    verdict verdict_;
+    /// False: say nothing, so that the caller repeats.
+    bool answer_ = false;
+};
+
+/// The flow has ended: its socket to the upstream may be closed.
+struct close_flow
+{
+    flow_key flow_;
+};
+
+/// The control thread is to fetch a roster of at least this epoch.
+struct fetch_roster
+{
+    epoch at_least_;
+};
+
+/// The control thread is to remove a member from the roster.
+struct request_removal
+{
+    instance_life life_;
+};
+
+/// This incarnation is out: the daemon drops everything and joins anew.
+struct fenced
+{
+};
+
+/// Something that the shell around the decisions has to do.
+using agent_action =
+    std::variant<send_peer, send_packet, send_notice, deliver, reply_stored,
+                 refuse, close_flow, fetch_roster, request_removal, fenced>;
+
+/// Actions in the order in which they are to be done.
+using agent_actions = std::vector<agent_action>;
+
+/// A new agent: `self` joined `first` (which names it) by a request sent at
+/// `joined`.
+agent_state make_agent(const agent_settings& settings,
+                       const instance_life& self, const roster& first,
+                       instant joined, std::uint64_t seed);
+
+/// A packet from a balancer or another agent.
+agent_actions on_packet(agent_state& state, forwarded_packet packet,
+                        std::optional<request_info> request, instant now);
+
+/// A message from another agent.
+agent_actions on_peer_message(agent_state& state, const peer_message& message,
+                              instant now);
+
+/// A roster from the platform or a peer; older ones change nothing.
+agent_actions on_roster(agent_state& state, const roster& next, instant now);
+
+/// The upstream answered a request of `flow`. `key` is that of the request if
+/// it was non-idempotent; `answer` is then kept for repeats.
+agent_actions on_answer(agent_state& state, const flow_key& flow,
+                        const std::optional<request_key>& key,
+                        const byte_buffer& answer, instant now);
+
+/// The admission policy refuses a request of an owned flow before it reached
+/// the upstream.
+agent_actions on_shed(agent_state& state, const forwarded_packet& packet,
+                      const std::optional<request_info>& request,
+                      refusal reason, instant now);
+
+/// Time passes; to be called every 10 to 50 ms.
+agent_actions on_tick(agent_state& state, instant now);
+
+/// True if this agent owns no flow and keeps no journal entry of its own: a
+/// draining member may leave.
+bool may_leave(const agent_state& state);
+
+} // namespace galenafork
+
+#endif
--- a/src/include/galenafork/messages.h
+++ b/src/include/galenafork/messages.h
@@ -64,6 +64,8 @@
 struct forwarded_packet
 {
     service_name service_;
+    /// The agent that passed the packet on; empty from a balancer.
+    instance_life sender_;
     instance_life target_;
     /// Epoch of the sender's roster.
     epoch epoch_;
@@ -71,6 +73,10 @@
     rules_version rules_version_;
     packet_role role_ = packet_role::to_home;
     std::uint8_t hops_ = 0;
+    /// For `to_owner` and `open_here`: number of the home's placement.
+    std::uint64_t placement_ = 0;
+    /// From an agent: members that it knows to have lapsed.
+    std::vector<instance_life> lapsed_;
     /// The rule is retired: known flows go on, no new one opens.
     bool established_only_ = false;
     flow_key flow_;
@@ -90,6 +96,9 @@
     instance_life target_;
     /// Epoch of the sender's roster.
     epoch epoch_;
+    /// Members that the sender knows to have lapsed; the receiver takes them
+    /// over before it acts on the message.
+    std::vector<instance_life> lapsed_;
 };
 
 /// What an agent tells its peers about its upstream.
@@ -109,8 +118,6 @@
 {
     std::uint64_t sequence_ = 0;
     load_report load_;
-    /// Members that the sender knows to have lapsed.
-    std::vector<instance_life> lapsed_;
 };
 
 /// Grants the lease asked for by the heartbeat of that sequence number, if
@@ -119,6 +126,9 @@
 {
     std::uint64_t sequence_ = 0;
     load_report load_;
+    /// False while the sender itself holds no lease: counts only together
+    /// with the acks of all other members.
+    bool grants_ = false;
 };
 
 /// The sender, a watcher, will never again ack `lapsed_`. Counts only for
@@ -136,19 +146,19 @@
 };
 
 /// New home to every other member: asks for all it holds of these buckets.
-/// Answered only at an epoch at least as new as the header's and after taking
-/// over `lapsed_`.
+/// Answered only at an epoch at least as new as the header's.
 struct ownership_query
 {
     std::uint64_t query_ = 0;
     std::vector<bucket_id> buckets_;
-    std::vector<instance_life> lapsed_;
 };
 
-/// The owner tells the home that a flow has ended.
+/// Tells the home that the sender does not own a flow, or no more.
 struct flow_closed
 {
     flow_key flow_;
+    /// The placement that this ends; an older one changes nothing.
+    std::uint64_t placement_ = 0;
 };
 
 /// Identity of one request of a flow. A caller's repeat has the same key.
@@ -246,6 +256,8 @@
     chunk_position position_;
     std::vector<bucket_id> buckets_;
     std::vector<journal_entry> entries_;
+    /// Members known to have lapsed whose entries are all in this transfer.
+    std::vector<instance_life> lapsed_;
 };
 
 /// Confirms one chunk of a `journal_sync`.
--- /dev/null
+++ b/src/libflow/agent_core.cpp
@@ -0,0 +1,483 @@
+#include "agent_pvt.h"
+
+#include <algorithm>
+
+namespace galenafork
+{
+
+namespace pvt
+{
+
+namespace
+{
+
+// Peers that get every heartbeat; with more members only the watchers do and,
+// in turn, as many others.
+constexpr std::size_t all_pairs_limit = 8;
+constexpr std::size_t others_per_round = 4;
+
+constexpr duration sweep_interval = std::chrono::seconds(1);
+constexpr duration removal_interval = std::chrono::seconds(1);
+// Members ask for a removal one after another, so that mostly one write does.
+constexpr duration removal_stagger = std::chrono::milliseconds(400);
+
+void fence(agent_state& state, agent_actions& out)
+{
+    if (!state.fenced_)
+    {
+        state.fenced_ = true;
+        out.push_back(fenced{});
+    }
+}
+
+void tell_all_balancers(agent_state& state, instant now, agent_actions& out)
+{
+    std::vector<endpoint> all;
+    for (const auto& [balancer, noticed] : state.balancers_)
+    {
+        all.push_back(balancer);
+    }
+    for (const endpoint& balancer : all)
+    {
+        notify_balancer(state, balancer, refusal::none, now, out);
+    }
+}
+
+std::vector<const member*> heartbeat_targets(const agent_state& state)
+{
+    auto peers = live_peers(state.view_, state.self_);
+    if (peers.size() <= all_pairs_limit)
+    {
+        return peers;
+    }
+    const member* self = find_life(state.view_, state.self_);
+    std::vector<const member*> chosen;
+    for (const instance_id& watcher : self->watchers_)
+    {
+        if (const member* m = find_member(state.view_.roster_, watcher))
+        {
+            chosen.push_back(m);
+        }
+    }
+    for (std::size_t i = 0; i < others_per_round; ++i)
+    {
+        const std::size_t turn =
+            state.lease_.next_sequence_ * others_per_round + i;
+        chosen.push_back(peers[turn % peers.size()]);
+    }
+    return chosen;
+}
+
+void send_heartbeats(agent_state& state, instant now, agent_actions& out)
+{
+    const duration interval = state.settings_.lease_.heartbeat_interval_;
+    if (state.last_heartbeat_ && now < *state.last_heartbeat_ + interval)
+    {
+        return;
+    }
+    state.last_heartbeat_ = now;
+    const auto targets = heartbeat_targets(state);
+    const std::uint64_t sequence = begin_heartbeat(state.lease_, now);
+    for (const member* peer : targets)
+    {
+        send_to(state, *peer, heartbeat{sequence, state.load_}, out);
+    }
+}
+
+void send_promises(agent_state& state, instant now, agent_actions& out)
+{
+    const auto due = make_promises(state.lease_, state.watch_, state.view_,
+                                   state.settings_.lease_, now);
+    for (const lapse_promise& promise : due)
+    {
+        for (const member* peer : live_peers(state.view_, state.self_))
+        {
+            send_to(state, *peer, promise, out);
+        }
+    }
+}
+
+std::size_t rank_among_live(const agent_state& state)
+{
+    std::size_t rank = 0;
+    for (const member* peer : live_peers(state.view_, state.self_))
+    {
+        rank += peer->instance_ < state.self_.instance_ ? 1 : 0;
+    }
+    return rank;
+}
+
+void ask_removal(agent_state& state, const instance_life& life, instant now,
+                 agent_actions& out)
+{
+    const auto asked = state.removals_asked_.find(life);
+    if (asked != state.removals_asked_.end() &&
+        now < asked->second + removal_interval)
+    {
+        return;
+    }
+    state.removals_asked_[life] = now;
+    out.push_back(request_removal{life});
+}
+
+void ask_removals(agent_state& state, instant now, agent_actions& out)
+{
+    const auto wait =
+        removal_stagger * static_cast<int>(rank_among_live(state));
+    for (const instance_life& life : state.view_.lapsed_.lives_)
+    {
+        const auto learned = state.watch_.lapse_learned_.find(life);
+        const bool due = learned != state.watch_.lapse_learned_.end() &&
+                         now >= learned->second + wait;
+        if (due && find_life(state.view_, life) != nullptr)
+        {
+            ask_removal(state, life, now, out);
+        }
+    }
+    for (const instance_life& life : find_unreachable(
+             state.lease_, state.view_, state.settings_.lease_, now))
+    {
+        ask_removal(state, life, now, out);
+    }
+}
+
+void sweep(agent_state& state, instant now, agent_actions& out)
+{
+    if (state.last_sweep_ && now < *state.last_sweep_ + sweep_interval)
+    {
+        return;
+    }
+    state.last_sweep_ = now;
+    expire_entries(state.journal_, now);
+    const duration idle = state.settings_.flow_.idle_timeout_;
+    for (auto at = state.owned_.begin(); at != state.owned_.end();)
+    {
+        if (now < at->second.last_packet_ + idle)
+        {
+            ++at;
+            continue;
+        }
+        out.push_back(close_flow{at->first});
+        const member* home = effective_home_of(
+            state.view_.roster_, state.view_.lapsed_, bucket_of(at->first));
+        if (home != nullptr && life_of(*home) != state.self_)
+        {
+            send_to(state, *home, flow_closed{at->first, at->second.placement_},
+                    out);
+        }
+        at = state.owned_.erase(at);
+    }
+    for (auto at = state.directory_.begin(); at != state.directory_.end();)
+    {
+        // The owner ends a flow first; this only drops what it forgot to say.
+        const bool stale = now >= at->second.last_packet_ + 2 * idle;
+        at = stale ? state.directory_.erase(at) : std::next(at);
+    }
+}
+
+void take_load(agent_state& state, const peer_header& from,
+               const load_report& load, instant now)
+{
+    state.loads_[from.sender_.instance_] = peer_load{load, now, 0};
+}
+
+void take_heartbeat(agent_state& state, const peer_header& from,
+                    const heartbeat& beat, instant now, agent_actions& out)
+{
+    const member* sender =
+        find_member(state.view_.roster_, from.sender_.instance_);
+    if (sender == nullptr)
+    {
+        return;
+    }
+    if (!is_live(state.view_, from.sender_))
+    {
+        // Let it know its fate; it takes its own lapse from the list.
+        member past = *sender;
+        past.incarnation_ = from.sender_.incarnation_;
+        send_to(state, past, heartbeat{0, {}}, out);
+        return;
+    }
+    take_load(state, from, beat.load_, now);
+    const bool grants =
+        holds_lease(state.lease_, state.view_, state.settings_.lease_, now);
+    if (may_ack(state.watch_, state.view_, from.sender_, now))
+    {
+        send_to(state, *sender,
+                heartbeat_ack{beat.sequence_, state.load_, grants}, out);
+    }
+}
+
+// One handler for each kind of message.
+struct peer_handler
+{
+    agent_state& state_;
+    const peer_header& from_;
+    instant now_;
+    agent_actions& out_;
+
+    void operator()(const heartbeat& m) const
+    {
+        take_heartbeat(state_, from_, m, now_, out_);
+    }
+    void operator()(const heartbeat_ack& m) const
+    {
+        take_load(state_, from_, m.load_, now_);
+        take_ack(state_.lease_, state_.view_, from_.sender_, from_.epoch_, m);
+    }
+    void operator()(const lapse_promise& m) const
+    {
+        // Promises made under a newer roster wait until it is here.
+        if (from_.epoch_ <= state_.view_.roster_.epoch_)
+        {
+            hear_promise(state_.watch_, m.lapsed_, from_.sender_.instance_,
+                         from_.epoch_);
+        }
+    }
+    void operator()(const ownership_query& m) const
+    {
+        answer_query(state_, from_, m, now_, out_);
+    }
+    void operator()(const ownership_reply& m) const
+    {
+        take_reply(state_, from_, m, now_, out_);
+    }
+    void operator()(const flow_closed& m) const
+    {
+        const auto found = state_.directory_.find(m.flow_);
+        if (found != state_.directory_.end() &&
+            found->second.owner_ == from_.sender_ &&
+            found->second.placement_ == m.placement_)
+        {
+            state_.directory_.erase(found);
+        }
+    }
+    void operator()(const journal_record& m) const
+    {
+        take_record(state_, from_, m, now_, out_);
+    }
+    void operator()(const journal_ack& m) const
+    {
+        take_record_ack(state_, from_, m, now_, out_);
+    }
+    void operator()(const journal_sync& m) const
+    {
+        take_sync(state_, from_, m, now_, out_);
+    }
+    void operator()(const journal_sync_ack& m) const
+    {
+        take_sync_ack(state_, from_, m);
+    }
+};
+
+// Members that vanished without having drained are as lost as lapsed ones.
+std::vector<instance_life> lost_between(const roster& before,
+                                        const member_view& after)
+{
+    std::vector<instance_life> lost;
+    for (const member& m : before.members_)
+    {
+        if (m.state_ != member_state::draining &&
+            find_life(after, life_of(m)) == nullptr)
+        {
+            lost.push_back(life_of(m));
+        }
+    }
+    return lost;
+}
+
+void rename_own_entries(agent_state& state, const instance_life& old)
+{
+    for (auto& [key, kept] : state.journal_.entries_)
+    {
+        if (kept.entry_.owner_ == old)
+        {
+            kept.entry_.owner_ = state.self_;
+        }
+    }
+    state.records_.clear();
+    for (bucket_state& part : state.buckets_)
+    {
+        if (part.last_home_ == old)
+        {
+            part.last_home_ = state.self_;
+        }
+    }
+}
+
+// A member that skipped epochs may have lost a bucket in between: what it
+// knows of its buckets may be old.
+void distrust_buckets(agent_state& state)
+{
+    for (bucket_state& part : state.buckets_)
+    {
+        part.complete_ = false;
+        part.mark_home_.reset();
+    }
+}
+
+// True if the roster still names this agent; takes over an incarnation that
+// the roster renewed.
+bool find_self(agent_state& state, const roster& next)
+{
+    const member* self = find_member(next, state.self_.instance_);
+    if (self == nullptr)
+    {
+        return false;
+    }
+    if (self->incarnation_ == state.self_.incarnation_)
+    {
+        return true;
+    }
+    if (self->incarnation_ != next_incarnation(state.self_.incarnation_))
+    {
+        return false;
+    }
+    const instance_life old = state.self_;
+    state.self_ = life_of(*self);
+    state.lease_.self_ = state.self_;
+    rename_own_entries(state, old);
+    return true;
+}
+
+} // namespace
+
+void learn_lapsed(agent_state& state, const std::vector<instance_life>& lives,
+                  instant now, agent_actions& out)
+{
+    if (!merge_lapsed(state.view_, lives))
+    {
+        return;
+    }
+    if (!is_live(state.view_, state.self_))
+    {
+        fence(state, out);
+        return;
+    }
+    settle_view(state, now, out);
+    tell_all_balancers(state, now, out);
+    retry_held(state, now, out);
+}
+
+void send_to(const agent_state& state, const member& peer, peer_body body,
+             agent_actions& out)
+{
+    const peer_header header{state.view_.roster_.service_, state.self_,
+                             life_of(peer), state.view_.roster_.epoch_,
+                             state.view_.lapsed_.lives_};
+    out.push_back(
+        send_peer{peer_message{header, std::move(body)}, peer.packets_});
+}
+
+std::uint64_t next_random(agent_state& state)
+{
+    // SplitMix64.
+    state.random_ += 0x9e3779b97f4a7c15U;
+    std::uint64_t x = state.random_;
+    x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9U;
+    x = (x ^ (x >> 27U)) * 0x94d049bb133111ebU;
+    return x ^ (x >> 31U);
+}
+
+} // namespace pvt
+
+agent_state make_agent(const agent_settings& settings,
+                       const instance_life& self, const roster& first,
+                       instant joined, std::uint64_t seed)
+{
+    agent_state state;
+    state.settings_ = settings;
+    state.self_ = self;
+    state.lease_.self_ = self;
+    state.lease_.joined_ = joined;
+    state.view_.roster_ = first;
+    state.random_ = seed;
+    state.next_round_ = 1;
+    agent_actions unsent;
+    pvt::settle_view(state, joined, unsent);
+    return state;
+}
+
+agent_actions on_roster(agent_state& state, const roster& next, instant now)
+{
+    agent_actions out;
+    if (state.fenced_ || next.epoch_ <= state.view_.roster_.epoch_)
+    {
+        return out;
+    }
+    if (!pvt::find_self(state, next))
+    {
+        pvt::fence(state, out);
+        return out;
+    }
+    const roster before = std::move(state.view_.roster_);
+    state.view_.roster_ = next;
+    if (next.epoch_.value() != before.epoch_.value() + 1)
+    {
+        pvt::distrust_buckets(state);
+    }
+    merge_lapsed(state.view_, pvt::lost_between(before, state.view_));
+    pvt::settle_view(state, now, out);
+    pvt::tell_all_balancers(state, now, out);
+    pvt::retry_held(state, now, out);
+    return out;
+}
+
+agent_actions on_peer_message(agent_state& state, const peer_message& message,
+                              instant now)
+{
+    agent_actions out;
+    const peer_header& from = message.header_;
+    const bool for_me = from.service_ == state.view_.roster_.service_ &&
+                        from.target_ == state.self_;
+    if (!for_me || state.fenced_)
+    {
+        return out;
+    }
+    if (from.epoch_ > state.view_.roster_.epoch_)
+    {
+        out.push_back(fetch_roster{from.epoch_});
+    }
+    pvt::learn_lapsed(state, from.lapsed_, now, out);
+    if (!state.fenced_)
+    {
+        std::visit(pvt::peer_handler{state, from, now, out}, message.body_);
+    }
+    return out;
+}
+
+agent_actions on_tick(agent_state& state, instant now)
+{
+    agent_actions out;
+    if (state.fenced_)
+    {
+        return out;
+    }
+    const lease_settings& lease = state.settings_.lease_;
+    if (holds_lease(state.lease_, state.view_, lease, now))
+    {
+        state.lease_.last_held_ = now;
+    }
+    pvt::send_heartbeats(state, now, out);
+    pvt::send_promises(state, now, out);
+    pvt::learn_lapsed(state, find_lapsed(state.watch_, state.view_, lease, now),
+                      now, out);
+    pvt::ask_removals(state, now, out);
+    pvt::drive_query(state, now, out);
+    pvt::drive_syncs(state, now, out);
+    pvt::drive_records(state, now, out);
+    pvt::retry_held(state, now, out);
+    pvt::sweep(state, now, out);
+    return out;
+}
+
+bool may_leave(const agent_state& state)
+{
+    const auto& entries = state.journal_.entries_;
+    return state.owned_.empty() &&
+           std::none_of(entries.begin(), entries.end(),
+                        [&](const auto& entry)
+                        { return entry.second.entry_.owner_ == state.self_; });
+}
+
+} // namespace galenafork
--- /dev/null
+++ b/src/libflow/directory.cpp
@@ -0,0 +1,476 @@
+#include "agent_pvt.h"
+
+#include <algorithm>
+
+namespace galenafork::pvt
+{
+
+namespace
+{
+
+constexpr std::size_t flows_per_chunk = 24;
+constexpr std::size_t entries_per_chunk = 4;
+
+bool contains(const std::vector<instance_life>& lives,
+              const instance_life& life)
+{
+    return std::find(lives.begin(), lives.end(), life) != lives.end();
+}
+
+// The mark of `home` holds if it covers every other member known to be lost:
+// a home that had not yet copied a lost owner's entries leaves none.
+bool has_valid_mark(const agent_state& state, bucket_id bucket,
+                    const instance_life& home)
+{
+    const bucket_state& part = state.buckets_[bucket.value()];
+    if (part.mark_home_ != home)
+    {
+        return false;
+    }
+    const auto& lost = state.view_.lapsed_.lives_;
+    return std::all_of(lost.begin(), lost.end(),
+                       [&](const instance_life& life) {
+                           return life == home ||
+                                  contains(part.mark_lapsed_, life);
+                       });
+}
+
+bool was_lost(const agent_state& state, const instance_life& life)
+{
+    return contains(state.view_.lapsed_.lives_, life);
+}
+
+void enter_home(bucket_state& part)
+{
+    part.home_ = true;
+    part.complete_ = false;
+    part.synced_ = false;
+    if (!part.predecessor_)
+    {
+        part.predecessor_ = part.last_home_;
+    }
+}
+
+void leave_home(agent_state& state, bucket_id bucket)
+{
+    bucket_state& part = state.buckets_[bucket.value()];
+    part.home_ = false;
+    part.complete_ = false;
+    part.synced_ = false;
+    for (auto at = state.directory_.begin(); at != state.directory_.end();)
+    {
+        at = bucket_of(at->first) == bucket ? state.directory_.erase(at)
+                                            : std::next(at);
+    }
+}
+
+void settle_bucket(agent_state& state, bucket_id bucket)
+{
+    bucket_state& part = state.buckets_[bucket.value()];
+    const member* home =
+        effective_home_of(state.view_.roster_, state.view_.lapsed_, bucket);
+    const bool home_now = home != nullptr && life_of(*home) == state.self_;
+    if (home_now && !part.home_)
+    {
+        enter_home(part);
+    }
+    if (!home_now && part.home_)
+    {
+        leave_home(state, bucket);
+    }
+    if (home != nullptr)
+    {
+        part.last_home_ = life_of(*home);
+    }
+    const member* partner =
+        successor_of(state.view_.roster_, state.view_.lapsed_, bucket, 1);
+    const bool keeps_mark =
+        home_now || (partner != nullptr && life_of(*partner) == state.self_);
+    if (!keeps_mark)
+    {
+        part.mark_home_.reset();
+    }
+    // Partners change with the view; each transfer starts anew.
+    part.synced_ = false;
+}
+
+void start_query(agent_state& state)
+{
+    ownership_round round;
+    round.query_ = state.next_round_++;
+    for (std::uint16_t i = 0; i < bucket_count; ++i)
+    {
+        const bucket_state& part = state.buckets_[i];
+        if (part.home_ && !part.complete_)
+        {
+            round.buckets_.emplace_back(i);
+        }
+    }
+    state.query_.reset();
+    if (!round.buckets_.empty())
+    {
+        state.query_ = std::move(round);
+    }
+}
+
+bool is_answered(const ownership_round& round, const instance_life& peer)
+{
+    const auto found = round.received_.find(peer);
+    return found != round.received_.end() &&
+           std::all_of(found->second.begin(), found->second.end(),
+                       [](bool received) { return received; });
+}
+
+bool all_answered(const agent_state& state)
+{
+    const auto peers = live_peers(state.view_, state.self_);
+    return std::all_of(peers.begin(), peers.end(),
+                       [&](const member* m)
+                       { return is_answered(*state.query_, life_of(*m)); });
+}
+
+bool is_marked(const agent_state& state, bucket_id bucket,
+               const instance_life& home)
+{
+    const auto& marks = state.query_->marks_;
+    return has_valid_mark(state, bucket, home) ||
+           std::any_of(marks.begin(), marks.end(),
+                       [&](const journal_mark& mark) {
+                           return mark.bucket_ == bucket && mark.home_ == home;
+                       });
+}
+
+void open_buckets(agent_state& state, instant now)
+{
+    for (const bucket_id bucket : state.query_->buckets_)
+    {
+        bucket_state& part = state.buckets_[bucket.value()];
+        const auto& before = part.predecessor_;
+        if (before && was_lost(state, *before) &&
+            !is_marked(state, bucket, *before))
+        {
+            part.gap_until_ = now + state.settings_.journal_.quarantine_;
+        }
+        part.predecessor_.reset();
+        part.complete_ = true;
+    }
+    state.query_.reset();
+}
+
+std::vector<flow_key> flows_in(const agent_state& state,
+                               const std::vector<bucket_id>& buckets)
+{
+    std::array<bool, bucket_count> asked{};
+    for (const bucket_id bucket : buckets)
+    {
+        asked[bucket.value()] = true;
+    }
+    std::vector<flow_key> flows;
+    for (const auto& [flow, owned] : state.owned_)
+    {
+        if (asked[bucket_of(flow).value()])
+        {
+            flows.push_back(flow);
+        }
+    }
+    return flows;
+}
+
+// What is said about the bucket's journal beyond its entries.
+void describe_bucket(const agent_state& state, bucket_id bucket, instant now,
+                     ownership_reply& reply)
+{
+    const bucket_state& part = state.buckets_[bucket.value()];
+    if (part.mark_home_ && has_valid_mark(state, bucket, *part.mark_home_))
+    {
+        reply.marks_.push_back(journal_mark{bucket, *part.mark_home_});
+    }
+    const bool unsettled = part.predecessor_ &&
+                           was_lost(state, *part.predecessor_) &&
+                           !has_valid_mark(state, bucket, *part.predecessor_);
+    if (unsettled)
+    {
+        reply.gaps_.push_back(
+            journal_gap{bucket, state.settings_.journal_.quarantine_});
+    }
+    else if (has_gap(state, bucket, now))
+    {
+        reply.gaps_.push_back(journal_gap{bucket, *part.gap_until_ - now});
+    }
+}
+
+template <class T>
+std::vector<T> slice(const std::vector<T>& all, std::size_t index,
+                     std::size_t per_chunk)
+{
+    const std::size_t begin = std::min(all.size(), index * per_chunk);
+    const std::size_t end = std::min(all.size(), begin + per_chunk);
+    return std::vector<T>(all.begin() + static_cast<std::ptrdiff_t>(begin),
+                          all.begin() + static_cast<std::ptrdiff_t>(end));
+}
+
+std::size_t chunks_for(std::size_t count, std::size_t per_chunk)
+{
+    return std::max<std::size_t>(1, (count + per_chunk - 1) / per_chunk);
+}
+
+chunk_position position_at(std::size_t index, std::size_t count)
+{
+    return chunk_position{static_cast<std::uint16_t>(index),
+                          static_cast<std::uint16_t>(count)};
+}
+
+cached_answer make_answer(const agent_state& state,
+                          const ownership_query& query, instant now)
+{
+    const auto flows = flows_in(state, query.buckets_);
+    const auto entries = entries_of(state.journal_, query.buckets_);
+    const std::size_t count =
+        std::max(chunks_for(flows.size(), flows_per_chunk),
+                 chunks_for(entries.size(), entries_per_chunk));
+    cached_answer answer{query.query_, {}};
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        ownership_reply reply;
+        reply.query_ = query.query_;
+        reply.position_ = position_at(i, count);
+        reply.flows_ = slice(flows, i, flows_per_chunk);
+        reply.entries_ = slice(entries, i, entries_per_chunk);
+        answer.chunks_.push_back(std::move(reply));
+    }
+    for (const bucket_id bucket : query.buckets_)
+    {
+        describe_bucket(state, bucket, now, answer.chunks_.front());
+    }
+    return answer;
+}
+
+void take_flows(agent_state& state, const instance_life& owner,
+                const std::vector<flow_key>& flows, instant now)
+{
+    for (const flow_key& flow : flows)
+    {
+        const bool mine = state.owned_.count(flow) != 0;
+        if (!mine && state.buckets_[bucket_of(flow).value()].home_)
+        {
+            state.directory_[flow] = directory_record{owner, now, 0};
+        }
+    }
+}
+
+void take_gaps(agent_state& state, const std::vector<journal_gap>& gaps,
+               instant now)
+{
+    for (const journal_gap& gap : gaps)
+    {
+        auto& until = state.buckets_[gap.bucket_.value()].gap_until_;
+        const instant end = now + gap.remaining_;
+        until = until ? std::max(*until, end) : end;
+    }
+}
+
+} // namespace
+
+void settle_view(agent_state& state, instant now, agent_actions& out)
+{
+    adopt_view(state.lease_, state.watch_, state.view_, now);
+    for (std::uint16_t i = 0; i < bucket_count; ++i)
+    {
+        settle_bucket(state, bucket_id(i));
+    }
+    state.syncs_.clear();
+    start_query(state);
+    drive_query(state, now, out);
+}
+
+void drive_query(agent_state& state, instant now, agent_actions& out)
+{
+    if (!state.query_)
+    {
+        return;
+    }
+    if (all_answered(state))
+    {
+        open_buckets(state, now);
+        return;
+    }
+    ownership_round& round = *state.query_;
+    if (now < round.last_sent_ + state.settings_.flow_.query_interval_)
+    {
+        return;
+    }
+    round.last_sent_ = now;
+    const ownership_query query{round.query_, round.buckets_};
+    for (const member* peer : live_peers(state.view_, state.self_))
+    {
+        if (!is_answered(round, life_of(*peer)))
+        {
+            send_to(state, *peer, query, out);
+        }
+    }
+}
+
+void answer_query(agent_state& state, const peer_header& from,
+                  const ownership_query& query, instant now, agent_actions& out)
+{
+    const member* asker = find_life(state.view_, from.sender_);
+    if (asker == nullptr || state.view_.lapsed_.contains(*asker) ||
+        from.epoch_ > state.view_.roster_.epoch_)
+    {
+        return;
+    }
+    cached_answer& answer = state.answers_[from.sender_];
+    if (answer.chunks_.empty() || answer.query_ != query.query_)
+    {
+        answer = make_answer(state, query, now);
+    }
+    for (const ownership_reply& reply : answer.chunks_)
+    {
+        send_to(state, *asker, reply, out);
+    }
+}
+
+void take_reply(agent_state& state, const peer_header& from,
+                const ownership_reply& reply, instant now, agent_actions& out)
+{
+    if (!state.query_ || state.query_->query_ != reply.query_ ||
+        !is_live(state.view_, from.sender_) ||
+        from.epoch_ < state.view_.roster_.epoch_ ||
+        reply.position_.index_ >= reply.position_.count_)
+    {
+        return;
+    }
+    auto& received = state.query_->received_[from.sender_];
+    received.resize(reply.position_.count_, false);
+    received[reply.position_.index_] = true;
+    take_flows(state, from.sender_, reply.flows_, now);
+    for (const journal_entry& entry : reply.entries_)
+    {
+        merge_entry(state.journal_, entry, state.settings_.journal_, now);
+    }
+    auto& marks = state.query_->marks_;
+    marks.insert(marks.end(), reply.marks_.begin(), reply.marks_.end());
+    take_gaps(state, reply.gaps_, now);
+    if (all_answered(state))
+    {
+        open_buckets(state, now);
+        retry_held(state, now, out);
+    }
+}
+
+void drive_syncs(agent_state& state, instant now, agent_actions& out)
+{
+    std::map<instance_life, std::vector<bucket_id>> wanted;
+    for (std::uint16_t i = 0; i < bucket_count; ++i)
+    {
+        const bucket_state& part = state.buckets_[i];
+        const member* partner =
+            part.complete_ && !part.synced_
+                ? journal_partner(state.view_, state.self_, bucket_id(i))
+                : nullptr;
+        if (partner != nullptr && state.syncs_.count(life_of(*partner)) == 0)
+        {
+            wanted[life_of(*partner)].emplace_back(i);
+        }
+    }
+    for (const auto& [partner, buckets] : wanted)
+    {
+        const auto entries = entries_of(state.journal_, buckets);
+        const std::size_t count = chunks_for(entries.size(), entries_per_chunk);
+        sync_round round{state.next_round_++, partner, {}, {}, {}};
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            round.chunks_.push_back(
+                journal_sync{round.sync_, position_at(i, count), buckets,
+                             slice(entries, i, entries_per_chunk),
+                             state.view_.lapsed_.lives_});
+        }
+        round.acked_.resize(count, false);
+        state.syncs_[partner] = std::move(round);
+    }
+    for (auto& [life, round] : state.syncs_)
+    {
+        const member* partner = find_life(state.view_, life);
+        if (partner == nullptr ||
+            now < round.last_sent_ + state.settings_.journal_.resend_interval_)
+        {
+            continue;
+        }
+        round.last_sent_ = now;
+        for (std::size_t i = 0; i < round.chunks_.size(); ++i)
+        {
+            if (!round.acked_[i])
+            {
+                send_to(state, *partner, round.chunks_[i], out);
+            }
+        }
+    }
+}
+
+void take_sync(agent_state& state, const peer_header& from,
+               const journal_sync& sync, instant now, agent_actions& out)
+{
+    const member* home = find_life(state.view_, from.sender_);
+    if (home == nullptr || state.view_.lapsed_.contains(*home) ||
+        from.epoch_ != state.view_.roster_.epoch_ ||
+        sync.position_.index_ >= sync.position_.count_)
+    {
+        return;
+    }
+    for (const journal_entry& entry : sync.entries_)
+    {
+        merge_entry(state.journal_, entry, state.settings_.journal_, now);
+    }
+    sync_arrival& arrival = state.sync_arrivals_[from.sender_];
+    if (arrival.sync_ != sync.sync_)
+    {
+        arrival = sync_arrival{sync.sync_, {}};
+    }
+    arrival.received_.resize(sync.position_.count_, false);
+    arrival.received_[sync.position_.index_] = true;
+    const bool whole =
+        std::all_of(arrival.received_.begin(), arrival.received_.end(),
+                    [](bool received) { return received; });
+    for (const bucket_id bucket : sync.buckets_)
+    {
+        const member* partner =
+            journal_partner(state.view_, from.sender_, bucket);
+        const bool mine = partner != nullptr &&
+                          life_of(*partner) == state.self_ &&
+                          is_effective_home(state.view_, from.sender_, bucket);
+        if (whole && mine)
+        {
+            bucket_state& part = state.buckets_[bucket.value()];
+            part.mark_home_ = from.sender_;
+            part.mark_lapsed_ = sync.lapsed_;
+        }
+    }
+    send_to(state, *home, journal_sync_ack{sync.sync_, sync.position_.index_},
+            out);
+}
+
+void take_sync_ack(agent_state& state, const peer_header& from,
+                   const journal_sync_ack& ack)
+{
+    const auto found = state.syncs_.find(from.sender_);
+    if (found == state.syncs_.end() || found->second.sync_ != ack.sync_ ||
+        ack.index_ >= found->second.acked_.size())
+    {
+        return;
+    }
+    sync_round& round = found->second;
+    round.acked_[ack.index_] = true;
+    const bool whole = std::all_of(round.acked_.begin(), round.acked_.end(),
+                                   [](bool acked) { return acked; });
+    if (!whole)
+    {
+        return;
+    }
+    for (const bucket_id bucket : round.chunks_.front().buckets_)
+    {
+        state.buckets_[bucket.value()].synced_ = true;
+    }
+    state.syncs_.erase(found);
+}
+
+} // namespace galenafork::pvt
--- /dev/null
+++ b/src/libflow/journal.cpp
@@ -0,0 +1,65 @@
+#include <algorithm>
+#include <galenafork/journal.h>
+
+namespace galenafork
+{
+
+namespace
+{
+
+bool moves_forward(journal_state from, journal_state to)
+{
+    return from == journal_state::started && to != journal_state::started;
+}
+
+} // namespace
+
+const kept_entry* find_entry(const journal_state_table& journal,
+                             const request_key& key)
+{
+    const auto found = journal.entries_.find(key);
+    return found == journal.entries_.end() ? nullptr : &found->second;
+}
+
+const kept_entry& merge_entry(journal_state_table& journal,
+                              const journal_entry& entry,
+                              const journal_settings& settings, instant now)
+{
+    const instant expires = now + settings.lifetime_;
+    const auto [at, added] =
+        journal.entries_.emplace(entry.key_, kept_entry{entry, expires, false});
+    kept_entry& kept = at->second;
+    if (!added && kept.entry_.owner_ == entry.owner_ &&
+        moves_forward(kept.entry_.state_, entry.state_))
+    {
+        kept.entry_ = entry;
+        kept.expires_ = expires;
+    }
+    return kept;
+}
+
+void expire_entries(journal_state_table& journal, instant now)
+{
+    auto& entries = journal.entries_;
+    for (auto at = entries.begin(); at != entries.end();)
+    {
+        at = at->second.expires_ <= now ? entries.erase(at) : std::next(at);
+    }
+}
+
+std::vector<journal_entry> entries_of(const journal_state_table& journal,
+                                      const std::vector<bucket_id>& buckets)
+{
+    std::vector<journal_entry> found;
+    for (const auto& [key, kept] : journal.entries_)
+    {
+        const bucket_id bucket = bucket_of(key.flow_);
+        if (std::find(buckets.begin(), buckets.end(), bucket) != buckets.end())
+        {
+            found.push_back(kept.entry_);
+        }
+    }
+    return found;
+}
+
+} // namespace galenafork
--- /dev/null
+++ b/src/libflow/lease.cpp
@@ -0,0 +1,372 @@
+#include <galenafork/lease.h>
+
+#include <algorithm>
+
+namespace galenafork
+{
+
+namespace
+{
+
+// Acks later than this many heartbeats do not count.
+constexpr std::size_t max_sent_heartbeats = 16;
+
+template <class Contacts>
+auto find_contact(Contacts& contacts, const instance_life& peer)
+    -> decltype(contacts.data())
+{
+    for (auto& contact : contacts)
+    {
+        if (contact.peer_ == peer)
+        {
+            return &contact;
+        }
+    }
+    return nullptr;
+}
+
+bool is_fresh(const std::optional<instant>& sent,
+              const lease_settings& settings, instant now)
+{
+    return sent && now < *sent + settings.lease_length_;
+}
+
+bool granted_by_watcher(const lease_state& lease, const member_view& view,
+                        const lease_settings& settings, instant now)
+{
+    for (const instance_id& watcher : lease.active_watchers_)
+    {
+        const member* m = find_member(view.roster_, watcher);
+        if (m == nullptr || view.lapsed_.contains(*m))
+        {
+            continue;
+        }
+        const peer_contact* contact =
+            find_contact(lease.contacts_, life_of(*m));
+        if (contact != nullptr && is_fresh(contact->granted_, settings, now))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool acked_by_all(const lease_state& lease, const member_view& view,
+                  const lease_settings& settings, instant now)
+{
+    const auto peers = live_peers(view, lease.self_);
+    return !peers.empty() &&
+           std::all_of(peers.begin(), peers.end(),
+                       [&](const member* m)
+                       {
+                           const peer_contact* contact =
+                               find_contact(lease.contacts_, life_of(*m));
+                           return contact != nullptr &&
+                                  is_fresh(contact->acked_, settings, now);
+                       });
+}
+
+const watch_duty* find_duty(const watch_state& watch,
+                            const instance_life& watched)
+{
+    for (const watch_duty& duty : watch.duties_)
+    {
+        if (duty.watched_ == watched)
+        {
+            return &duty;
+        }
+    }
+    return nullptr;
+}
+
+bool is_watched_by(const member& m, const instance_id& watcher)
+{
+    return std::find(m.watchers_.begin(), m.watchers_.end(), watcher) !=
+           m.watchers_.end();
+}
+
+// Keeps a duty whose watcher set is unchanged; starts it anew otherwise. A
+// promise once made stays made: only its epoch is renewed later.
+std::vector<watch_duty> duties_under(const watch_state& watch,
+                                     const member_view& view,
+                                     const instance_id& self, instant now)
+{
+    std::vector<watch_duty> duties;
+    for (const member& m : view.roster_.members_)
+    {
+        if (!is_watched_by(m, self))
+        {
+            continue;
+        }
+        watch_duty duty{life_of(m), m.watch_epoch_, now, false};
+        if (const watch_duty* old = find_duty(watch, duty.watched_))
+        {
+            const bool same_set = old->watch_epoch_ == duty.watch_epoch_;
+            duty.since_ = same_set ? old->since_ : now;
+            duty.promised_ = old->promised_;
+        }
+        duties.push_back(duty);
+    }
+    return duties;
+}
+
+// The new watchers count once each old one that is still a member is known
+// to have a roster as new: whoever counts promises then waits for the new
+// ones too.
+void activate_watchers(lease_state& lease, const member_view& view)
+{
+    const member* self = find_life(view, lease.self_);
+    if (self == nullptr)
+    {
+        return;
+    }
+    const bool all_know = std::all_of(
+        lease.active_watchers_.begin(), lease.active_watchers_.end(),
+        [&](const instance_id& id)
+        {
+            const member* old = find_member(view.roster_, id);
+            if (old == nullptr || view.lapsed_.contains(*old))
+            {
+                return true;
+            }
+            const peer_contact* contact =
+                find_contact(lease.contacts_, life_of(*old));
+            return contact != nullptr && contact->epoch_ >= self->watch_epoch_;
+        });
+    if (all_know)
+    {
+        lease.active_watchers_ = self->watchers_;
+    }
+}
+
+bool has_promised(const watch_state& watch, const instance_life& lapsed,
+                  const instance_id& watcher, epoch at_least)
+{
+    return std::any_of(watch.promises_.begin(), watch.promises_.end(),
+                       [&](const heard_promise& p)
+                       {
+                           return p.lapsed_ == lapsed &&
+                                  p.watcher_ == watcher && p.epoch_ >= at_least;
+                       });
+}
+
+// A watcher that lapsed itself acks no more; its last ack ends one lease
+// after its own lapse.
+bool lapsed_long_ago(const watch_state& watch, const member& watcher,
+                     const lease_settings& settings, instant now)
+{
+    const auto learned = watch.lapse_learned_.find(life_of(watcher));
+    return learned != watch.lapse_learned_.end() &&
+           now >= learned->second + settings.lease_length_ +
+                      settings.drift_margin_;
+}
+
+bool acked_lately(const watch_state& watch, const instance_life& life,
+                  const lease_settings& settings, instant now)
+{
+    const auto acked = watch.last_acked_.find(life);
+    return acked != watch.last_acked_.end() &&
+           now <
+               acked->second + settings.lease_length_ + settings.drift_margin_;
+}
+
+bool has_lapsed(const watch_state& watch, const member_view& view,
+                const member& m, const lease_settings& settings, instant now)
+{
+    if (m.watchers_.empty() || acked_lately(watch, life_of(m), settings, now))
+    {
+        return false;
+    }
+    return std::all_of(
+        m.watchers_.begin(), m.watchers_.end(),
+        [&](const instance_id& id)
+        {
+            if (has_promised(watch, life_of(m), id, m.watch_epoch_))
+            {
+                return true;
+            }
+            const member* watcher = find_member(view.roster_, id);
+            return watcher != nullptr && view.lapsed_.contains(*watcher) &&
+                   lapsed_long_ago(watch, *watcher, settings, now);
+        });
+}
+
+} // namespace
+
+bool holds_lease(const lease_state& lease, const member_view& view,
+                 const lease_settings& settings, instant now)
+{
+    const member* self = find_life(view, lease.self_);
+    if (self == nullptr || view.lapsed_.contains(*self))
+    {
+        return false;
+    }
+    return view.roster_.members_.size() == 1 ||
+           now < lease.joined_ + settings.lease_length_ ||
+           granted_by_watcher(lease, view, settings, now) ||
+           acked_by_all(lease, view, settings, now);
+}
+
+void adopt_view(lease_state& lease, watch_state& watch, const member_view& view,
+                instant now)
+{
+    auto& contacts = lease.contacts_;
+    contacts.erase(std::remove_if(contacts.begin(), contacts.end(),
+                                  [&](const peer_contact& c)
+                                  { return !find_life(view, c.peer_); }),
+                   contacts.end());
+    watch.duties_ = duties_under(watch, view, lease.self_.instance_, now);
+    for (const instance_life& life : view.lapsed_.lives_)
+    {
+        watch.lapse_learned_.emplace(life, now);
+    }
+    activate_watchers(lease, view);
+}
+
+std::uint64_t begin_heartbeat(lease_state& lease, instant now)
+{
+    auto& sent = lease.sent_;
+    if (sent.size() == max_sent_heartbeats)
+    {
+        sent.erase(sent.begin());
+    }
+    sent.push_back(sent_heartbeat{lease.next_sequence_, now});
+    return lease.next_sequence_++;
+}
+
+void take_ack(lease_state& lease, const member_view& view,
+              const instance_life& peer, epoch peer_epoch,
+              const heartbeat_ack& ack)
+{
+    const auto sent = std::find_if(lease.sent_.begin(), lease.sent_.end(),
+                                   [&](const sent_heartbeat& h)
+                                   { return h.sequence_ == ack.sequence_; });
+    if (sent == lease.sent_.end() || !find_life(view, peer))
+    {
+        return;
+    }
+    peer_contact* contact = find_contact(lease.contacts_, peer);
+    if (contact == nullptr)
+    {
+        lease.contacts_.push_back(peer_contact{peer, {}, {}, peer_epoch});
+        contact = &lease.contacts_.back();
+    }
+    contact->epoch_ = std::max(contact->epoch_, peer_epoch);
+    const auto later = [&](const std::optional<instant>& old)
+    { return old ? std::max(*old, sent->sent_) : sent->sent_; };
+    contact->acked_ = later(contact->acked_);
+    if (ack.grants_)
+    {
+        contact->granted_ = later(contact->granted_);
+    }
+    activate_watchers(lease, view);
+}
+
+bool may_ack(watch_state& watch, const member_view& view,
+             const instance_life& sender, instant now)
+{
+    if (!is_live(view, sender))
+    {
+        return false;
+    }
+    for (watch_duty& duty : watch.duties_)
+    {
+        if (duty.watched_ != sender)
+        {
+            continue;
+        }
+        if (duty.promised_)
+        {
+            return false;
+        }
+        duty.since_ = std::max(duty.since_, now);
+    }
+    watch.last_acked_[sender] = now;
+    return true;
+}
+
+std::vector<lapse_promise> make_promises(const lease_state& lease,
+                                         watch_state& watch,
+                                         const member_view& view,
+                                         const lease_settings& settings,
+                                         instant now)
+{
+    std::vector<lapse_promise> due;
+    if (!holds_lease(lease, view, settings, now))
+    {
+        return due;
+    }
+    for (watch_duty& duty : watch.duties_)
+    {
+        const instant allowed =
+            duty.since_ + settings.lease_length_ + settings.drift_margin_;
+        if (now < allowed || !find_life(view, duty.watched_))
+        {
+            continue;
+        }
+        duty.promised_ = true;
+        due.push_back(lapse_promise{duty.watched_});
+        hear_promise(watch, duty.watched_, lease.self_.instance_,
+                     view.roster_.epoch_);
+    }
+    return due;
+}
+
+void hear_promise(watch_state& watch, const instance_life& lapsed,
+                  const instance_id& watcher, epoch promise_epoch)
+{
+    for (heard_promise& known : watch.promises_)
+    {
+        if (known.lapsed_ == lapsed && known.watcher_ == watcher)
+        {
+            known.epoch_ = std::max(known.epoch_, promise_epoch);
+            return;
+        }
+    }
+    watch.promises_.push_back(heard_promise{lapsed, watcher, promise_epoch});
+}
+
+std::vector<instance_life> find_lapsed(const watch_state& watch,
+                                       const member_view& view,
+                                       const lease_settings& settings,
+                                       instant now)
+{
+    std::vector<instance_life> found;
+    for (const member& m : view.roster_.members_)
+    {
+        if (!view.lapsed_.contains(m) &&
+            has_lapsed(watch, view, m, settings, now))
+        {
+            found.push_back(life_of(m));
+        }
+    }
+    return found;
+}
+
+std::vector<instance_life> find_unreachable(const lease_state& lease,
+                                            const member_view& view,
+                                            const lease_settings& settings,
+                                            instant now)
+{
+    std::vector<instance_life> found;
+    const instant alone_since = lease.last_held_.value_or(lease.joined_);
+    if (now < alone_since + settings.isolation_wait_ ||
+        !is_live(view, lease.self_))
+    {
+        return found;
+    }
+    for (const member* m : live_peers(view, lease.self_))
+    {
+        const peer_contact* contact =
+            find_contact(lease.contacts_, life_of(*m));
+        const bool heard = contact != nullptr && contact->acked_ &&
+                           now < *contact->acked_ + settings.isolation_wait_;
+        if (!heard)
+        {
+            found.push_back(life_of(*m));
+        }
+    }
+    return found;
+}
+
+} // namespace galenafork
--- /dev/null
+++ b/src/libflow/packets.cpp
@@ -0,0 +1,314 @@
+#include "agent_pvt.h"
+
+#include <algorithm>
+
+namespace galenafork
+{
+
+namespace pvt
+{
+
+namespace
+{
+
+void drop(const forwarded_packet& packet, refusal reason, agent_actions& out)
+{
+    out.push_back(
+        refuse{packet, verdict{run_state::may_have_run, reason}, false});
+}
+
+void hold(agent_state& state, arrived_packet arrival, instant now,
+          refusal reason, agent_actions& out)
+{
+    const bool full = state.held_.size() >= state.settings_.flow_.max_held_;
+    if (full || now >= arrival.deadline_)
+    {
+        drop(arrival.packet_, full ? refusal::overloaded : reason, out);
+        return;
+    }
+    state.held_.push_back(std::move(arrival));
+}
+
+void pass_on(const agent_state& state, forwarded_packet packet,
+             const member& to, packet_role role, agent_actions& out)
+{
+    if (packet.hops_ >= max_hops)
+    {
+        drop(packet, refusal::too_many_hops, out);
+        return;
+    }
+    packet.sender_ = state.self_;
+    packet.target_ = life_of(to);
+    packet.epoch_ = state.view_.roster_.epoch_;
+    packet.lapsed_ = state.view_.lapsed_.lives_;
+    packet.role_ = role;
+    ++packet.hops_;
+    out.push_back(send_packet{std::move(packet), to.packets_});
+}
+
+// Live owner of a flow that another member owns, or null.
+const member* known_owner(agent_state& state, const flow_key& flow)
+{
+    const auto record = state.directory_.find(flow);
+    if (record == state.directory_.end())
+    {
+        return nullptr;
+    }
+    if (!is_live(state.view_, record->second.owner_))
+    {
+        state.directory_.erase(record);
+        return nullptr;
+    }
+    return find_life(state.view_, record->second.owner_);
+}
+
+bool serves_new_flows(const agent_state& state)
+{
+    const member* self = find_life(state.view_, state.self_);
+    return self != nullptr && self->state_ == member_state::serving;
+}
+
+// A placement counts only from the effective home at this very epoch: a late
+// one from an earlier home must not make a second owner.
+bool accepts_placement(const agent_state& state, const forwarded_packet& packet)
+{
+    return packet.role_ != packet_role::to_home &&
+           packet.epoch_ == state.view_.roster_.epoch_ &&
+           is_effective_home(state.view_, packet.sender_,
+                             bucket_of(packet.flow_)) &&
+           serves_new_flows(state);
+}
+
+void open_here(agent_state& state, arrived_packet arrival, instant now,
+               agent_actions& out)
+{
+    const forwarded_packet& packet = arrival.packet_;
+    state.directory_.erase(packet.flow_);
+    state.owned_[packet.flow_] =
+        owned_flow{now, packet.fabric_, packet.placement_, 0};
+    serve_owned(state, std::move(arrival), now, out);
+}
+
+void place(agent_state& state, arrived_packet arrival, instant now,
+           agent_actions& out)
+{
+    forwarded_packet& packet = arrival.packet_;
+    instance_life owner = state.self_;
+    if (state.choose_owner_ != nullptr)
+    {
+        owner = state.choose_owner_(state, bucket_of(packet.flow_), now,
+                                    next_random(state));
+    }
+    if (owner == state.self_)
+    {
+        open_here(state, std::move(arrival), now, out);
+        return;
+    }
+    packet.placement_ = state.next_round_++;
+    state.directory_[packet.flow_] =
+        directory_record{owner, now, packet.placement_};
+    ++state.loads_[owner.instance_].assigned_since_;
+    pass_on(state, std::move(packet), *find_life(state.view_, owner),
+            packet_role::open_here, out);
+}
+
+void route_at_home(agent_state& state, arrived_packet arrival, instant now,
+                   agent_actions& out)
+{
+    forwarded_packet& packet = arrival.packet_;
+    if (const member* owner = known_owner(state, packet.flow_))
+    {
+        directory_record& record = state.directory_[packet.flow_];
+        record.last_packet_ = now;
+        packet.placement_ = record.placement_;
+        pass_on(state, std::move(packet), *owner, packet_role::to_owner, out);
+        return;
+    }
+    if (!state.buckets_[bucket_of(packet.flow_).value()].complete_)
+    {
+        hold(state, std::move(arrival), now, refusal::directory_incomplete,
+             out);
+        return;
+    }
+    if (packet.established_only_)
+    {
+        drop(packet, refusal::unknown_service, out);
+        return;
+    }
+    if (!holds_lease(state.lease_, state.view_, state.settings_.lease_, now))
+    {
+        hold(state, std::move(arrival), now, refusal::no_lease, out);
+        return;
+    }
+    place(state, std::move(arrival), now, out);
+}
+
+refusal check_envelope(const agent_state& state, const forwarded_packet& packet)
+{
+    if (packet.service_ != state.view_.roster_.service_)
+    {
+        return refusal::wrong_service;
+    }
+    if (packet.target_.instance_ != state.self_.instance_)
+    {
+        return refusal::wrong_instance;
+    }
+    const bool same_life =
+        packet.target_.incarnation_ == state.self_.incarnation_;
+    return same_life && !state.fenced_ ? refusal::none
+                                       : refusal::stale_incarnation;
+}
+
+} // namespace
+
+void serve_owned(agent_state& state, arrived_packet arrival, instant now,
+                 agent_actions& out)
+{
+    const forwarded_packet& packet = arrival.packet_;
+    owned_flow& flow = state.owned_[packet.flow_];
+    flow.last_packet_ = now;
+    flow.fabric_ = packet.fabric_;
+    flow.placement_ = std::max(flow.placement_, packet.placement_);
+    // An owner without a lease may have lapsed unaware, and the flow may have
+    // another owner.
+    if (!holds_lease(state.lease_, state.view_, state.settings_.lease_, now))
+    {
+        hold(state, std::move(arrival), now, refusal::no_lease, out);
+        return;
+    }
+    const auto& request = arrival.request_;
+    if (request && !request->idempotent_)
+    {
+        guard_request(state, packet, *request, now, out);
+        return;
+    }
+    if (request)
+    {
+        ++flow.in_flight_;
+    }
+    out.push_back(deliver{std::move(arrival.packet_), request, {}});
+}
+
+void route_packet(agent_state& state, arrived_packet arrival, instant now,
+                  agent_actions& out)
+{
+    forwarded_packet& packet = arrival.packet_;
+    if (state.owned_.count(packet.flow_) != 0)
+    {
+        serve_owned(state, std::move(arrival), now, out);
+        return;
+    }
+    if (packet.epoch_ > state.view_.roster_.epoch_)
+    {
+        hold(state, std::move(arrival), now, refusal::directory_incomplete,
+             out);
+        return;
+    }
+    if (accepts_placement(state, packet))
+    {
+        open_here(state, std::move(arrival), now, out);
+        return;
+    }
+    const bucket_id bucket = bucket_of(packet.flow_);
+    const member* home =
+        effective_home_of(state.view_.roster_, state.view_.lapsed_, bucket);
+    if (home == nullptr)
+    {
+        hold(state, std::move(arrival), now, refusal::no_home, out);
+        return;
+    }
+    if (life_of(*home) == state.self_)
+    {
+        route_at_home(state, std::move(arrival), now, out);
+        return;
+    }
+    if (packet.role_ != packet_role::to_home &&
+        life_of(*home) == packet.sender_)
+    {
+        // The home takes this member for the owner; it has to choose anew.
+        send_to(state, *home, flow_closed{packet.flow_, packet.placement_},
+                out);
+    }
+    if (packet.hops_ == 0)
+    {
+        notify_balancer(state, packet.balancer_, refusal::none, now, out);
+    }
+    pass_on(state, std::move(packet), *home, packet_role::to_home, out);
+}
+
+void retry_held(agent_state& state, instant now, agent_actions& out)
+{
+    std::deque<arrived_packet> waiting;
+    waiting.swap(state.held_);
+    for (arrived_packet& arrival : waiting)
+    {
+        route_packet(state, std::move(arrival), now, out);
+    }
+}
+
+void notify_balancer(agent_state& state, const endpoint& balancer,
+                     refusal reason, instant now, agent_actions& out)
+{
+    const auto known = state.balancers_.find(balancer);
+    const bool too_soon =
+        known != state.balancers_.end() &&
+        now < known->second + state.settings_.flow_.notice_interval_;
+    if (balancer.port_ == 0 || too_soon)
+    {
+        return;
+    }
+    state.balancers_[balancer] = now;
+    stale_notice notice{
+        state.view_.roster_.service_, state.view_.roster_.epoch_, {}, reason};
+    for (const member& m : state.view_.roster_.members_)
+    {
+        if (state.view_.lapsed_.contains(m))
+        {
+            notice.lapsed_.push_back(life_of(m));
+        }
+    }
+    out.push_back(send_notice{std::move(notice), balancer});
+}
+
+} // namespace pvt
+
+agent_actions on_packet(agent_state& state, forwarded_packet packet,
+                        std::optional<request_info> request, instant now)
+{
+    agent_actions out;
+    const refusal wrong = pvt::check_envelope(state, packet);
+    if (wrong != refusal::none)
+    {
+        pvt::notify_balancer(state, packet.balancer_, wrong, now, out);
+        pvt::drop(packet, wrong, out);
+        return out;
+    }
+    if (packet.epoch_ > state.view_.roster_.epoch_)
+    {
+        out.push_back(fetch_roster{packet.epoch_});
+    }
+    if (packet.balancer_.port_ != 0)
+    {
+        // Epoch of the clock: no notice was sent yet.
+        state.balancers_.emplace(packet.balancer_,
+                                 now - state.settings_.flow_.notice_interval_);
+        if (packet.hops_ == 0 && packet.epoch_ < state.view_.roster_.epoch_)
+        {
+            pvt::notify_balancer(state, packet.balancer_, refusal::none, now,
+                                 out);
+        }
+    }
+    pvt::learn_lapsed(state, packet.lapsed_, now, out);
+    if (state.fenced_)
+    {
+        pvt::drop(packet, refusal::stale_incarnation, out);
+        return out;
+    }
+    const instant deadline = now + state.settings_.flow_.hold_time_;
+    pvt::route_packet(
+        state, arrived_packet{std::move(packet), std::move(request), deadline},
+        now, out);
+    return out;
+}
+
+} // namespace galenafork
