--- a/src/libwire/bad_input_test.cpp
+++ b/src/libwire/bad_input_test.cpp
@@ -139,7 +139,8 @@
     constexpr int rounds = 20000;
     std::mt19937 random(seed);
     const proxy_header header{*parse_endpoint("[2001:db8::7]:258"),
-                              *parse_endpoint("10.9.0.1:5683")};
+                              *parse_endpoint("10.9.0.1:5683"),
+                              test::sample_packet().trace_};
     for (int i = 0; i < rounds; ++i)
     {
         byte_buffer bytes = make_proxy_datagram(header, {1, 2, 3});
--- a/src/libwire/proxy_protocol.cpp
+++ b/src/libwire/proxy_protocol.cpp
@@ -28,7 +28,15 @@
     return 2 * (address_bytes + port_bytes);
 }
 
-static_assert(fixed_bytes + address_block_bytes(v6_bytes) ==
+// Type, and length in two bytes.
+constexpr std::size_t extension_head_bytes = 3;
+
+constexpr std::size_t trace_id_bytes = 16;
+constexpr std::size_t span_id_bytes = 8;
+constexpr std::size_t trace_bytes = trace_id_bytes + span_id_bytes + 1;
+
+static_assert(fixed_bytes + address_block_bytes(v6_bytes) +
+                  extension_head_bytes + trace_bytes ==
               max_proxy_header_bytes);
 
 tl::unexpected<error> bad_header(const char* what)
@@ -78,6 +86,55 @@
     return header;
 }
 
+bool is_traced(const trace_context& trace)
+{
+    return trace.trace_id_ != trace_context{}.trace_id_;
+}
+
+std::size_t put_trace(std::uint8_t* out, const trace_context& trace)
+{
+    out[0] = proxy_trace_extension;
+    put_u16(out + 1, trace_bytes);
+    out += extension_head_bytes;
+    out = std::copy(trace.trace_id_.begin(), trace.trace_id_.end(), out);
+    out = std::copy(trace.span_id_.begin(), trace.span_id_.end(), out);
+    *out = trace.sampled_ ? 1 : 0;
+    return extension_head_bytes + trace_bytes;
+}
+
+trace_context get_trace(const std::uint8_t* in)
+{
+    trace_context trace;
+    std::copy(in, in + trace_id_bytes, trace.trace_id_.begin());
+    in += trace_id_bytes;
+    std::copy(in, in + span_id_bytes, trace.span_id_.begin());
+    trace.sampled_ = in[span_id_bytes] == 1;
+    return trace;
+}
+
+// Reads the extensions in [in, end); false if one is cut short.
+bool get_extensions(const std::uint8_t* in, const std::uint8_t* end,
+                    proxy_header& header)
+{
+    while (in != end)
+    {
+        const auto left = static_cast<std::size_t>(end - in);
+        if (left < extension_head_bytes ||
+            left - extension_head_bytes < get_u16(in + 1))
+        {
+            return false;
+        }
+        const std::size_t length = get_u16(in + 1);
+        const std::uint8_t* value = in + extension_head_bytes;
+        if (in[0] == proxy_trace_extension && length == trace_bytes)
+        {
+            header.trace_ = get_trace(value);
+        }
+        in = value + length;
+    }
+    return true;
+}
+
 } // namespace
 
 std::size_t encode_proxy_header(const proxy_header& header,
@@ -90,7 +147,6 @@
     std::copy(signature.begin(), signature.end(), buffer);
     buffer[command_offset] = version_2_proxy;
     buffer[family_offset] = v4 ? udp_over_v4 : udp_over_v6;
-    put_u16(buffer + length_offset, block_bytes);
 
     std::uint8_t* block = buffer + fixed_bytes;
     std::uint8_t* ports = block + 2 * address_bytes;
@@ -99,7 +155,14 @@
                 address_bytes);
     put_u16(ports, header.source_.port_);
     put_u16(ports + port_bytes, header.destination_.port_);
-    return fixed_bytes + block_bytes;
+
+    std::size_t length = block_bytes;
+    if (is_traced(header.trace_))
+    {
+        length += put_trace(block + block_bytes, header.trace_);
+    }
+    put_u16(buffer + length_offset, length);
+    return fixed_bytes + length;
 }
 
 byte_buffer make_proxy_datagram(const proxy_header& header,
@@ -136,9 +199,15 @@
     {
         return bad_header("PROXY v2: truncated header");
     }
+    const std::uint8_t* block = bytes + fixed_bytes;
     parsed_proxy_header result;
-    result.header_ = get_block(bytes + fixed_bytes, address_bytes);
+    result.header_ = get_block(block, address_bytes);
     result.payload_offset_ = fixed_bytes + length;
+    if (!get_extensions(block + address_block_bytes(address_bytes),
+                        bytes + result.payload_offset_, result.header_))
+    {
+        return bad_header("PROXY v2: truncated extension");
+    }
     return result;
 }
 
--- a/src/libwire/wire_test.cpp
+++ b/src/libwire/wire_test.cpp
@@ -238,10 +238,24 @@
         bad[changed] ^= 0x31U;
         CHECK_FALSE(parse_proxy_header(bad.data(), bad.size()).has_value());
     }
-    byte_buffer with_extension = good;
-    with_extension[15] += 1;
-    const auto read =
-        parse_proxy_header(with_extension.data(), with_extension.size());
+    byte_buffer cut_extension = good;
+    cut_extension[15] += 1;
+    CHECK_FALSE(parse_proxy_header(cut_extension.data(), cut_extension.size())
+                    .has_value());
+}
+
+TEST_CASE("a PROXY header carries the trace; other extensions are skipped")
+{
+    proxy_header header{*parse_endpoint("[2001:db8::7]:258"),
+                        *parse_endpoint("10.9.0.1:5683")};
+    header.trace_ = test::sample_packet().trace_;
+    byte_buffer bytes = make_proxy_datagram(header, {0xe1, 0, 1, 5, 9});
+    // The first four bytes of the payload become an extension.
+    bytes[15] += 4;
+    const auto read = parse_proxy_header(bytes.data(), bytes.size());
     REQUIRE(read.has_value());
-    CHECK(read->payload_offset_ == good.size());
+    CHECK(read->header_.trace_.trace_id_ == header.trace_.trace_id_);
+    CHECK(read->header_.trace_.span_id_ == header.trace_.span_id_);
+    CHECK(read->header_.trace_.sampled_);
+    CHECK(read->payload_offset_ == bytes.size() - 1);
 }
