--- /dev/null
+++ b/src/galena_experiment/model/trace.cpp
@@ -0,0 +1,102 @@
+#include "trace.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace galenafork::pvt
+{
+
+namespace
+{
+
+// Streams of random numbers of one flow.
+constexpr std::uint64_t cost_stream = 0x1000000000000000U;
+constexpr std::uint64_t pause_stream = 0x2000000000000000U;
+
+duration exponential(duration mean, double uniform)
+{
+    const double drawn =
+        -std::log1p(-uniform) * static_cast<double>(mean.count());
+    return duration(std::max<duration::rep>(std::llround(drawn), 1));
+}
+
+// Inverse of the bounded Pareto distribution function.
+std::uint32_t flow_length(const service_setup& service, double uniform)
+{
+    const double tail = service.flow_tail_;
+    const double low = std::pow(service.flow_min_requests_, tail);
+    const double high = std::pow(service.flow_max_requests_ + 1, tail);
+    const double inner = (uniform * high - uniform * low - high) / (high * low);
+    return static_cast<std::uint32_t>(std::pow(-inner, -1 / tail));
+}
+
+// Mean of `flow_length` over an even grid of quantiles.
+double mean_flow_length(const service_setup& service)
+{
+    constexpr int points = 100000;
+    double sum = 0;
+    for (int i = 0; i < points; ++i)
+    {
+        sum += flow_length(service, (i + 0.5) / points);
+    }
+    return sum / points;
+}
+
+} // namespace
+
+std::uint64_t random_source::bits()
+{
+    state_ += 0x9e3779b97f4a7c15U;
+    std::uint64_t x = state_;
+    x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9U;
+    x = (x ^ (x >> 27U)) * 0x94d049bb133111ebU;
+    return x ^ (x >> 31U);
+}
+
+double random_source::uniform()
+{
+    constexpr double unit = 1.0 / 9007199254740992.0; // 2^-53
+    return static_cast<double>(bits() >> 11U) * unit;
+}
+
+duration cost_of(const traced_flow& flow, std::uint32_t number,
+                 const service_setup& service)
+{
+    random_source source(flow.seed_ ^ (cost_stream + number));
+    return exponential(service.request_cost_, source.uniform());
+}
+
+duration pause_before(const traced_flow& flow, std::uint32_t number,
+                      const service_setup& service)
+{
+    random_source source(flow.seed_ ^ (pause_stream + number));
+    return exponential(service.think_time_, source.uniform());
+}
+
+std::vector<traced_flow> make_trace(const service_setup& service, double load,
+                                    duration length, std::uint64_t seed)
+{
+    random_source source(seed);
+    const double requests_per_second = load * capacity(service);
+    const double flows_per_second =
+        requests_per_second / mean_flow_length(service);
+    const duration mean_gap(std::llround(1e6 / flows_per_second));
+    const double exact_gap = 1e6 / flows_per_second;
+    std::vector<traced_flow> trace;
+    trace.reserve(static_cast<std::size_t>(
+        1.1 * static_cast<double>(length / std::max(mean_gap, duration(1)))));
+    double at = 0;
+    while (at < static_cast<double>(length.count()))
+    {
+        at += -std::log1p(-source.uniform()) * exact_gap;
+        traced_flow flow;
+        flow.start_ = instant(duration(std::llround(at)));
+        flow.hash_ = source.bits();
+        flow.requests_ = flow_length(service, source.uniform());
+        flow.seed_ = source.bits();
+        trace.push_back(flow);
+    }
+    return trace;
+}
+
+} // namespace galenafork::pvt
