--- /dev/null
+++ b/src/galena_balancer/balancer_settings.cpp
@@ -0,0 +1,92 @@
+#include "balancer_settings.h"
+
+#include <algorithm>
+#include <array>
+
+namespace galenafork
+{
+
+namespace
+{
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr setting_range<duration> call_times{milliseconds(1), seconds(60)};
+constexpr setting_range<double> call_rates{0.1, 10'000};
+
+void read_packets(settings_section section, packet_settings& s)
+{
+    section.required("listen", s.listen_)
+        .required("agents", s.agents_)
+        .optional("answers", s.answers_)
+        .optional("threads", s.threads_, {1, 64});
+    section.finish();
+}
+
+void read_control(settings_section section, control_addresses& s)
+{
+    section.required("http", s.http_).required("rpc", s.rpc_);
+    section.finish();
+}
+
+void read_spread(settings_section section, spread_settings& s)
+{
+    section.optional("seeds", s.seeds_)
+        .optional("exchange_interval", s.exchange_interval_,
+                  {milliseconds(50), seconds(60)})
+        .optional("relays", s.relays_, {1, 16})
+        .optional("relay_lease", s.relay_lease_, {milliseconds(500), hours(1)});
+    section.finish();
+}
+
+void read_platform(settings_section section, platform_settings& s)
+{
+    section.required("address", s.address_)
+        .optional("call_deadline", s.call_deadline_, call_times)
+        .optional("attempt_timeout", s.attempt_timeout_, call_times)
+        .optional("backoff_first", s.backoff_first_, call_times)
+        .optional("backoff_cap", s.backoff_cap_, call_times)
+        .optional("calls_per_second", s.calls_.per_second_, call_rates)
+        .optional("calls_burst", s.calls_.burst_, call_rates);
+    section.finish();
+}
+
+constexpr std::array<log_level, 4> levels{log_level::debug, log_level::info,
+                                          log_level::warning, log_level::error};
+
+bool is_level(const std::string& name)
+{
+    return std::any_of(levels.begin(), levels.end(), [&](log_level level)
+                       { return name == to_string(level); });
+}
+
+} // namespace
+
+void read_settings(settings_section& top, balancer_settings& s)
+{
+    top.required("instance", s.instance_)
+        .required("data_centre", s.data_centre_)
+        .optional("log_level", s.log_level_)
+        .optional("drain_time", s.drain_time_, {milliseconds(0), hours(1)});
+    if (!is_level(s.log_level_))
+    {
+        top.report("log_level", "must be debug, info, warning or error");
+    }
+    read_packets(top.section("packets"), s.packets_);
+    read_control(top.section("control"), s.control_);
+    read_spread(top.section("spread"), s.spread_);
+    read_platform(top.section("platform"), s.platform_);
+    auto traces = top.section("traces");
+    read_settings(traces, s.traces_);
+    traces.finish();
+}
+
+log_level level_of(const balancer_settings& s)
+{
+    return *std::find_if(levels.begin(), levels.end(), [&](log_level level)
+                         { return s.log_level_ == to_string(level); });
+}
+
+} // namespace galenafork
--- /dev/null
+++ b/src/galena_balancer/knowledge.cpp
@@ -0,0 +1,190 @@
+#include "knowledge.h"
+
+#include <galenafork/log.h>
+
+namespace galenafork
+{
+
+namespace
+{
+
+// Updates that come together make one table.
+constexpr auto publish_delay = 2 * kj::MILLISECONDS;
+
+counter& add_merge_counter(metrics_registry& metrics, merge_result result)
+{
+    return metrics.add_counter("galena_balancer_updates_total",
+                               "Updates of rules and rosters, by outcome.",
+                               {{"outcome", to_string(result)}});
+}
+
+struct update_text
+{
+    std::string operator()(const rules_in_force& u) const
+    {
+        return "rules version " + std::to_string(u.version_.value());
+    }
+    std::string operator()(const roster& u) const
+    {
+        return "roster " + u.service_.value() + " epoch " +
+               std::to_string(u.epoch_.value());
+    }
+    std::string operator()(const service_change& u) const
+    {
+        return "change " + u.service_.value() + " epoch " +
+               std::to_string(u.epoch_.value());
+    }
+    std::string operator()(const lapsed_update& u) const
+    {
+        return "lapsed " + u.service_.value() + " lives " +
+               std::to_string(u.lives_.size());
+    }
+};
+
+} // namespace
+
+knowledge::knowledge(control_loop& loop, metrics_registry& metrics,
+                     publish_function publish)
+    : loop_(loop), publish_(std::move(publish)),
+      applied_(add_merge_counter(metrics, merge_result::applied)),
+      old_(add_merge_counter(metrics, merge_result::old)),
+      gaps_(add_merge_counter(metrics, merge_result::gap)),
+      bad_(add_merge_counter(metrics, merge_result::bad)),
+      rules_version_(metrics.add_gauge("galena_balancer_rules_version",
+                                       "Version of the rules in force."))
+{
+}
+
+merge_result knowledge::take(const spread_update& update,
+                             const std::string& source)
+{
+    const merge_result result = merge(state_, update);
+    switch (result)
+    {
+    case merge_result::applied:
+        applied_.add();
+        log_taken(update, source);
+        schedule_publish();
+        for (const listener& act : listeners_)
+        {
+            act(update);
+        }
+        break;
+    case merge_result::old:
+        old_.add();
+        break;
+    case merge_result::gap:
+        gaps_.add();
+        break;
+    case merge_result::bad:
+        bad_.add();
+        log_event(log_level::warning, "update_contradicts",
+                  {{"update", std::visit(update_text{}, update)},
+                   {"source", source}});
+        break;
+    }
+    return result;
+}
+
+void knowledge::add_listener(listener act)
+{
+    listeners_.push_back(std::move(act));
+}
+
+void knowledge::mark_looked_up(const service_name& service)
+{
+    looked_up_.insert(service);
+}
+
+void knowledge::mark_all_looked_up()
+{
+    for (const service_name& service : services())
+    {
+        looked_up_.insert(service);
+    }
+}
+
+readiness knowledge::check() const
+{
+    if (!state_.rules_)
+    {
+        return {false, "no rules are known"};
+    }
+    if (!snapshot_)
+    {
+        return {false, "the first table is being made"};
+    }
+    std::size_t missing = 0;
+    std::string example;
+    for (const service_name& service : services())
+    {
+        const auto at = state_.services_.find(service);
+        const bool known =
+            at != state_.services_.end() && at->second.roster_ != nullptr;
+        if (!known && looked_up_.count(service) == 0)
+        {
+            example = service.value();
+            ++missing;
+        }
+    }
+    if (missing != 0)
+    {
+        return {false, "rosters not yet looked up: " +
+                           std::to_string(missing) + ", such as " + example};
+    }
+    return {true, ""};
+}
+
+std::vector<service_name> knowledge::services() const
+{
+    std::set<service_name> names;
+    if (state_.rules_)
+    {
+        for (const rule& r : state_.rules_->rules_)
+        {
+            names.insert(r.service_);
+        }
+        for (const rule& r : state_.rules_->retired_)
+        {
+            names.insert(r.service_);
+        }
+    }
+    return {names.begin(), names.end()};
+}
+
+void knowledge::schedule_publish()
+{
+    if (publish_scheduled_)
+    {
+        return;
+    }
+    publish_scheduled_ = true;
+    loop_.add_task("publish", loop_.timer()
+                                  .afterDelay(publish_delay)
+                                  .then([this] { publish_now(); }));
+}
+
+void knowledge::publish_now()
+{
+    publish_scheduled_ = false;
+    auto next = build_snapshot(state_, snapshot_.get());
+    if (!next)
+    {
+        return;
+    }
+    rules_version_.set(
+        static_cast<std::int64_t>(next->rules_version_.value()));
+    snapshot_ = std::move(next);
+    publish_(snapshot_);
+}
+
+void knowledge::log_taken(const spread_update& update,
+                          const std::string& source)
+{
+    const bool rules = std::holds_alternative<rules_in_force>(update);
+    log_event(rules ? log_level::info : log_level::debug, "update_taken",
+              {{"update", std::visit(update_text{}, update)},
+               {"source", source}});
+}
+
+} // namespace galenafork
--- /dev/null
+++ b/src/galena_balancer/knowledge.h
@@ -0,0 +1,86 @@
+/// \file
+/// What this balancer knows, kept by the control thread.
+
+#ifndef GALENAFORK_GALENA_BALANCER_KNOWLEDGE_H
+#define GALENAFORK_GALENA_BALANCER_KNOWLEDGE_H
+
+#include <galenafork/control_loop.h>
+#include <galenafork/spread.h>
+
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace galenafork
+{
+
+/// Keeps the state, tells listeners of news and publishes snapshots.
+class knowledge
+{
+public:
+    /// `publish` gets each newer table for the traffic threads.
+    using publish_function =
+        std::function<void(std::shared_ptr<const routing_snapshot>)>;
+    /// Gets each update that was news here.
+    using listener = std::function<void(const spread_update&)>;
+
+    /// `loop` outlives this.
+    knowledge(control_loop& loop, metrics_registry& metrics,
+              publish_function publish);
+
+    /// Takes an update from `source` (for the log) and tells listeners if it
+    /// was news.
+    merge_result take(const spread_update& update, const std::string& source);
+
+    /// Adds a listener; there is no way to remove one.
+    void add_listener(listener act);
+
+    /// Notes that a source was asked for the roster of `service` and told all
+    /// it knows.
+    void mark_looked_up(const service_name& service);
+
+    /// The same for every service of the rules in force.
+    void mark_all_looked_up();
+
+    /// Whether the state suffices to forward; the reason names what is
+    /// missing.
+    readiness check() const;
+
+    /// What is known.
+    const spread_state& state() const
+    {
+        return state_;
+    }
+
+    /// The table last published; null until rules are known.
+    const std::shared_ptr<const routing_snapshot>& snapshot() const
+    {
+        return snapshot_;
+    }
+
+    /// Services that any rule names.
+    std::vector<service_name> services() const;
+
+private:
+    void schedule_publish();
+    void publish_now();
+    void log_taken(const spread_update& update, const std::string& source);
+
+    control_loop& loop_;
+    publish_function publish_;
+    counter& applied_;
+    counter& old_;
+    counter& gaps_;
+    counter& bad_;
+    gauge& rules_version_;
+    spread_state state_;
+    std::shared_ptr<const routing_snapshot> snapshot_;
+    std::set<service_name> looked_up_;
+    std::vector<listener> listeners_;
+    bool publish_scheduled_ = false;
+};
+
+} // namespace galenafork
+
+#endif
--- /dev/null
+++ b/src/galena_balancer/traffic_metrics.h
@@ -0,0 +1,47 @@
+/// \file
+/// Metrics of one traffic thread.
+
+#ifndef GALENAFORK_GALENA_BALANCER_TRAFFIC_METRICS_H
+#define GALENAFORK_GALENA_BALANCER_TRAFFIC_METRICS_H
+
+#include <galenafork/error.h>
+#include <galenafork/metrics.h>
+
+#include <array>
+#include <cstdint>
+
+namespace galenafork
+{
+
+/// Counters that a traffic thread writes and the metrics page shows.
+class traffic_metrics
+{
+public:
+    /// Adds the metrics of thread number `thread` to `registry`.
+    traffic_metrics(metrics_registry& registry, std::uint64_t thread);
+
+    /// Counts a packet that was refused for `reason`.
+    void count_refused(refusal reason) noexcept
+    {
+        refused_[static_cast<std::size_t>(reason)]->add();
+    }
+
+    counter& received_;
+    counter& forwarded_;
+    /// Packets that the kernel did not take.
+    counter& lost_;
+    counter& notices_;
+    counter& bad_notices_;
+    /// Time of one packet's forwarding decision, sampled.
+    distribution& decision_seconds_;
+
+private:
+    static constexpr std::size_t reasons_ =
+        static_cast<std::size_t>(refusal::malformed) + 1;
+
+    std::array<counter*, reasons_> refused_{};
+};
+
+} // namespace galenafork
+
+#endif
--- /dev/null
+++ b/src/include/galenafork/spread_codec.h
@@ -0,0 +1,35 @@
+/// \file
+/// Spread among balancers as Cap'n Proto messages.
+
+#ifndef GALENAFORK_SPREAD_CODEC_H
+#define GALENAFORK_SPREAD_CODEC_H
+
+#include <galenafork/spread.h>
+#include <libdaemon/control.capnp.h>
+
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace galenafork
+{
+
+/// \name Writing
+/// @{
+void write(rpc::Endpoint::Builder out, const endpoint& value);
+void write(rpc::Digest::Builder out, const spread_digest& value);
+void write(rpc::Versions::Builder out, const spread_versions& value);
+void write(rpc::Update::Builder out, const spread_update& value);
+/// @}
+
+/// \name Reading
+/// Each fails with `bad_message`.
+/// @{
+tl::expected<endpoint, error> read(rpc::Endpoint::Reader in);
+tl::expected<spread_digest, error> read(rpc::Digest::Reader in);
+tl::expected<spread_versions, error> read(rpc::Versions::Reader in);
+tl::expected<spread_update, error> read(rpc::Update::Reader in);
+/// @}
+
+} // namespace galenafork
+
+#endif
--- /dev/null
+++ b/src/include/galenafork/udp_socket.h
@@ -0,0 +1,93 @@
+/// \file
+/// UDP sockets that send and receive datagrams in batches.
+
+#ifndef GALENAFORK_UDP_SOCKET_H
+#define GALENAFORK_UDP_SOCKET_H
+
+#include <galenafork/endpoint.h>
+#include <galenafork/error.h>
+#include <galenafork/unique_fd.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <tl/expected.hpp>
+
+namespace galenafork
+{
+
+/// Datagrams that go through one system call at most.
+inline constexpr std::size_t udp_batch = 32;
+
+/// A datagram in a batch's buffer; valid until the batch's next use.
+struct datagram_view
+{
+    endpoint from_;
+    const std::uint8_t* bytes_ = nullptr;
+    std::size_t size_ = 0;
+};
+
+/// Opens a non-blocking UDP socket that is bound to `at`; `shared` lets
+/// several sockets share the address, and the kernel spreads datagrams over
+/// them. An IPv4 address is bound in mapped form, so that the socket reaches
+/// IPv4 and, bound to `[::]`, IPv6 too. Fails with `unavailable`.
+tl::expected<unique_fd, error> open_udp(const endpoint& at, bool shared);
+
+/// The address that `fd` is bound to.
+endpoint local_endpoint(const unique_fd& fd);
+
+/// Buffers to receive a batch of datagrams into; allocates once.
+class receive_batch
+{
+public:
+    /// Room for `udp_batch` datagrams of `max_bytes`; longer ones are cut and
+    /// so counted by `view().size_ > max_bytes`.
+    explicit receive_batch(std::size_t max_bytes);
+    ~receive_batch();
+    receive_batch(const receive_batch&) = delete;
+    receive_batch& operator=(const receive_batch&) = delete;
+
+    /// Receives what is there without waiting; returns how many.
+    std::size_t receive(const unique_fd& fd);
+
+    /// The datagram at `index` of the last `receive`. Its buffer is aligned to
+    /// 8 bytes.
+    datagram_view view(std::size_t index) const;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+/// Buffers to send a batch of datagrams from; allocates once.
+class send_batch
+{
+public:
+    /// Room for `udp_batch` datagrams of `max_bytes`.
+    explicit send_batch(std::size_t max_bytes);
+    ~send_batch();
+    send_batch(const send_batch&) = delete;
+    send_batch& operator=(const send_batch&) = delete;
+
+    /// Where the next datagram is to be written, aligned to 8 bytes.
+    std::uint8_t* next();
+
+    /// Adds the datagram written to `next`. Flush before adding to a full
+    /// batch.
+    void add(const endpoint& to, std::size_t size);
+
+    /// True if no datagram can be added before `flush`.
+    bool full() const;
+
+    /// Sends all and empties the batch; returns how many the kernel refused
+    /// (they are lost).
+    std::size_t flush(const unique_fd& fd);
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace galenafork
+
+#endif
--- /dev/null
+++ b/src/libbalancer/spread_codec.cpp
@@ -0,0 +1,264 @@
+#include <galenafork/spread_codec.h>
+
+#include <algorithm>
+
+namespace galenafork
+{
+
+namespace
+{
+
+tl::unexpected<error> bad(const char* what)
+{
+    return tl::unexpected(error{error_code::bad_message, what});
+}
+
+std::string text_of(capnp::Text::Reader in)
+{
+    return {in.begin(), in.size()};
+}
+
+/// A name, empty if it is not a valid one.
+template <class Name>
+Name name_of(capnp::Text::Reader in)
+{
+    const std::string text = text_of(in);
+    return is_valid_name(text) ? Name(text) : Name();
+}
+
+void write(rpc::Life::Builder out, const instance_life& value)
+{
+    out.setInstance(value.instance_.value().c_str());
+    out.setIncarnation(value.incarnation_.value());
+}
+
+instance_life read_life(rpc::Life::Reader in)
+{
+    return {name_of<instance_id>(in.getInstance()),
+            incarnation(in.getIncarnation())};
+}
+
+void write(rpc::Member::Builder out, const member& value)
+{
+    write(out.initLife(), {value.instance_, value.incarnation_});
+    out.setDataCentre(value.data_centre_.value().c_str());
+    write(out.initPackets(), value.packets_);
+    write(out.initControl(), value.control_);
+    out.setSlots(value.slots_.value());
+    out.setState(static_cast<std::uint8_t>(value.state_));
+}
+
+tl::expected<member, error> read_member(rpc::Member::Reader in)
+{
+    const auto packets = read(in.getPackets());
+    const auto control = read(in.getControl());
+    const auto state = static_cast<member_state>(in.getState());
+    member result;
+    const instance_life life = read_life(in.getLife());
+    result.instance_ = life.instance_;
+    result.incarnation_ = life.incarnation_;
+    result.data_centre_ = name_of<data_centre>(in.getDataCentre());
+    if (!packets || !control || state > member_state::draining ||
+        result.instance_.value().empty())
+    {
+        return bad("bad member");
+    }
+    result.packets_ = *packets;
+    result.control_ = *control;
+    result.slots_ = slot_count(in.getSlots());
+    result.state_ = state;
+    return result;
+}
+
+struct update_writer
+{
+    rpc::Update::Builder out_;
+
+    void operator()(const rules_in_force& value)
+    {
+        auto out = out_.initRules();
+        out.setVersion(value.version_.value());
+        out.setText(value.text_.c_str());
+        out.setRetired(print_rules(value.retired_).c_str());
+    }
+
+    void operator()(const roster& value)
+    {
+        out_.initRoster().setJson(to_json(value).c_str());
+    }
+
+    void operator()(const service_change& value)
+    {
+        auto out = out_.initChange();
+        out.setService(value.service_.value().c_str());
+        out.setEpoch(value.epoch_.value());
+        out.setKind(static_cast<std::uint8_t>(value.change_.kind_));
+        write(out.initMember(), value.change_.member_);
+        out.setWrite(value.change_.write_.value().c_str());
+    }
+
+    void operator()(const lapsed_update& value)
+    {
+        auto out = out_.initLapsed();
+        out.setService(value.service_.value().c_str());
+        auto lives =
+            out.initLives(static_cast<unsigned>(value.lives_.size()));
+        for (unsigned i = 0; i < lives.size(); ++i)
+        {
+            write(lives[i], value.lives_[i]);
+        }
+    }
+};
+
+template <class T>
+tl::expected<spread_update, error> as_update(tl::expected<T, error>&& value)
+{
+    if (!value)
+    {
+        return tl::unexpected(value.error());
+    }
+    return spread_update(std::move(*value));
+}
+
+tl::expected<spread_update, error> read_change(rpc::Change::Reader in)
+{
+    const auto kind = static_cast<roster_change_kind>(in.getKind());
+    auto changed = read_member(in.getMember());
+    const auto service = name_of<service_name>(in.getService());
+    if (!changed || kind > roster_change_kind::remove ||
+        service.value().empty())
+    {
+        return bad("bad roster change");
+    }
+    return service_change{
+        service, epoch(in.getEpoch()),
+        {kind, std::move(*changed), write_id(text_of(in.getWrite()))}};
+}
+
+tl::expected<spread_update, error> read_lapsed(rpc::Lapsed::Reader in)
+{
+    lapsed_update result;
+    result.service_ = name_of<service_name>(in.getService());
+    if (result.service_.value().empty())
+    {
+        return bad("bad service name");
+    }
+    for (const auto life : in.getLives())
+    {
+        result.lives_.push_back(read_life(life));
+    }
+    return result;
+}
+
+} // namespace
+
+void write(rpc::Endpoint::Builder out, const endpoint& value)
+{
+    out.setAddress(kj::arrayPtr(value.address_.bytes_.data(),
+                                value.address_.bytes_.size()));
+    out.setPort(value.port_);
+}
+
+void write(rpc::Digest::Builder out, const spread_digest& value)
+{
+    out.setRulesVersion(value.rules_version_.value());
+    auto groups = out.initGroups(digest_groups);
+    for (unsigned i = 0; i < digest_groups; ++i)
+    {
+        groups.set(i, value.groups_[i]);
+    }
+}
+
+void write(rpc::Versions::Builder out, const spread_versions& value)
+{
+    out.setRulesVersion(value.rules_version_.value());
+    auto groups = out.initGroups(static_cast<unsigned>(value.groups_.size()));
+    for (unsigned i = 0; i < groups.size(); ++i)
+    {
+        groups.set(i, value.groups_[i]);
+    }
+    auto services =
+        out.initServices(static_cast<unsigned>(value.services_.size()));
+    for (unsigned i = 0; i < services.size(); ++i)
+    {
+        const service_version& version = value.services_[i];
+        services[i].setService(version.service_.value().c_str());
+        services[i].setEpoch(version.epoch_.value());
+        services[i].setLapsed(version.lapsed_);
+    }
+}
+
+void write(rpc::Update::Builder out, const spread_update& value)
+{
+    std::visit(update_writer{out}, value);
+}
+
+tl::expected<endpoint, error> read(rpc::Endpoint::Reader in)
+{
+    endpoint result;
+    const auto bytes = in.getAddress();
+    if (bytes.size() != result.address_.bytes_.size())
+    {
+        return bad("bad address");
+    }
+    std::copy(bytes.begin(), bytes.end(), result.address_.bytes_.begin());
+    result.port_ = in.getPort();
+    return result;
+}
+
+tl::expected<spread_digest, error> read(rpc::Digest::Reader in)
+{
+    const auto groups = in.getGroups();
+    if (groups.size() != digest_groups)
+    {
+        return bad("bad digest");
+    }
+    spread_digest result;
+    result.rules_version_ = rules_version(in.getRulesVersion());
+    std::copy(groups.begin(), groups.end(), result.groups_.begin());
+    return result;
+}
+
+tl::expected<spread_versions, error> read(rpc::Versions::Reader in)
+{
+    spread_versions result;
+    result.rules_version_ = rules_version(in.getRulesVersion());
+    for (const std::uint16_t group : in.getGroups())
+    {
+        if (group >= digest_groups)
+        {
+            return bad("bad group");
+        }
+        result.groups_.push_back(group);
+    }
+    for (const auto version : in.getServices())
+    {
+        result.services_.push_back(
+            {service_name(text_of(version.getService())),
+             epoch(version.getEpoch()), version.getLapsed()});
+    }
+    return result;
+}
+
+tl::expected<spread_update, error> read(rpc::Update::Reader in)
+{
+    switch (in.which())
+    {
+    case rpc::Update::RULES:
+    {
+        const auto rules = in.getRules();
+        return as_update(rules_from(rules_version(rules.getVersion()),
+                                    text_of(rules.getText()),
+                                    text_of(rules.getRetired())));
+    }
+    case rpc::Update::ROSTER:
+        return as_update(roster_from_json(text_of(in.getRoster().getJson())));
+    case rpc::Update::CHANGE:
+        return read_change(in.getChange());
+    case rpc::Update::LAPSED:
+        return read_lapsed(in.getLapsed());
+    }
+    return bad("unknown update");
+}
+
+} // namespace galenafork
--- a/src/libdaemon/control.capnp
+++ b/src/libdaemon/control.capnp
@@ -19,14 +19,21 @@
 interface Balancer extends(Control) {
   # Spread of rules and rosters among balancers.
 
-  digest @0 () -> (digest :Digest);
-  # What this balancer knows, in short.
+  digest @0 (caller :Endpoint) -> (digest :Digest, ready :Bool,
+                                   peers :List(Endpoint));
+  # What this balancer knows, in short, and some other balancers. `caller` is
+  # where the caller takes calls; port 0 for one that takes none.
 
   pull @1 (have :Versions) -> (updates :List(Update));
   # What this balancer knows beyond `have`.
 
-  push @2 (updates :List(Update)) -> ();
-  # Tells this balancer of changes. Old and repeated ones do no harm.
+  subscribe @2 (subscriber :Subscriber) -> ();
+  # Sends `subscriber` what is news here, until the connection breaks.
+}
+
+interface Subscriber {
+  push @0 (updates :List(Update)) -> ();
+  # Old and repeated updates do no harm.
 }
 
 struct Digest {
@@ -67,6 +74,8 @@
 struct Rules {
   version @0 :UInt64;
   text @1 :Text;
+  retired @2 :Text;
+  # Lines of removed rules whose established flows go on.
 }
 
 struct Roster {
@@ -90,7 +99,7 @@
   control @3 :Endpoint;
   slots @4 :UInt32;
   state @5 :UInt8;
-  watchers @6 :List(Text);
+  # Watchers are left out: the receiver works them out.
 }
 
 struct Endpoint {
--- a/src/libdaemon/control.capnp.c++
+++ b/src/libdaemon/control.capnp.c++
@@ -232,7 +232,7 @@
   0, 1, i_d07bb8bab740f8e1, nullptr, nullptr, { &s_d07bb8bab740f8e1, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<50> b_d6c6ba89fced5fc4 = {
+static const ::capnp::_::AlignedData<51> b_d6c6ba89fced5fc4 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     196,  95, 237, 252, 137, 186, 198, 214,
      14,   0,   0,   0,   3,   0,   0,   0,
@@ -243,7 +243,7 @@
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      25,   0,   0,   0, 199,   0,   0,   0,
-    145,   0,   0,   0,  23,   0,   0,   0,
+    149,   0,   0,   0,  23,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  66,  97,
@@ -269,16 +269,17 @@
       2,   0,   0,   0,   0,   0,   0,   0,
     203, 214, 119,  80,  31, 185,  66, 162,
      48, 127, 106,  14, 251,  95, 201, 138,
-     33,   0,   0,   0,  42,   0,   0,   0,
+     33,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0,   7,   0,   0,   0,
     100, 105, 103, 101, 115, 116,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     112, 117, 108, 108,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
-    112, 117, 115, 104,   0,   0,   0,   0,
+    115, 117,  98, 115,  99, 114, 105,  98,
+    101,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
       4,   0,   0,   0,   1,   0,   1,   0,
      29, 160, 178, 114,  84, 208, 177, 228,
@@ -297,47 +298,68 @@
 };
 static const uint16_t m_d6c6ba89fced5fc4[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_d6c6ba89fced5fc4 = {
-  0xd6c6ba89fced5fc4, b_d6c6ba89fced5fc4.words, 50, d_d6c6ba89fced5fc4, m_d6c6ba89fced5fc4,
+  0xd6c6ba89fced5fc4, b_d6c6ba89fced5fc4.words, 51, d_d6c6ba89fced5fc4, m_d6c6ba89fced5fc4,
   7, 3, nullptr, nullptr, nullptr, { &s_d6c6ba89fced5fc4, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<17> b_8a36670478193ce6 = {
+static const ::capnp::_::AlignedData<33> b_8a36670478193ce6 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     230,  60,  25, 120,   4, 103,  54, 138,
      23,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   7,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,  42,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  66,  97,
     108,  97, 110,  99, 101, 114,  46, 100,
     105, 103, 101, 115, 116,  36,  80,  97,
-    114,  97, 109, 115,   0,   0,   0,   0, }
+    114,  97, 109, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+     99,  97, 108, 108, 101, 114,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    222, 250, 157, 235,  44, 219, 177, 245,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_8a36670478193ce6 = b_8a36670478193ce6.words;
 #if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_8a36670478193ce6[] = {
+  &s_f5b1db2ceb9dfade,
+};
+static const uint16_t m_8a36670478193ce6[] = {0};
+static const uint16_t i_8a36670478193ce6[] = {0};
 const ::capnp::_::RawSchema s_8a36670478193ce6 = {
-  0x8a36670478193ce6, b_8a36670478193ce6.words, 17, nullptr, nullptr,
-  0, 0, nullptr, nullptr, nullptr, { &s_8a36670478193ce6, nullptr, nullptr, 0, 0, nullptr }
+  0x8a36670478193ce6, b_8a36670478193ce6.words, 33, d_8a36670478193ce6, m_8a36670478193ce6,
+  1, 1, i_8a36670478193ce6, nullptr, nullptr, { &s_8a36670478193ce6, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_9df4ffd09b5d6514 = {
+static const ::capnp::_::AlignedData<67> b_9df4ffd09b5d6514 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      20, 101,  93, 155, 208, 255, 244, 157,
-     23,   0,   0,   0,   1,   0,   0,   0,
+     23,   0,   0,   0,   1,   0,   1,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   7,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,  50,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  63,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
@@ -345,20 +367,54 @@
     108,  97, 110,  99, 101, 114,  46, 100,
     105, 103, 101, 115, 116,  36,  82, 101,
     115, 117, 108, 116, 115,   0,   0,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  58,   0,   0,   0,
+     69,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   1,   0,
-     20,   0,   0,   0,   2,   0,   1,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+    100,   0,   0,   0,   2,   0,   1,   0,
     100, 105, 103, 101, 115, 116,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
      33, 246,  37, 177,  56,  11, 239, 198,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101,  97, 100, 121,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114, 115,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    222, 250, 157, 235,  44, 219, 177, 245,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -366,12 +422,13 @@
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_9df4ffd09b5d6514[] = {
   &s_c6ef0b38b125f621,
+  &s_f5b1db2ceb9dfade,
 };
-static const uint16_t m_9df4ffd09b5d6514[] = {0};
-static const uint16_t i_9df4ffd09b5d6514[] = {0};
+static const uint16_t m_9df4ffd09b5d6514[] = {0, 2, 1};
+static const uint16_t i_9df4ffd09b5d6514[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_9df4ffd09b5d6514 = {
-  0x9df4ffd09b5d6514, b_9df4ffd09b5d6514.words, 33, d_9df4ffd09b5d6514, m_9df4ffd09b5d6514,
-  1, 1, i_9df4ffd09b5d6514, nullptr, nullptr, { &s_9df4ffd09b5d6514, nullptr, nullptr, 0, 0, nullptr }
+  0x9df4ffd09b5d6514, b_9df4ffd09b5d6514.words, 67, d_9df4ffd09b5d6514, m_9df4ffd09b5d6514,
+  2, 3, i_9df4ffd09b5d6514, nullptr, nullptr, { &s_9df4ffd09b5d6514, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_c464c5ad3d508588 = {
@@ -472,14 +529,14 @@
   1, 1, i_8feab7b0d5f8bff8, nullptr, nullptr, { &s_8feab7b0d5f8bff8, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<37> b_a242b91f5077d6cb = {
+static const ::capnp::_::AlignedData<34> b_a242b91f5077d6cb = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     203, 214, 119,  80,  31, 185,  66, 162,
      23,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  26,   1,   0,   0,
+     21,   0,   0,   0,  66,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      29,   0,   0,   0,  63,   0,   0,   0,
@@ -487,50 +544,47 @@
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  66,  97,
-    108,  97, 110,  99, 101, 114,  46, 112,
-    117, 115, 104,  36,  80,  97, 114,  97,
-    109, 115,   0,   0,   0,   0,   0,   0,
+    108,  97, 110,  99, 101, 114,  46, 115,
+    117,  98, 115,  99, 114, 105,  98, 101,
+     36,  80,  97, 114,  97, 109, 115,   0,
       4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  66,   0,   0,   0,
+     13,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   1,   0,
-     36,   0,   0,   0,   2,   0,   1,   0,
-    117, 112, 100,  97, 116, 101, 115,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   1,   0,
+     24,   0,   0,   0,   2,   0,   1,   0,
+    115, 117,  98, 115,  99, 114, 105,  98,
+    101, 114,   0,   0,   0,   0,   0,   0,
+     17,   0,   0,   0,   0,   0,   0,   0,
+    250, 197, 228, 199, 238,  95, 125, 210,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   3,   0,   1,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-     14, 120,  13, 146, 145, 200, 124, 252,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
+     17,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_a242b91f5077d6cb = b_a242b91f5077d6cb.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_a242b91f5077d6cb[] = {
-  &s_fc7cc891920d780e,
+  &s_d27d5feec7e4c5fa,
 };
 static const uint16_t m_a242b91f5077d6cb[] = {0};
 static const uint16_t i_a242b91f5077d6cb[] = {0};
 const ::capnp::_::RawSchema s_a242b91f5077d6cb = {
-  0xa242b91f5077d6cb, b_a242b91f5077d6cb.words, 37, d_a242b91f5077d6cb, m_a242b91f5077d6cb,
+  0xa242b91f5077d6cb, b_a242b91f5077d6cb.words, 34, d_a242b91f5077d6cb, m_a242b91f5077d6cb,
   1, 1, i_a242b91f5077d6cb, nullptr, nullptr, { &s_a242b91f5077d6cb, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<17> b_8ac95ffb0e6a7f30 = {
+static const ::capnp::_::AlignedData<18> b_8ac95ffb0e6a7f30 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      48, 127, 106,  14, 251,  95, 201, 138,
      23,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  34,   1,   0,   0,
+     21,   0,   0,   0,  74,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -538,17 +592,138 @@
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  66,  97,
-    108,  97, 110,  99, 101, 114,  46, 112,
-    117, 115, 104,  36,  82, 101, 115, 117,
-    108, 116, 115,   0,   0,   0,   0,   0, }
+    108,  97, 110,  99, 101, 114,  46, 115,
+    117,  98, 115,  99, 114, 105,  98, 101,
+     36,  82, 101, 115, 117, 108, 116, 115,
+      0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_8ac95ffb0e6a7f30 = b_8ac95ffb0e6a7f30.words;
 #if !CAPNP_LITE
 const ::capnp::_::RawSchema s_8ac95ffb0e6a7f30 = {
-  0x8ac95ffb0e6a7f30, b_8ac95ffb0e6a7f30.words, 17, nullptr, nullptr,
+  0x8ac95ffb0e6a7f30, b_8ac95ffb0e6a7f30.words, 18, nullptr, nullptr,
   0, 0, nullptr, nullptr, nullptr, { &s_8ac95ffb0e6a7f30, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<29> b_d27d5feec7e4c5fa = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    250, 197, 228, 199, 238,  95, 125, 210,
+     14,   0,   0,   0,   3,   0,   0,   0,
+      8, 183,  50, 159,  48,  34, 158, 244,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 202,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  71,   0,   0,   0,
+     69,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  83, 117,
+     98, 115,  99, 114, 105,  98, 101, 114,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      4,   0,   0,   0,   3,   0,   5,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80,  54,  16, 149, 147, 149,   0, 140,
+    250, 233, 248, 210, 221, 172, 106, 145,
+     17,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   7,   0,   0,   0,
+    112, 117, 115, 104,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
+      0,   0,   0,   0,   1,   0,   1,   0, }
+};
+::capnp::word const* const bp_d27d5feec7e4c5fa = b_d27d5feec7e4c5fa.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_d27d5feec7e4c5fa[] = {
+  &s_8c00959395103650,
+  &s_916aacddd2f8e9fa,
+};
+static const uint16_t m_d27d5feec7e4c5fa[] = {0};
+const ::capnp::_::RawSchema s_d27d5feec7e4c5fa = {
+  0xd27d5feec7e4c5fa, b_d27d5feec7e4c5fa.words, 29, d_d27d5feec7e4c5fa, m_d27d5feec7e4c5fa,
+  2, 1, nullptr, nullptr, nullptr, { &s_d27d5feec7e4c5fa, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<37> b_8c00959395103650 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     80,  54,  16, 149, 147, 149,   0, 140,
+     25,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  42,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  83, 117,
+     98, 115,  99, 114, 105,  98, 101, 114,
+     46, 112, 117, 115, 104,  36,  80,  97,
+    114,  97, 109, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    117, 112, 100,  97, 116, 101, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     14, 120,  13, 146, 145, 200, 124, 252,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8c00959395103650 = b_8c00959395103650.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_8c00959395103650[] = {
+  &s_fc7cc891920d780e,
+};
+static const uint16_t m_8c00959395103650[] = {0};
+static const uint16_t i_8c00959395103650[] = {0};
+const ::capnp::_::RawSchema s_8c00959395103650 = {
+  0x8c00959395103650, b_8c00959395103650.words, 37, d_8c00959395103650, m_8c00959395103650,
+  1, 1, i_8c00959395103650, nullptr, nullptr, { &s_8c00959395103650, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_916aacddd2f8e9fa = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    250, 233, 248, 210, 221, 172, 106, 145,
+     25,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  50,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  83, 117,
+     98, 115,  99, 114, 105,  98, 101, 114,
+     46, 112, 117, 115, 104,  36,  82, 101,
+    115, 117, 108, 116, 115,   0,   0,   0, }
+};
+::capnp::word const* const bp_916aacddd2f8e9fa = b_916aacddd2f8e9fa.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_916aacddd2f8e9fa = {
+  0x916aacddd2f8e9fa, b_916aacddd2f8e9fa.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_916aacddd2f8e9fa, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<52> b_c6ef0b38b125f621 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      33, 246,  37, 177,  56,  11, 239, 198,
@@ -926,38 +1101,45 @@
   4, 4, i_fc7cc891920d780e, nullptr, nullptr, { &s_fc7cc891920d780e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<47> b_931a4ebcf8ebf87f = {
+static const ::capnp::_::AlignedData<62> b_931a4ebcf8ebf87f = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     127, 248, 235, 248, 188,  78,  26, 147,
      14,   0,   0,   0,   1,   0,   1,   0,
       8, 183,  50, 159,  48,  34, 158, 244,
-      1,   0,   7,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 162,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 119,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  82, 117,
     108, 101, 115,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  66,   0,   0,   0,
+     69,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     36,   0,   0,   0,   3,   0,   1,   0,
-     48,   0,   0,   0,   2,   0,   1,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  42,   0,   0,   0,
+     73,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     52,   0,   0,   0,   2,   0,   1,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
     118, 101, 114, 115, 105, 111, 110,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -967,6 +1149,14 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     116, 101, 120, 116,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 116, 105, 114, 101, 100,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -977,11 +1167,11 @@
 };
 ::capnp::word const* const bp_931a4ebcf8ebf87f = b_931a4ebcf8ebf87f.words;
 #if !CAPNP_LITE
-static const uint16_t m_931a4ebcf8ebf87f[] = {1, 0};
-static const uint16_t i_931a4ebcf8ebf87f[] = {0, 1};
+static const uint16_t m_931a4ebcf8ebf87f[] = {2, 1, 0};
+static const uint16_t i_931a4ebcf8ebf87f[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_931a4ebcf8ebf87f = {
-  0x931a4ebcf8ebf87f, b_931a4ebcf8ebf87f.words, 47, nullptr, m_931a4ebcf8ebf87f,
-  0, 2, i_931a4ebcf8ebf87f, nullptr, nullptr, { &s_931a4ebcf8ebf87f, nullptr, nullptr, 0, 0, nullptr }
+  0x931a4ebcf8ebf87f, b_931a4ebcf8ebf87f.words, 62, nullptr, m_931a4ebcf8ebf87f,
+  0, 3, i_931a4ebcf8ebf87f, nullptr, nullptr, { &s_931a4ebcf8ebf87f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<32> b_90effdced0cee264 = {
@@ -1133,73 +1323,66 @@
   1, 5, i_a93176fa06115a0e, nullptr, nullptr, { &s_a93176fa06115a0e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<128> b_a1d092e3d7f3dd83 = {
+static const ::capnp::_::AlignedData<108> b_a1d092e3d7f3dd83 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     131, 221, 243, 215, 227, 146, 208, 161,
      14,   0,   0,   0,   1,   0,   1,   0,
       8, 183,  50, 159,  48,  34, 158, 244,
-      5,   0,   7,   0,   0,   0,   0,   0,
+      4,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 170,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 143,   1,   0,   0,
+     25,   0,   0,   0,  87,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  77, 101,
     109,  98, 101, 114,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     28,   0,   0,   0,   3,   0,   4,   0,
+     24,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    181,   0,   0,   0,  42,   0,   0,   0,
+    153,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    176,   0,   0,   0,   3,   0,   1,   0,
-    188,   0,   0,   0,   2,   0,   1,   0,
+    148,   0,   0,   0,   3,   0,   1,   0,
+    160,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    185,   0,   0,   0,  90,   0,   0,   0,
+    157,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    184,   0,   0,   0,   3,   0,   1,   0,
-    196,   0,   0,   0,   2,   0,   1,   0,
+    156,   0,   0,   0,   3,   0,   1,   0,
+    168,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    193,   0,   0,   0,  66,   0,   0,   0,
+    165,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    188,   0,   0,   0,   3,   0,   1,   0,
-    200,   0,   0,   0,   2,   0,   1,   0,
+    160,   0,   0,   0,   3,   0,   1,   0,
+    172,   0,   0,   0,   2,   0,   1,   0,
       3,   0,   0,   0,   3,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    197,   0,   0,   0,  66,   0,   0,   0,
+    169,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    192,   0,   0,   0,   3,   0,   1,   0,
-    204,   0,   0,   0,   2,   0,   1,   0,
+    164,   0,   0,   0,   3,   0,   1,   0,
+    176,   0,   0,   0,   2,   0,   1,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   4,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    201,   0,   0,   0,  50,   0,   0,   0,
+    173,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    196,   0,   0,   0,   3,   0,   1,   0,
-    208,   0,   0,   0,   2,   0,   1,   0,
+    168,   0,   0,   0,   3,   0,   1,   0,
+    180,   0,   0,   0,   2,   0,   1,   0,
       5,   0,   0,   0,   4,   0,   0,   0,
       0,   0,   1,   0,   5,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    205,   0,   0,   0,  50,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    200,   0,   0,   0,   3,   0,   1,   0,
-    212,   0,   0,   0,   2,   0,   1,   0,
-      6,   0,   0,   0,   4,   0,   0,   0,
-      0,   0,   1,   0,   6,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    209,   0,   0,   0,  74,   0,   0,   0,
+    177,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    208,   0,   0,   0,   3,   0,   1,   0,
-    236,   0,   0,   0,   2,   0,   1,   0,
+    172,   0,   0,   0,   3,   0,   1,   0,
+    184,   0,   0,   0,   2,   0,   1,   0,
     108, 105, 102, 101,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
     160,  93,  92,  73,  79, 159, 203, 229,
@@ -1247,19 +1430,6 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    119,  97, 116,  99, 104, 101, 114, 115,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   3,   0,   1,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -1269,11 +1439,11 @@
   &s_e5cb9f4f495c5da0,
   &s_f5b1db2ceb9dfade,
 };
-static const uint16_t m_a1d092e3d7f3dd83[] = {3, 1, 0, 2, 4, 5, 6};
-static const uint16_t i_a1d092e3d7f3dd83[] = {0, 1, 2, 3, 4, 5, 6};
+static const uint16_t m_a1d092e3d7f3dd83[] = {3, 1, 0, 2, 4, 5};
+static const uint16_t i_a1d092e3d7f3dd83[] = {0, 1, 2, 3, 4, 5};
 const ::capnp::_::RawSchema s_a1d092e3d7f3dd83 = {
-  0xa1d092e3d7f3dd83, b_a1d092e3d7f3dd83.words, 128, d_a1d092e3d7f3dd83, m_a1d092e3d7f3dd83,
-  2, 7, i_a1d092e3d7f3dd83, nullptr, nullptr, { &s_a1d092e3d7f3dd83, nullptr, nullptr, 0, 0, nullptr }
+  0xa1d092e3d7f3dd83, b_a1d092e3d7f3dd83.words, 108, d_a1d092e3d7f3dd83, m_a1d092e3d7f3dd83,
+  2, 6, i_a1d092e3d7f3dd83, nullptr, nullptr, { &s_a1d092e3d7f3dd83, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<47> b_f5b1db2ceb9dfade = {
@@ -1522,14 +1692,14 @@
       "control.capnp:Balancer", "pull",
       0xd6c6ba89fced5fc4ull, 1);
 }
-::capnp::Request< ::galenafork::rpc::Balancer::PushParams,  ::galenafork::rpc::Balancer::PushResults>
-Balancer::Client::pushRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::galenafork::rpc::Balancer::PushParams,  ::galenafork::rpc::Balancer::PushResults>(
+::capnp::Request< ::galenafork::rpc::Balancer::SubscribeParams,  ::galenafork::rpc::Balancer::SubscribeResults>
+Balancer::Client::subscribeRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::galenafork::rpc::Balancer::SubscribeParams,  ::galenafork::rpc::Balancer::SubscribeResults>(
       0xd6c6ba89fced5fc4ull, 2, sizeHint);
 }
-::kj::Promise<void> Balancer::Server::push(PushContext) {
+::kj::Promise<void> Balancer::Server::subscribe(SubscribeContext) {
   return ::capnp::Capability::Server::internalUnimplemented(
-      "control.capnp:Balancer", "push",
+      "control.capnp:Balancer", "subscribe",
       0xd6c6ba89fced5fc4ull, 2);
 }
 ::capnp::Capability::Server::DispatchCallResult Balancer::Server::dispatchCall(
@@ -1562,8 +1732,8 @@
       };
     case 2:
       return {
-        push(::capnp::Capability::Server::internalGetTypedContext<
-             ::galenafork::rpc::Balancer::PushParams,  ::galenafork::rpc::Balancer::PushResults>(context)),
+        subscribe(::capnp::Capability::Server::internalGetTypedContext<
+             ::galenafork::rpc::Balancer::SubscribeParams,  ::galenafork::rpc::Balancer::SubscribeResults>(context)),
         false
       };
     default:
@@ -1613,20 +1783,82 @@
 constexpr ::capnp::_::RawSchema const* Balancer::PullResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// Balancer::PushParams
-constexpr uint16_t Balancer::PushParams::_capnpPrivate::dataWordSize;
-constexpr uint16_t Balancer::PushParams::_capnpPrivate::pointerCount;
+// Balancer::SubscribeParams
+constexpr uint16_t Balancer::SubscribeParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Balancer::SubscribeParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Balancer::SubscribeParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Balancer::SubscribeParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Balancer::SubscribeResults
+constexpr uint16_t Balancer::SubscribeResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Balancer::SubscribeResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Balancer::SubscribeResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Balancer::SubscribeResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+::capnp::Request< ::galenafork::rpc::Subscriber::PushParams,  ::galenafork::rpc::Subscriber::PushResults>
+Subscriber::Client::pushRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::galenafork::rpc::Subscriber::PushParams,  ::galenafork::rpc::Subscriber::PushResults>(
+      0xd27d5feec7e4c5faull, 0, sizeHint);
+}
+::kj::Promise<void> Subscriber::Server::push(PushContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "control.capnp:Subscriber", "push",
+      0xd27d5feec7e4c5faull, 0);
+}
+::capnp::Capability::Server::DispatchCallResult Subscriber::Server::dispatchCall(
+    uint64_t interfaceId, uint16_t methodId,
+    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
+  switch (interfaceId) {
+    case 0xd27d5feec7e4c5faull:
+      return dispatchCallInternal(methodId, context);
+    default:
+      return internalUnimplemented("control.capnp:Subscriber", interfaceId);
+  }
+}
+::capnp::Capability::Server::DispatchCallResult Subscriber::Server::dispatchCallInternal(
+    uint16_t methodId,
+    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
+  switch (methodId) {
+    case 0:
+      return {
+        push(::capnp::Capability::Server::internalGetTypedContext<
+             ::galenafork::rpc::Subscriber::PushParams,  ::galenafork::rpc::Subscriber::PushResults>(context)),
+        false
+      };
+    default:
+      (void)context;
+      return ::capnp::Capability::Server::internalUnimplemented(
+          "control.capnp:Subscriber",
+          0xd27d5feec7e4c5faull, methodId);
+  }
+}
+#endif  // !CAPNP_LITE
+
+// Subscriber
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Subscriber::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Subscriber::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Subscriber::PushParams
+constexpr uint16_t Subscriber::PushParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Subscriber::PushParams::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind Balancer::PushParams::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Balancer::PushParams::_capnpPrivate::schema;
+constexpr ::capnp::Kind Subscriber::PushParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Subscriber::PushParams::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// Balancer::PushResults
-constexpr uint16_t Balancer::PushResults::_capnpPrivate::dataWordSize;
-constexpr uint16_t Balancer::PushResults::_capnpPrivate::pointerCount;
+// Subscriber::PushResults
+constexpr uint16_t Subscriber::PushResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Subscriber::PushResults::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind Balancer::PushResults::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Balancer::PushResults::_capnpPrivate::schema;
+constexpr ::capnp::Kind Subscriber::PushResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Subscriber::PushResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 // Digest
--- a/src/libdaemon/control.capnp.h
+++ b/src/libdaemon/control.capnp.h
@@ -31,6 +31,9 @@
 CAPNP_DECLARE_SCHEMA(8feab7b0d5f8bff8);
 CAPNP_DECLARE_SCHEMA(a242b91f5077d6cb);
 CAPNP_DECLARE_SCHEMA(8ac95ffb0e6a7f30);
+CAPNP_DECLARE_SCHEMA(d27d5feec7e4c5fa);
+CAPNP_DECLARE_SCHEMA(8c00959395103650);
+CAPNP_DECLARE_SCHEMA(916aacddd2f8e9fa);
 CAPNP_DECLARE_SCHEMA(c6ef0b38b125f621);
 CAPNP_DECLARE_SCHEMA(d43c0cebd1eadd93);
 CAPNP_DECLARE_SCHEMA(883a569998a75aa6);
@@ -142,8 +145,8 @@
   struct DigestResults;
   struct PullParams;
   struct PullResults;
-  struct PushParams;
-  struct PushResults;
+  struct SubscribeParams;
+  struct SubscribeResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -161,7 +164,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8a36670478193ce6, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8a36670478193ce6, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -176,7 +179,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9df4ffd09b5d6514, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9df4ffd09b5d6514, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -213,8 +216,8 @@
   };
 };
 
-struct Balancer::PushParams {
-  PushParams() = delete;
+struct Balancer::SubscribeParams {
+  SubscribeParams() = delete;
 
   class Reader;
   class Builder;
@@ -228,8 +231,8 @@
   };
 };
 
-struct Balancer::PushResults {
-  PushResults() = delete;
+struct Balancer::SubscribeResults {
+  SubscribeResults() = delete;
 
   class Reader;
   class Builder;
@@ -243,6 +246,55 @@
   };
 };
 
+struct Subscriber {
+  Subscriber() = delete;
+
+#if !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
+
+  struct PushParams;
+  struct PushResults;
+
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(d27d5feec7e4c5fa)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
+
+struct Subscriber::PushParams {
+  PushParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8c00959395103650, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Subscriber::PushResults {
+  PushResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(916aacddd2f8e9fa, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Digest {
   Digest() = delete;
 
@@ -332,7 +384,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(931a4ebcf8ebf87f, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(931a4ebcf8ebf87f, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -377,7 +429,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a1d092e3d7f3dd83, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(a1d092e3d7f3dd83, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -823,7 +875,7 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::galenafork::rpc::Balancer::PullParams,  ::galenafork::rpc::Balancer::PullResults> pullRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::galenafork::rpc::Balancer::PushParams,  ::galenafork::rpc::Balancer::PushResults> pushRequest(
+  ::capnp::Request< ::galenafork::rpc::Balancer::SubscribeParams,  ::galenafork::rpc::Balancer::SubscribeResults> subscribeRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
@@ -850,10 +902,10 @@
   typedef  ::galenafork::rpc::Balancer::PullResults PullResults;
   typedef ::capnp::CallContext<PullParams, PullResults> PullContext;
   virtual ::kj::Promise<void> pull(PullContext context);
-  typedef  ::galenafork::rpc::Balancer::PushParams PushParams;
-  typedef  ::galenafork::rpc::Balancer::PushResults PushResults;
-  typedef ::capnp::CallContext<PushParams, PushResults> PushContext;
-  virtual ::kj::Promise<void> push(PushContext context);
+  typedef  ::galenafork::rpc::Balancer::SubscribeParams SubscribeParams;
+  typedef  ::galenafork::rpc::Balancer::SubscribeResults SubscribeResults;
+  typedef ::capnp::CallContext<SubscribeParams, SubscribeResults> SubscribeContext;
+  virtual ::kj::Promise<void> subscribe(SubscribeContext context);
 
   inline  ::galenafork::rpc::Balancer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -883,6 +935,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasCaller() const;
+  inline  ::galenafork::rpc::Endpoint::Reader getCaller() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -911,6 +966,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasCaller();
+  inline  ::galenafork::rpc::Endpoint::Builder getCaller();
+  inline void setCaller( ::galenafork::rpc::Endpoint::Reader value);
+  inline  ::galenafork::rpc::Endpoint::Builder initCaller();
+  inline void adoptCaller(::capnp::Orphan< ::galenafork::rpc::Endpoint>&& value);
+  inline ::capnp::Orphan< ::galenafork::rpc::Endpoint> disownCaller();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -929,6 +991,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::galenafork::rpc::Endpoint::Pipeline getCaller();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -957,6 +1020,11 @@
   inline bool hasDigest() const;
   inline  ::galenafork::rpc::Digest::Reader getDigest() const;
 
+  inline bool getReady() const;
+
+  inline bool hasPeers() const;
+  inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -992,6 +1060,16 @@
   inline void adoptDigest(::capnp::Orphan< ::galenafork::rpc::Digest>&& value);
   inline ::capnp::Orphan< ::galenafork::rpc::Digest> disownDigest();
 
+  inline bool getReady();
+  inline void setReady(bool value);
+
+  inline bool hasPeers();
+  inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Builder getPeers();
+  inline void setPeers( ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Builder initPeers(unsigned int size);
+  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>> disownPeers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1182,7 +1260,217 @@
 };
 #endif  // !CAPNP_LITE
 
-class Balancer::PushParams::Reader {
+class Balancer::SubscribeParams::Reader {
+public:
+  typedef SubscribeParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSubscriber() const;
+#if !CAPNP_LITE
+  inline  ::galenafork::rpc::Subscriber::Client getSubscriber() const;
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Balancer::SubscribeParams::Builder {
+public:
+  typedef SubscribeParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSubscriber();
+#if !CAPNP_LITE
+  inline  ::galenafork::rpc::Subscriber::Client getSubscriber();
+  inline void setSubscriber( ::galenafork::rpc::Subscriber::Client&& value);
+  inline void setSubscriber( ::galenafork::rpc::Subscriber::Client& value);
+  inline void adoptSubscriber(::capnp::Orphan< ::galenafork::rpc::Subscriber>&& value);
+  inline ::capnp::Orphan< ::galenafork::rpc::Subscriber> disownSubscriber();
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Balancer::SubscribeParams::Pipeline {
+public:
+  typedef SubscribeParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::galenafork::rpc::Subscriber::Client getSubscriber();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Balancer::SubscribeResults::Reader {
+public:
+  typedef SubscribeResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Balancer::SubscribeResults::Builder {
+public:
+  typedef SubscribeResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Balancer::SubscribeResults::Pipeline {
+public:
+  typedef SubscribeResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+class Subscriber::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef Subscriber Calls;
+  typedef Subscriber Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::galenafork::rpc::Subscriber::PushParams,  ::galenafork::rpc::Subscriber::PushResults> pushRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Subscriber::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Subscriber Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::galenafork::rpc::Subscriber::PushParams PushParams;
+  typedef  ::galenafork::rpc::Subscriber::PushResults PushResults;
+  typedef ::capnp::CallContext<PushParams, PushResults> PushContext;
+  virtual ::kj::Promise<void> push(PushContext context);
+
+  inline  ::galenafork::rpc::Subscriber::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::galenafork::rpc::Subscriber>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Subscriber::PushParams::Reader {
 public:
   typedef PushParams Reads;
 
@@ -1214,7 +1502,7 @@
   friend class ::capnp::Orphanage;
 };
 
-class Balancer::PushParams::Builder {
+class Subscriber::PushParams::Builder {
 public:
   typedef PushParams Builds;
 
@@ -1247,7 +1535,7 @@
 };
 
 #if !CAPNP_LITE
-class Balancer::PushParams::Pipeline {
+class Subscriber::PushParams::Pipeline {
 public:
   typedef PushParams Pipelines;
 
@@ -1263,7 +1551,7 @@
 };
 #endif  // !CAPNP_LITE
 
-class Balancer::PushResults::Reader {
+class Subscriber::PushResults::Reader {
 public:
   typedef PushResults Reads;
 
@@ -1292,7 +1580,7 @@
   friend class ::capnp::Orphanage;
 };
 
-class Balancer::PushResults::Builder {
+class Subscriber::PushResults::Builder {
 public:
   typedef PushResults Builds;
 
@@ -1318,7 +1606,7 @@
 };
 
 #if !CAPNP_LITE
-class Balancer::PushResults::Pipeline {
+class Subscriber::PushResults::Pipeline {
 public:
   typedef PushResults Pipelines;
 
@@ -1838,6 +2126,9 @@
   inline bool hasText() const;
   inline  ::capnp::Text::Reader getText() const;
 
+  inline bool hasRetired() const;
+  inline  ::capnp::Text::Reader getRetired() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1876,6 +2167,13 @@
   inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownText();
 
+  inline bool hasRetired();
+  inline  ::capnp::Text::Builder getRetired();
+  inline void setRetired( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRetired(unsigned int size);
+  inline void adoptRetired(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRetired();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2128,9 +2426,6 @@
 
   inline  ::uint8_t getState() const;
 
-  inline bool hasWatchers() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getWatchers() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2193,14 +2488,6 @@
   inline  ::uint8_t getState();
   inline void setState( ::uint8_t value);
 
-  inline bool hasWatchers();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getWatchers();
-  inline void setWatchers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setWatchers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initWatchers(unsigned int size);
-  inline void adoptWatchers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownWatchers();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2593,6 +2880,45 @@
 }
 
 #endif  // !CAPNP_LITE
+inline bool Balancer::DigestParams::Reader::hasCaller() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Balancer::DigestParams::Builder::hasCaller() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::galenafork::rpc::Endpoint::Reader Balancer::DigestParams::Reader::getCaller() const {
+  return ::capnp::_::PointerHelpers< ::galenafork::rpc::Endpoint>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::galenafork::rpc::Endpoint::Builder Balancer::DigestParams::Builder::getCaller() {
+  return ::capnp::_::PointerHelpers< ::galenafork::rpc::Endpoint>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::galenafork::rpc::Endpoint::Pipeline Balancer::DigestParams::Pipeline::getCaller() {
+  return  ::galenafork::rpc::Endpoint::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Balancer::DigestParams::Builder::setCaller( ::galenafork::rpc::Endpoint::Reader value) {
+  ::capnp::_::PointerHelpers< ::galenafork::rpc::Endpoint>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::galenafork::rpc::Endpoint::Builder Balancer::DigestParams::Builder::initCaller() {
+  return ::capnp::_::PointerHelpers< ::galenafork::rpc::Endpoint>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Balancer::DigestParams::Builder::adoptCaller(
+    ::capnp::Orphan< ::galenafork::rpc::Endpoint>&& value) {
+  ::capnp::_::PointerHelpers< ::galenafork::rpc::Endpoint>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::galenafork::rpc::Endpoint> Balancer::DigestParams::Builder::disownCaller() {
+  return ::capnp::_::PointerHelpers< ::galenafork::rpc::Endpoint>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Balancer::DigestResults::Reader::hasDigest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2632,6 +2958,54 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Balancer::DigestResults::Reader::getReady() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Balancer::DigestResults::Builder::getReady() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Balancer::DigestResults::Builder::setReady(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Balancer::DigestResults::Reader::hasPeers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Balancer::DigestResults::Builder::hasPeers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Reader Balancer::DigestResults::Reader::getPeers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Builder Balancer::DigestResults::Builder::getPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Balancer::DigestResults::Builder::setPeers( ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Builder Balancer::DigestResults::Builder::initPeers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Balancer::DigestResults::Builder::adoptPeers(
+    ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>> Balancer::DigestResults::Builder::disownPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Balancer::PullParams::Reader::hasHave() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2705,36 +3079,99 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Balancer::PushParams::Reader::hasUpdates() const {
+inline bool Balancer::SubscribeParams::Reader::hasSubscriber() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Balancer::SubscribeParams::Builder::hasSubscriber() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+#if !CAPNP_LITE
+inline  ::galenafork::rpc::Subscriber::Client Balancer::SubscribeParams::Reader::getSubscriber() const {
+  return ::capnp::_::PointerHelpers< ::galenafork::rpc::Subscriber>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::galenafork::rpc::Subscriber::Client Balancer::SubscribeParams::Builder::getSubscriber() {
+  return ::capnp::_::PointerHelpers< ::galenafork::rpc::Subscriber>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::galenafork::rpc::Subscriber::Client Balancer::SubscribeParams::Pipeline::getSubscriber() {
+  return  ::galenafork::rpc::Subscriber::Client(_typeless.getPointerField(0).asCap());
+}
+inline void Balancer::SubscribeParams::Builder::setSubscriber( ::galenafork::rpc::Subscriber::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::galenafork::rpc::Subscriber>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void Balancer::SubscribeParams::Builder::setSubscriber( ::galenafork::rpc::Subscriber::Client& cap) {
+  ::capnp::_::PointerHelpers< ::galenafork::rpc::Subscriber>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+}
+inline void Balancer::SubscribeParams::Builder::adoptSubscriber(
+    ::capnp::Orphan< ::galenafork::rpc::Subscriber>&& value) {
+  ::capnp::_::PointerHelpers< ::galenafork::rpc::Subscriber>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::galenafork::rpc::Subscriber> Balancer::SubscribeParams::Builder::disownSubscriber() {
+  return ::capnp::_::PointerHelpers< ::galenafork::rpc::Subscriber>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+inline Subscriber::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Subscriber::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Subscriber::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Subscriber::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Subscriber::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::galenafork::rpc::Subscriber::Client& Subscriber::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::galenafork::rpc::Subscriber::Client& Subscriber::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool Subscriber::PushParams::Reader::hasUpdates() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Balancer::PushParams::Builder::hasUpdates() {
+inline bool Subscriber::PushParams::Builder::hasUpdates() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader Balancer::PushParams::Reader::getUpdates() const {
+inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader Subscriber::PushParams::Reader::getUpdates() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder Balancer::PushParams::Builder::getUpdates() {
+inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder Subscriber::PushParams::Builder::getUpdates() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Balancer::PushParams::Builder::setUpdates( ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void Subscriber::PushParams::Builder::setUpdates( ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder Balancer::PushParams::Builder::initUpdates(unsigned int size) {
+inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder Subscriber::PushParams::Builder::initUpdates(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Balancer::PushParams::Builder::adoptUpdates(
+inline void Subscriber::PushParams::Builder::adoptUpdates(
     ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>> Balancer::PushParams::Builder::disownUpdates() {
+inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>> Subscriber::PushParams::Builder::disownUpdates() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
@@ -3260,6 +3697,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Rules::Reader::hasRetired() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Rules::Builder::hasRetired() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Rules::Reader::getRetired() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Rules::Builder::getRetired() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Rules::Builder::setRetired( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Rules::Builder::initRetired(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Rules::Builder::adoptRetired(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Rules::Builder::disownRetired() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Roster::Reader::hasJson() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3608,44 +4079,6 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Member::Reader::hasWatchers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool Member::Builder::hasWatchers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Member::Reader::getWatchers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Member::Builder::getWatchers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void Member::Builder::setWatchers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline void Member::Builder::setWatchers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Member::Builder::initWatchers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
-}
-inline void Member::Builder::adoptWatchers(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Member::Builder::disownWatchers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-
 inline bool Endpoint::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- /dev/null
+++ b/src/libdaemon/udp_socket.cpp
@@ -0,0 +1,195 @@
+#include <galenafork/udp_socket.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <system_error>
+#include <vector>
+
+namespace galenafork
+{
+
+namespace
+{
+
+constexpr std::size_t alignment = 8;
+
+// Rides out the gap until a traffic thread is scheduled under load.
+constexpr int socket_buffer_bytes = 4 * 1024 * 1024;
+
+using word = std::uint64_t;
+
+std::size_t words_for(std::size_t bytes)
+{
+    return (bytes + alignment - 1) / alignment;
+}
+
+sockaddr_in6 to_sockaddr(const endpoint& e)
+{
+    sockaddr_in6 address{};
+    address.sin6_family = AF_INET6;
+    address.sin6_port = htons(e.port_);
+    std::memcpy(&address.sin6_addr, e.address_.bytes_.data(),
+                e.address_.bytes_.size());
+    return address;
+}
+
+endpoint to_endpoint(const sockaddr_in6& address)
+{
+    endpoint e;
+    e.port_ = ntohs(address.sin6_port);
+    std::memcpy(e.address_.bytes_.data(), &address.sin6_addr,
+                e.address_.bytes_.size());
+    return e;
+}
+
+void set_option(int fd, int level, int option, int value)
+{
+    ::setsockopt(fd, level, option, &value, sizeof value);
+}
+
+/// Headers, addresses and buffers of one system call.
+struct message_batch
+{
+    explicit message_batch(std::size_t max_bytes)
+        : words_(words_for(max_bytes)), buffers_(words_ * udp_batch)
+    {
+        for (std::size_t i = 0; i < udp_batch; ++i)
+        {
+            parts_[i] = {buffer(i), max_bytes};
+            msghdr& header = headers_[i].msg_hdr;
+            header.msg_name = &addresses_[i];
+            header.msg_namelen = sizeof addresses_[i];
+            header.msg_iov = &parts_[i];
+            header.msg_iovlen = 1;
+        }
+    }
+
+    std::uint8_t* buffer(std::size_t index)
+    {
+        return reinterpret_cast<std::uint8_t*>(buffers_.data() +
+                                               index * words_);
+    }
+
+    std::size_t words_;
+    std::vector<word> buffers_;
+    std::array<mmsghdr, udp_batch> headers_{};
+    std::array<iovec, udp_batch> parts_{};
+    std::array<sockaddr_in6, udp_batch> addresses_{};
+};
+
+} // namespace
+
+tl::expected<unique_fd, error> open_udp(const endpoint& at, bool shared)
+{
+    unique_fd fd(
+        ::socket(AF_INET6, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    set_option(fd.get(), IPPROTO_IPV6, IPV6_V6ONLY, 0);
+    set_option(fd.get(), SOL_SOCKET, SO_RCVBUF, socket_buffer_bytes);
+    set_option(fd.get(), SOL_SOCKET, SO_SNDBUF, socket_buffer_bytes);
+    if (shared)
+    {
+        set_option(fd.get(), SOL_SOCKET, SO_REUSEPORT, 1);
+    }
+    const sockaddr_in6 address = to_sockaddr(at);
+    const auto* generic = reinterpret_cast<const sockaddr*>(&address);
+    if (::bind(fd.get(), generic, sizeof address) != 0)
+    {
+        return tl::unexpected(
+            error{error_code::unavailable,
+                  to_string(at) + ": " +
+                      std::generic_category().message(errno)});
+    }
+    return fd;
+}
+
+endpoint local_endpoint(const unique_fd& fd)
+{
+    sockaddr_in6 address{};
+    socklen_t size = sizeof address;
+    ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&address), &size);
+    return to_endpoint(address);
+}
+
+struct receive_batch::state
+{
+    explicit state(std::size_t max_bytes) : messages_(max_bytes) {}
+
+    message_batch messages_;
+};
+
+receive_batch::receive_batch(std::size_t max_bytes)
+    : state_(std::make_unique<state>(max_bytes))
+{
+}
+
+receive_batch::~receive_batch() = default;
+
+std::size_t receive_batch::receive(const unique_fd& fd)
+{
+    auto& headers = state_->messages_.headers_;
+    const int count = ::recvmmsg(fd.get(), headers.data(), headers.size(),
+                                 MSG_DONTWAIT | MSG_TRUNC, nullptr);
+    return count < 0 ? 0 : static_cast<std::size_t>(count);
+}
+
+datagram_view receive_batch::view(std::size_t index) const
+{
+    auto& messages = state_->messages_;
+    return {to_endpoint(messages.addresses_[index]), messages.buffer(index),
+            messages.headers_[index].msg_len};
+}
+
+struct send_batch::state
+{
+    explicit state(std::size_t max_bytes) : messages_(max_bytes) {}
+
+    message_batch messages_;
+    std::size_t count_ = 0;
+};
+
+send_batch::send_batch(std::size_t max_bytes)
+    : state_(std::make_unique<state>(max_bytes))
+{
+}
+
+send_batch::~send_batch() = default;
+
+std::uint8_t* send_batch::next()
+{
+    return state_->messages_.buffer(state_->count_);
+}
+
+void send_batch::add(const endpoint& to, std::size_t size)
+{
+    auto& messages = state_->messages_;
+    messages.addresses_[state_->count_] = to_sockaddr(to);
+    messages.parts_[state_->count_].iov_len = size;
+    ++state_->count_;
+}
+
+bool send_batch::full() const
+{
+    return state_->count_ == udp_batch;
+}
+
+std::size_t send_batch::flush(const unique_fd& fd)
+{
+    std::size_t sent = 0;
+    std::size_t refused = 0;
+    while (sent < state_->count_)
+    {
+        const int count = ::sendmmsg(
+            fd.get(), state_->messages_.headers_.data() + sent,
+            static_cast<unsigned>(state_->count_ - sent), MSG_DONTWAIT);
+        // Only the first datagram of a call can fail: skip it.
+        refused += count < 0 ? 1 : 0;
+        sent += count < 0 ? 1 : static_cast<std::size_t>(count);
+    }
+    state_->count_ = 0;
+    return refused;
+}
+
+} // namespace galenafork
