Stand-ins for the fabric and the upstream

Cause: tests and the demo need something that sprays datagrams and something that serves, with drain, cold start, shedding, deadlines and a run ledger.

Before: none. After: fabric_standin and upstream_standin; the ledger is appended to at once, so that it outlives a killed process. No repeat is filtered in the upstream: a doubled run must show.

--- /dev/null
+++ b/testsuite/standins/common/event_loop.h
@@ -0,0 +1,73 @@
+/// \file
+/// The event loop of a stand-in: sockets, timers and signals on one thread.
+
+#ifndef GALENAFORK_STANDINS_EVENT_LOOP_H
+#define GALENAFORK_STANDINS_EVENT_LOOP_H
+
+#include <galenafork/time.h>
+
+#include <csignal>
+#include <functional>
+#include <map>
+#include <unordered_map>
+
+namespace galenafork::standin
+{
+
+/// Calls handlers for readable descriptors, due timers and signals.
+class event_loop
+{
+public:
+    using handler = std::function<void()>;
+
+    /// Throws `std::system_error` if the system has no descriptor left.
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    /// Calls `on_readable` whenever `descriptor` can be read.
+    void watch(int descriptor, handler on_readable);
+
+    /// Ends a watch; before the descriptor is closed.
+    void unwatch(int descriptor);
+
+    /// Calls `action` once at `when`.
+    void at(instant when, handler action);
+
+    /// Calls `action` once after `delay`.
+    void after(duration delay, handler action);
+
+    /// Calls `action` every `period`.
+    void every(duration period, const handler& action);
+
+    /// Calls `action` when the process gets `signal`.
+    void on_signal(int signal, handler action);
+
+    /// Handles events until `stop`.
+    void run();
+
+    /// Makes `run` return after the handlers that are due.
+    void stop()
+    {
+        running_ = false;
+    }
+
+private:
+    void run_timers();
+    void wait();
+    void read_signals();
+    int milliseconds_to_next_timer() const;
+
+    int poll_descriptor_;
+    int signal_descriptor_;
+    sigset_t signals_{};
+    std::unordered_map<int, handler> readers_;
+    std::multimap<instant, handler> timers_;
+    std::map<int, handler> signal_handlers_;
+    bool running_ = true;
+};
+
+} // namespace galenafork::standin
+
+#endif
--- /dev/null
+++ b/testsuite/standins/upstream/upstream.cpp
@@ -0,0 +1,320 @@
+#include "upstream.h"
+
+#include <common/log.h>
+#include <common/span.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace galenafork::standin
+{
+
+namespace
+{
+
+constexpr unsigned permille = 1000;
+constexpr std::chrono::seconds retry_after{1};
+constexpr std::size_t longest_echo_bytes = 1024;
+
+// The part of a path behind its first segment: `/status/7` -> `7`.
+std::string id_in(const std::string& path)
+{
+    const auto slash = path.find('/', 1);
+    return slash == std::string::npos ? "" : path.substr(slash + 1);
+}
+
+bool starts_with(const std::string& text, const char* prefix)
+{
+    return text.rfind(prefix, 0) == 0;
+}
+
+} // namespace
+
+upstream::upstream(event_loop& loop, upstream_settings settings)
+    : loop_(loop), settings_(std::move(settings)), socket_(settings_.listen_),
+      ledger_(settings_.ledger_path_), started_(read_monotonic_clock()),
+      load_report_(load_json())
+{
+    loop_.watch(socket_.descriptor(), [this] { take_datagrams(); });
+    if (settings_.load_lag_ > duration(0))
+    {
+        loop_.every(settings_.load_lag_,
+                    [this] { load_report_ = load_json(); });
+    }
+}
+
+void upstream::drain()
+{
+    draining_ = true;
+    stop_when_idle();
+}
+
+void upstream::take_datagrams()
+{
+    while (const auto received = socket_.receive())
+    {
+        if (settings_.echo_)
+        {
+            echo(*received);
+        }
+        else
+        {
+            take_message(*received);
+        }
+    }
+}
+
+void upstream::echo(const received_datagram& received)
+{
+    ++counters_.served_;
+    const std::string id =
+        to_text(received.bytes_).substr(0, longest_echo_bytes);
+    socket_.send(to_bytes(to_string(text_for(id))), received.from_);
+}
+
+void upstream::take_message(const received_datagram& received)
+{
+    const auto message =
+        parse_coap(received.bytes_.data(), received.bytes_.size());
+    if (!message.has_value())
+    {
+        ++counters_.malformed_;
+        return;
+    }
+    if (message->type_ == coap_type::reset)
+    {
+        cancel(received.from_, message->message_id_);
+    }
+    else if (is_request(*message))
+    {
+        take_request(received.from_, *message);
+    }
+}
+
+void upstream::take_request(const endpoint& from, const coap_message& request)
+{
+    const std::string path = uri_path(request);
+    const bool get = request.code_ == coap_code::get;
+    if (get && path == "/load")
+    {
+        coap_message answer = make_answer(request, coap_code::content);
+        const bool lags = settings_.load_lag_ > duration(0);
+        answer.payload_ = to_bytes(lags ? load_report_ : load_json());
+        send(from, answer);
+    }
+    else if (get && path == "/health")
+    {
+        coap_message answer = make_answer(request, coap_code::content);
+        answer.payload_ = to_bytes(draining_ ? "draining" : "ok");
+        send(from, answer);
+    }
+    else if (get && starts_with(path, "/status/"))
+    {
+        submit({from, request, settings_.status_time_});
+    }
+    else if (get && starts_with(path, "/photos/"))
+    {
+        submit({from, request, settings_.photo_time_});
+    }
+    else if (request.code_ == coap_code::post && path == "/intake")
+    {
+        submit({from, request, settings_.intake_time_});
+    }
+    else
+    {
+        send(from, make_answer(request, coap_code::not_found));
+    }
+}
+
+void upstream::submit(job work)
+{
+    if (draining_)
+    {
+        refuse(work, refusal::draining);
+    }
+    else if (waiting_.size() >= settings_.queue_limit_)
+    {
+        refuse(work, refusal::overloaded);
+    }
+    else
+    {
+        waiting_.push_back(std::move(work));
+        start_waiting();
+    }
+}
+
+void upstream::start_waiting()
+{
+    while (!waiting_.empty() && running_ < settings_.slots_.value())
+    {
+        const job work = std::move(waiting_.front());
+        waiting_.pop_front();
+        start(work);
+    }
+}
+
+void upstream::start(const job& work)
+{
+    if (is_late(work))
+    {
+        ++counters_.late_;
+        refuse(work, refusal::deadline_passed);
+        return;
+    }
+    record_span(work);
+    ++running_;
+    if (work.request_.code_ == coap_code::post)
+    {
+        const std::string id = to_text(work.request_.payload_);
+        if (ledger_.record(id) > 1)
+        {
+            log_line("doubled").with("id", id);
+        }
+    }
+    const duration time =
+        work.service_time_ * (is_cold() ? settings_.cold_factor_ : 1);
+    loop_.after(time, [this, work] { finish(work); });
+}
+
+void upstream::finish(const job& work)
+{
+    --running_;
+    ++counters_.served_;
+    send(work.from_, make_response(work));
+    start_waiting();
+    stop_when_idle();
+}
+
+void upstream::cancel(const endpoint& from, std::uint16_t message_id)
+{
+    const auto cancelled =
+        std::remove_if(waiting_.begin(), waiting_.end(),
+                       [&](const job& work) {
+                           return work.from_ == from &&
+                                  work.request_.message_id_ == message_id;
+                       });
+    counters_.cancelled_ +=
+        static_cast<std::uint64_t>(waiting_.end() - cancelled);
+    waiting_.erase(cancelled, waiting_.end());
+    stop_when_idle();
+}
+
+void upstream::refuse(const job& work, refusal reason)
+{
+    ++counters_.shed_;
+    const verdict outcome{run_state::did_not_run, reason};
+    send(work.from_, make_refusal(work.request_, outcome, retry_after));
+}
+
+void upstream::send(const endpoint& to, const coap_message& message) const
+{
+    const auto bytes = encode_coap(message);
+    if (bytes.has_value())
+    {
+        socket_.send(*bytes, to);
+    }
+}
+
+bool upstream::is_late(const job& work) const
+{
+    const auto deadline =
+        uint_option(work.request_, coap_option_number::deadline);
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+        read_monotonic_clock().time_since_epoch());
+    return deadline.has_value() &&
+           static_cast<std::uint64_t>(now.count()) > *deadline;
+}
+
+bool upstream::is_cold() const
+{
+    return read_monotonic_clock() < started_ + settings_.cold_time_;
+}
+
+void upstream::stop_when_idle()
+{
+    if (draining_ && running_ == 0 && waiting_.empty())
+    {
+        loop_.stop();
+    }
+}
+
+coap_message upstream::make_response(const job& work)
+{
+    const coap_message& request = work.request_;
+    if (request.code_ == coap_code::post)
+    {
+        coap_message answer = make_answer(request, coap_code::created);
+        answer.payload_ =
+            to_bytes(to_string(text_for(to_text(request.payload_))));
+        return answer;
+    }
+    const std::string path = uri_path(request);
+    coap_message answer = make_answer(request, coap_code::content);
+    if (starts_with(path, "/photos/"))
+    {
+        add_photo_block(request, id_in(path), answer);
+    }
+    else
+    {
+        answer.payload_ = to_bytes(to_string(text_for(id_in(path))));
+    }
+    return answer;
+}
+
+void upstream::add_photo_block(const coap_message& request,
+                               const std::string& id,
+                               coap_message& answer) const
+{
+    coap_block block = block_option(request, coap_option_number::block2)
+                           .value_or(coap_block{});
+    if (block.size() < photo_cell_bytes ||
+        block.offset() >= settings_.photo_bytes_)
+    {
+        answer.code_ = coap_code::bad_request;
+        return;
+    }
+    const std::size_t size =
+        std::min(block.size(), settings_.photo_bytes_ - block.offset());
+    block.more_ = block.offset() + size < settings_.photo_bytes_;
+    set_block_option(answer, coap_option_number::block2, block);
+    set_uint_option(answer, coap_option_number::size2, settings_.photo_bytes_);
+    answer.payload_ = to_bytes(photo_bytes(text_for(id), block.offset(), size));
+}
+
+answer_text upstream::text_for(const std::string& id) const
+{
+    return {settings_.service_, settings_.instance_, id};
+}
+
+std::string upstream::load_json() const
+{
+    const std::uint64_t reported = std::uint64_t{true_load_permille()} *
+                                   settings_.load_bias_permille_ / permille;
+    const nlohmann::json report = {
+        {"in_flight", running_ + waiting_.size()},
+        {"slots", settings_.slots_.value()},
+        {"load_permille", reported},
+        {"cold", is_cold()},
+        {"draining", draining_},
+    };
+    return report.dump();
+}
+
+unsigned upstream::true_load_permille() const
+{
+    const std::size_t in_flight = running_ + waiting_.size();
+    return static_cast<unsigned>(in_flight * permille /
+                                 settings_.slots_.value());
+}
+
+void upstream::record_span(const job& work)
+{
+    const trace_context parent = trace_of(work.request_);
+    if (is_sampled(parent))
+    {
+        log_span("upstream", child_span(parent, random_), parent,
+                 to_string(work.from_));
+    }
+}
+
+} // namespace galenafork::standin
