--- /dev/null
+++ b/src/galena_balancer/balancer_app.cpp
@@ -0,0 +1,230 @@
+#include "balancer_app.h"
+
+#include <galenafork/log.h>
+
+#include <nlohmann/json.hpp>
+
+namespace galenafork
+{
+
+namespace
+{
+
+constexpr std::size_t span_queue_size = 4096;
+constexpr std::size_t notice_mailbox_size = 1024;
+constexpr duration metrics_interval = std::chrono::seconds(1);
+
+std::uint64_t random_seed()
+{
+    std::random_device device;
+    const std::uint64_t high = device();
+    return (high << 32U) | device();
+}
+
+std::uint64_t calls_of(const platform_counters& c)
+{
+    return c.gets_ + c.puts_ + c.watches_ + c.lists_;
+}
+
+} // namespace
+
+tl::expected<std::unique_ptr<balancer_app>, error>
+balancer_app::open(const balancer_settings& settings)
+{
+    auto metrics = std::make_unique<metrics_registry>();
+    auto loop = control_loop::open(settings.control_, *metrics);
+    if (!loop)
+    {
+        return tl::unexpected(loop.error());
+    }
+    std::unique_ptr<balancer_app> app(
+        new balancer_app(settings, std::move(metrics), std::move(*loop)));
+    if (auto opened = app->open_traffic(); !opened)
+    {
+        return tl::unexpected(opened.error());
+    }
+    return app;
+}
+
+balancer_app::balancer_app(const balancer_settings& settings,
+                           std::unique_ptr<metrics_registry> metrics,
+                           std::unique_ptr<control_loop> loop)
+    : settings_(settings), metrics_(std::move(metrics)),
+      random_(random_seed()), spans_(span_queue_size),
+      notices_(notice_mailbox_size), loop_(std::move(loop)),
+      platform_(settings.platform_,
+                {loop_->timer(), loop_->io().provider->getNetwork(),
+                 read_monotonic_clock, [this] { return draw(); }}),
+      known_(*loop_, *metrics_,
+             [this](std::shared_ptr<const routing_snapshot> snapshot)
+             {
+                 for (const auto& thread : traffic_)
+                 {
+                     thread->publish(snapshot);
+                 }
+             }),
+      watch_(*loop_, platform_, known_, [this] { return draw(); }),
+      peers_(*loop_, known_, *metrics_, settings.control_.rpc_,
+             [this] { return draw(); }),
+      subscribers_(*loop_, known_),
+      ready_(metrics_->add_gauge("galena_balancer_ready",
+                                 "1 while it should get traffic.")),
+      platform_calls_(metrics_->add_gauge(
+          "galena_balancer_platform_calls",
+          "Calls to the platform so far, a waiting watch as one.")),
+      spans_dropped_(metrics_->add_gauge("galena_balancer_spans_dropped",
+                                         "Spans dropped so far."))
+{
+}
+
+balancer_app::~balancer_app()
+{
+    // The threads post to mailboxes that go before them otherwise.
+    traffic_.clear();
+}
+
+tl::expected<void, error> balancer_app::open_traffic()
+{
+    for (std::uint64_t i = 0; i < settings_.packets_.threads_; ++i)
+    {
+        const trace_source traces(random_(), settings_.traces_.sample_one_in_);
+        auto thread = traffic_thread::open(
+            settings_.packets_, i, {*metrics_, spans_, notices_, traces});
+        if (!thread)
+        {
+            return tl::unexpected(thread.error());
+        }
+        traffic_.push_back(std::move(*thread));
+    }
+    return loop_->export_spans(spans_, settings_.traces_, "galena-balancer",
+                               settings_.instance_.value());
+}
+
+exit_code balancer_app::run()
+{
+    for (const auto& thread : traffic_)
+    {
+        thread->start();
+    }
+    start_control();
+    log_event(log_level::info, "started",
+              {{"instance", settings_.instance_.value()},
+               {"packets", to_string(settings_.packets_.listen_)},
+               {"http", to_string(settings_.control_.http_)},
+               {"rpc", to_string(settings_.control_.rpc_)}});
+    const exit_code code = loop_->run();
+    traffic_.clear();
+    log_event(log_level::info, "stopped");
+    return code;
+}
+
+void balancer_app::start_control()
+{
+    for (const endpoint& seed : settings_.spread_.seeds_)
+    {
+        peers_.add_seed(seed);
+    }
+    loop_->set_readiness([this] { return check(); });
+    loop_->set_status([this] { return status(); });
+    loop_->set_drain([this] { return drain(); });
+    loop_->deliver<stale_notice>(notices_, [this](stale_notice&& notice)
+                                 { take_notice(notice); });
+    loop_->serve_rpc(kj::heap<balancer_server>(server_dependencies{
+        known_, peers_, subscribers_, [this] { return status(); },
+        [this] { return check(); }}));
+    loop_->every(settings_.spread_.exchange_interval_,
+                 [this] { loop_->add_task("exchange", peers_.exchange()); });
+    loop_->every(metrics_interval, [this] { update_metrics(); });
+    watch_.start();
+}
+
+void balancer_app::take_notice(const stale_notice& notice)
+{
+    known_.take(lapsed_update{notice.service_, notice.lapsed_}, "agent");
+    const auto& services = known_.state().services_;
+    const auto at = services.find(notice.service_);
+    const bool behind = at == services.end() || !at->second.roster_ ||
+                        at->second.roster_->epoch_ < notice.epoch_;
+    if (behind)
+    {
+        watch_.fetch(notice.service_);
+    }
+}
+
+kj::Promise<void> balancer_app::drain()
+{
+    draining_ = true;
+    log_event(log_level::info, "draining",
+              {{"ms", settings_.drain_time_.count() / 1000}});
+    return loop_->timer().afterDelay(settings_.drain_time_.count() *
+                                     kj::MICROSECONDS);
+}
+
+readiness balancer_app::check() const
+{
+    if (draining_)
+    {
+        return {false, "draining"};
+    }
+    readiness known = known_.check();
+    if (known.ready_)
+    {
+        return known;
+    }
+    if (!watch_.last_failure().empty())
+    {
+        known.reason_ += "; platform: " + watch_.last_failure();
+    }
+    if (!peers_.last_failure().empty())
+    {
+        known.reason_ += "; peers: " + peers_.last_failure();
+    }
+    return known;
+}
+
+std::string balancer_app::status() const
+{
+    const readiness now = check();
+    nlohmann::json json = {{"program", "galena-balancer"},
+                           {"version", GALENA_VERSION},
+                           {"instance", settings_.instance_.value()},
+                           {"data_centre", settings_.data_centre_.value()},
+                           {"ready", now.ready_},
+                           {"reason", now.reason_},
+                           {"subscribers", subscribers_.count()}};
+    const spread_state& state = known_.state();
+    json["rules_version"] = state.rules_ ? state.rules_->version_.value() : 0;
+    json["rules"] = state.rules_ ? state.rules_->rules_.size() : 0;
+    auto& services = json["services"] = nlohmann::json::object();
+    for (const auto& [name, service] : state.services_)
+    {
+        if (service.roster_)
+        {
+            services[name.value()] = {
+                {"epoch", service.roster_->epoch_.value()},
+                {"members", service.roster_->members_.size()},
+                {"lapsed", service.lapsed_.lives_.size()}};
+        }
+    }
+    auto& others = json["peers"] = nlohmann::json::array();
+    for (const endpoint& peer : peers_.all())
+    {
+        others.push_back(to_string(peer));
+    }
+    return json.dump();
+}
+
+void balancer_app::update_metrics()
+{
+    ready_.set(check().ready_ ? 1 : 0);
+    platform_calls_.set(
+        static_cast<std::int64_t>(calls_of(platform_.counters())));
+    spans_dropped_.set(static_cast<std::int64_t>(spans_.dropped()));
+}
+
+double balancer_app::draw()
+{
+    return std::uniform_real_distribution<double>(0, 1)(random_);
+}
+
+} // namespace galenafork
--- /dev/null
+++ b/src/galena_balancer/balancer_app.h
@@ -0,0 +1,70 @@
+/// \file
+/// galena-balancer put together.
+
+#ifndef GALENAFORK_GALENA_BALANCER_BALANCER_APP_H
+#define GALENAFORK_GALENA_BALANCER_BALANCER_APP_H
+
+#include "balancer_server.h"
+#include "balancer_settings.h"
+#include "knowledge.h"
+#include "peers.h"
+#include "platform_watch.h"
+#include "traffic_thread.h"
+
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace galenafork
+{
+
+/// The balancer: control on the calling thread, traffic on others.
+class balancer_app
+{
+public:
+    /// Opens all sockets. Fails with `unavailable` or `bad_setting`.
+    static tl::expected<std::unique_ptr<balancer_app>, error>
+    open(const balancer_settings& settings);
+
+    ~balancer_app();
+    balancer_app(const balancer_app&) = delete;
+    balancer_app& operator=(const balancer_app&) = delete;
+
+    /// Runs until SIGTERM and the drain that follows.
+    exit_code run();
+
+private:
+    balancer_app(const balancer_settings& settings,
+                 std::unique_ptr<metrics_registry> metrics,
+                 std::unique_ptr<control_loop> loop);
+
+    tl::expected<void, error> open_traffic();
+    void start_control();
+    void take_notice(const stale_notice& notice);
+    kj::Promise<void> drain();
+    readiness check() const;
+    std::string status() const;
+    void update_metrics();
+    double draw();
+
+    balancer_settings settings_;
+    std::unique_ptr<metrics_registry> metrics_;
+    std::mt19937_64 random_;
+    span_queue spans_;
+    mailbox<stale_notice> notices_;
+    std::unique_ptr<control_loop> loop_;
+    std::vector<std::unique_ptr<traffic_thread>> traffic_;
+    platform_client platform_;
+    knowledge known_;
+    platform_watch watch_;
+    peers peers_;
+    subscribers subscribers_;
+    gauge& ready_;
+    gauge& platform_calls_;
+    gauge& spans_dropped_;
+    bool draining_ = false;
+};
+
+} // namespace galenafork
+
+#endif
--- /dev/null
+++ b/src/galena_balancer/balancer_server.cpp
@@ -0,0 +1,110 @@
+#include "balancer_server.h"
+
+#include <galenafork/spread_codec.h>
+
+#include <nlohmann/json.hpp>
+
+namespace galenafork
+{
+
+balancer_server::balancer_server(server_dependencies dependencies)
+    : dependencies_(std::move(dependencies))
+{
+}
+
+kj::Promise<void> balancer_server::status(StatusContext context)
+{
+    context.getResults().setJson(dependencies_.status_().c_str());
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> balancer_server::explain(ExplainContext context)
+{
+    const auto in = context.getParams();
+    const auto caller = parse_endpoint(in.getCaller().cStr());
+    const auto service = parse_endpoint(in.getService().cStr());
+    KJ_REQUIRE(caller && service, "caller and service are 'IP:PORT'");
+    const std::string json = explain_flow(
+        dependencies_.known_.snapshot().get(), {*caller, *service});
+    context.getResults().setJson(json.c_str());
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> balancer_server::digest(DigestContext context)
+{
+    const auto sample = dependencies_.peers_.sample();
+    if (const auto caller = read(context.getParams().getCaller()))
+    {
+        dependencies_.peers_.add(*caller);
+    }
+    auto results = context.getResults();
+    write(results.initDigest(), digest_of(dependencies_.known_.state()));
+    results.setReady(dependencies_.readiness_().ready_);
+    auto told = results.initPeers(static_cast<unsigned>(sample.size()));
+    for (unsigned i = 0; i < told.size(); ++i)
+    {
+        write(told[i], sample[i]);
+    }
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> balancer_server::pull(PullContext context)
+{
+    const auto have = read(context.getParams().getHave());
+    KJ_REQUIRE(have.has_value(), "bad versions");
+    const auto updates = updates_beyond(dependencies_.known_.state(), *have);
+    auto out = context.getResults().initUpdates(
+        static_cast<unsigned>(updates.size()));
+    for (unsigned i = 0; i < out.size(); ++i)
+    {
+        write(out[i], updates[i]);
+    }
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> balancer_server::subscribe(SubscribeContext context)
+{
+    dependencies_.subscribers_.add(context.getParams().getSubscriber());
+    return kj::READY_NOW;
+}
+
+std::string explain_flow(const routing_snapshot* snapshot,
+                         const flow_key& flow)
+{
+    nlohmann::json json = {{"caller", to_string(flow.caller_)},
+                           {"service_address",
+                            to_string(flow.service_address_)}};
+    if (snapshot == nullptr)
+    {
+        json["refused"] = to_string(refusal::unknown_service);
+        json["why"] = "no rules are known here";
+        return json.dump();
+    }
+    const forwarding_decision decision = decide(*snapshot, flow);
+    json["rules_version"] = snapshot->rules_version_.value();
+    json["refused"] = to_string(decision.refused_);
+    if (decision.service_ == nullptr)
+    {
+        json["why"] = "no rule has this address";
+        return json.dump();
+    }
+    json["service"] = decision.service_->service_.value();
+    json["established_only"] = decision.established_only_;
+    json["bucket"] = bucket_of(flow).value();
+    json["epoch"] = decision.service_->epoch_.value();
+    if (decision.target_ == nullptr)
+    {
+        json["why"] = decision.service_->epoch_ == epoch()
+                          ? "no roster of the service is known here"
+                          : "no member serves";
+        return json.dump();
+    }
+    const route_target& home = *decision.target_;
+    json["home"] = {{"instance", home.life_.instance_.value()},
+                    {"incarnation", home.life_.incarnation_.value()},
+                    {"packets", to_string(home.packets_)}};
+    json["why"] = "home of the bucket by the roster, unless lapsed";
+    return json.dump();
+}
+
+} // namespace galenafork
--- /dev/null
+++ b/src/galena_balancer/peers.cpp
@@ -0,0 +1,204 @@
+#include "peers.h"
+
+#include <galenafork/log.h>
+#include <galenafork/spread_codec.h>
+
+namespace galenafork
+{
+
+namespace
+{
+
+constexpr std::size_t max_peers = 64;
+constexpr std::size_t peers_told = 8;
+constexpr unsigned failures_to_forget = 3;
+constexpr auto exchange_timeout = 3 * kj::SECONDS;
+
+} // namespace
+
+peers::peers(control_loop& loop, knowledge& known, metrics_registry& metrics,
+             const endpoint& self, std::function<double()> random)
+    : loop_(loop), known_(known),
+      exchanges_(metrics.add_counter("galena_balancer_exchanges_total",
+                                     "Digest exchanges begun with a peer.")),
+      failed_(metrics.add_counter("galena_balancer_exchanges_failed_total",
+                                  "Digest exchanges that failed.")),
+      pulls_(metrics.add_counter("galena_balancer_pulls_total",
+                                 "Pulls of missing updates from a peer.")),
+      self_(self), random_(std::move(random))
+{
+}
+
+void peers::add_seed(const endpoint& peer)
+{
+    if (peer != self_)
+    {
+        peers_[peer].seed_ = true;
+    }
+}
+
+void peers::add(const endpoint& peer)
+{
+    const bool room = peers_.size() < max_peers;
+    if (peer.port_ != 0 && peer != self_ && room)
+    {
+        peers_.emplace(peer, peer_record());
+    }
+}
+
+std::vector<endpoint> peers::sample()
+{
+    std::vector<endpoint> picked;
+    const std::size_t wanted = std::min(peers_told, peers_.size());
+    for (std::size_t i = 0; i < wanted; ++i)
+    {
+        endpoint peer;
+        if (pick(peer))
+        {
+            picked.push_back(peer);
+        }
+    }
+    return picked;
+}
+
+std::vector<endpoint> peers::all() const
+{
+    std::vector<endpoint> result;
+    for (const auto& [peer, record] : peers_)
+    {
+        result.push_back(peer);
+    }
+    return result;
+}
+
+bool peers::pick(endpoint& picked)
+{
+    if (peers_.empty())
+    {
+        return false;
+    }
+    const auto size = static_cast<double>(peers_.size());
+    auto at = peers_.begin();
+    std::advance(at, static_cast<std::ptrdiff_t>(random_() * size));
+    picked = at->first;
+    return true;
+}
+
+kj::Promise<void> peers::exchange()
+{
+    endpoint peer;
+    if (!pick(peer))
+    {
+        return kj::READY_NOW;
+    }
+    exchanges_.add();
+    auto done =
+        loop_.connect(peer)
+            .then(
+                [this, peer](std::unique_ptr<rpc_connection>&& connection)
+                {
+                    auto client =
+                        connection->bootstrap().castAs<rpc::Balancer>();
+                    return exchange_with(kj::mv(client), to_string(peer))
+                        .attach(kj::mv(connection));
+                });
+    return loop_.timer()
+        .timeoutAfter(exchange_timeout, kj::mv(done))
+        .then([this, peer] { note_success(peer); },
+              [this, peer](kj::Exception&& failure)
+              { note_failure(peer, failure.getDescription().cStr()); });
+}
+
+kj::Promise<void> peers::exchange_with(rpc::Balancer::Client peer,
+                                       std::string source)
+{
+    auto request = peer.digestRequest();
+    write(request.initCaller(), self_);
+    return request.send().then(
+        [this, peer, source](
+            capnp::Response<rpc::Balancer::DigestResults>&& answer) mutable
+        -> kj::Promise<void>
+        {
+            take_peers(answer.getPeers());
+            const auto theirs = read(answer.getDigest());
+            if (!theirs)
+            {
+                return kj::READY_NOW;
+            }
+            const auto have = versions_for(known_.state(), *theirs);
+            if (have.groups_.empty() &&
+                theirs->rules_version_ <= have.rules_version_)
+            {
+                if (answer.getReady())
+                {
+                    known_.mark_all_looked_up();
+                }
+                return kj::READY_NOW;
+            }
+            return pull(kj::mv(peer), have, source, answer.getReady());
+        });
+}
+
+kj::Promise<void> peers::pull(rpc::Balancer::Client peer,
+                              const spread_versions& have, std::string source,
+                              bool peer_is_ready)
+{
+    pulls_.add();
+    auto request = peer.pullRequest();
+    write(request.initHave(), have);
+    return request.send().then(
+        [this, source, peer_is_ready](
+            capnp::Response<rpc::Balancer::PullResults>&& answer)
+        {
+            for (const auto in : answer.getUpdates())
+            {
+                if (const auto update = read(in))
+                {
+                    known_.take(*update, source);
+                }
+            }
+            if (peer_is_ready)
+            {
+                known_.mark_all_looked_up();
+            }
+        });
+}
+
+void peers::take_peers(capnp::List<rpc::Endpoint>::Reader addresses)
+{
+    for (const auto in : addresses)
+    {
+        if (const auto peer = read(in))
+        {
+            add(*peer);
+        }
+    }
+}
+
+void peers::note_success(const endpoint& peer)
+{
+    last_failure_.clear();
+    const auto at = peers_.find(peer);
+    if (at != peers_.end())
+    {
+        at->second.failures_ = 0;
+    }
+}
+
+void peers::note_failure(const endpoint& peer, const std::string& why)
+{
+    failed_.add();
+    last_failure_ = "peer " + to_string(peer) + ": " + why;
+    const auto at = peers_.find(peer);
+    if (at == peers_.end())
+    {
+        return;
+    }
+    ++at->second.failures_;
+    if (!at->second.seed_ && at->second.failures_ >= failures_to_forget)
+    {
+        peers_.erase(at);
+    }
+}
+
+} // namespace galenafork
--- /dev/null
+++ b/src/galena_balancer/subscribers.cpp
@@ -0,0 +1,106 @@
+#include "peers.h"
+
+#include <galenafork/log.h>
+#include <galenafork/spread_codec.h>
+
+namespace galenafork
+{
+
+namespace
+{
+
+// Updates that come together travel together.
+constexpr auto push_delay = 5 * kj::MILLISECONDS;
+
+constexpr auto push_timeout = 5 * kj::SECONDS;
+
+} // namespace
+
+subscribers::subscribers(control_loop& loop, knowledge& known) : loop_(loop)
+{
+    known.add_listener([this](const spread_update& update)
+                       { schedule(update); });
+}
+
+void subscribers::add(rpc::Subscriber::Client to)
+{
+    clients_.emplace(next_id_, kj::mv(to));
+    ++next_id_;
+}
+
+void subscribers::schedule(const spread_update& update)
+{
+    if (clients_.empty())
+    {
+        return;
+    }
+    pending_.push_back(update);
+    if (scheduled_)
+    {
+        return;
+    }
+    scheduled_ = true;
+    loop_.add_task("push", loop_.timer()
+                               .afterDelay(push_delay)
+                               .then([this] { push_pending(); }));
+}
+
+void subscribers::push_pending()
+{
+    scheduled_ = false;
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, client] : clients_)
+    {
+        ids.push_back(id);
+    }
+    for (const std::uint64_t id : ids)
+    {
+        loop_.add_task("push", push(id));
+    }
+    pending_.clear();
+}
+
+kj::Promise<void> subscribers::push(std::uint64_t id)
+{
+    auto request = clients_.at(id).pushRequest();
+    auto updates =
+        request.initUpdates(static_cast<unsigned>(pending_.size()));
+    for (unsigned i = 0; i < updates.size(); ++i)
+    {
+        write(updates[i], pending_[i]);
+    }
+    // Whoever misses one push gets all later ones from the next exchange.
+    return loop_.timer()
+        .timeoutAfter(push_timeout, request.send().ignoreResult())
+        .catch_([this, id](kj::Exception&&) { clients_.erase(id); });
+}
+
+subscriber_server::subscriber_server(knowledge& known, std::string source,
+                                     std::function<void()> on_gap)
+    : known_(known), source_(std::move(source)), on_gap_(std::move(on_gap))
+{
+}
+
+kj::Promise<void> subscriber_server::push(PushContext context)
+{
+    bool gap = false;
+    for (const auto in : context.getParams().getUpdates())
+    {
+        const auto update = read(in);
+        if (!update)
+        {
+            log_event(log_level::warning, "bad_update",
+                      {{"source", source_},
+                       {"reason", update.error().message_}});
+            continue;
+        }
+        gap = known_.take(*update, source_) == merge_result::gap || gap;
+    }
+    if (gap)
+    {
+        on_gap_();
+    }
+    return kj::READY_NOW;
+}
+
+} // namespace galenafork
--- a/src/libbalancer/spread_codec.cpp
+++ b/src/libbalancer/spread_codec.cpp
@@ -215,7 +215,10 @@
     }
     spread_digest result;
     result.rules_version_ = rules_version(in.getRulesVersion());
-    std::copy(groups.begin(), groups.end(), result.groups_.begin());
+    for (unsigned i = 0; i < digest_groups; ++i)
+    {
+        result.groups_[i] = groups[i];
+    }
     return result;
 }
 
