Platform client: deadlines, budgets, breaker, settled writes

Cause: control needs the platform's objects through outages and lost answers. Decisions (backoff, token buckets, breaker, reading back) are pure functions; the I/O is a thin shell on kj. A write whose answer was lost is sent again: the condition makes that harmless, and the refusal plus a read tells which. Ruled out: reading back first (a delayed write could still land after it); retry budget for writes that may have run (they wait in place of giving up). Before: no client.

--- /dev/null
+++ b/src/include/galenafork/platform.h
@@ -0,0 +1,121 @@
+/// \file
+/// The platform's object API as control code sees it: versioned objects,
+/// conditional updates and watches.
+
+#ifndef GALENAFORK_PLATFORM_H
+#define GALENAFORK_PLATFORM_H
+
+#include <galenafork/error.h>
+#include <galenafork/ids.h>
+#include <galenafork/time.h>
+
+#include <cstdint>
+#include <kj/async.h>
+#include <optional>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace galenafork
+{
+
+/// Version of an object in the platform; rises with each write.
+using object_version = strong_type<struct object_version_tag, std::uint64_t>;
+
+/// The version of an object that does not exist.
+inline constexpr object_version no_object{0};
+
+/// One object as read.
+struct platform_object
+{
+    std::string name_;
+    object_version version_;
+    /// A JSON text.
+    std::string value_;
+};
+
+/// An object's name and version, without its value.
+struct object_entry
+{
+    std::string name_;
+    object_version version_;
+};
+
+/// A conditional update.
+struct object_write
+{
+    std::string name_;
+    /// Written only if this is the version in force; `no_object` creates.
+    object_version expected_;
+    /// A JSON text that holds `write_` as one of its strings.
+    std::string value_;
+    /// Drawn anew for each update: see `make_write_id`.
+    write_id write_;
+};
+
+/// What became of a conditional update.
+enum class write_outcome
+{
+    /// It took effect, once.
+    accepted,
+    /// It did not take effect and never will.
+    not_accepted,
+    /// It cannot be told (yet) whether it took effect or will.
+    unknown,
+};
+
+/// `accepted`, `not_accepted` or `unknown`.
+const char* to_string(write_outcome outcome);
+
+/// The outcome of a conditional update and what is known besides.
+struct write_result
+{
+    write_outcome outcome_ = write_outcome::unknown;
+    /// For `accepted`: the object's version when the write was seen in it.
+    object_version version_;
+    /// The object in force that was read to tell. Always there when another
+    /// writer won; after `unknown` only if something could be read.
+    std::optional<platform_object> current_;
+    /// Why, unless accepted: `conflict` if another writer won.
+    error reason_;
+};
+
+/// Result of a watch: the newer object, or nothing if none came in time.
+using watch_result = tl::expected<std::optional<platform_object>, error>;
+
+/// Access to the platform's objects. An interface, so that tests put a fake in
+/// its place. The promises belong to the caller's event loop, and the store
+/// must outlive them. No promise fails: errors are values.
+class platform_store
+{
+public:
+    virtual ~platform_store() noexcept(false) = default;
+
+    /// Reads an object. Fails with `not_found`; with `unavailable`,
+    /// `timed_out` or `refused` if the platform could not be asked.
+    virtual kj::Promise<tl::expected<platform_object, error>>
+    get(std::string name) = 0;
+
+    /// Writes an object if its version is the expected one. A lost answer is
+    /// settled before this returns, or the outcome is `unknown`.
+    virtual kj::Promise<write_result> put_if(object_write write) = 0;
+
+    /// Waits up to `wait` for a version above `after`. Older and repeated
+    /// events are dropped and count as "nothing came".
+    virtual kj::Promise<watch_result>
+    watch(std::string name, object_version after, duration wait) = 0;
+
+    /// Names and versions of the objects whose names begin with `prefix`.
+    virtual kj::Promise<tl::expected<std::vector<object_entry>, error>>
+    list(std::string prefix) = 0;
+};
+
+/// A write id of two random numbers.
+write_id make_write_id(std::uint64_t high, std::uint64_t low);
+
+/// True if `value` (a JSON text) holds `id` as one of its strings.
+bool holds_write_id(const std::string& value, const write_id& id);
+
+} // namespace galenafork
+
+#endif
--- /dev/null
+++ b/src/libplatform/call_policy_test.cpp
@@ -0,0 +1,233 @@
+#include <libplatform/call_policy.h>
+
+#include <doctest/doctest.h>
+
+using namespace galenafork;
+using namespace galenafork::pvt;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+const instant start{seconds(1000)};
+
+call_progress new_progress()
+{
+    call_progress progress;
+    progress.deadline_ = start + seconds(5);
+    return progress;
+}
+
+call_state tripped_state(const platform_settings& settings)
+{
+    call_state state = new_call_state(settings, start);
+    for (unsigned i = 0; i < settings.breaker_failures_; ++i)
+    {
+        note_failure(state.breaker_, settings, start, 0.5);
+    }
+    return state;
+}
+
+platform_object object(std::uint64_t version, const std::string& value)
+{
+    return {"o", object_version(version), value};
+}
+
+} // namespace
+
+TEST_CASE("a token bucket gives its burst at once, then its rate")
+{
+    const token_rate rate{2, 3};
+    token_bucket bucket = full_bucket(rate, start);
+    for (int i = 0; i < 3; ++i)
+    {
+        REQUIRE(time_to_token(bucket, rate, start) == duration::zero());
+        take_token(bucket, rate, start);
+    }
+    CHECK(time_to_token(bucket, rate, start) == milliseconds(500));
+    CHECK(time_to_token(bucket, rate, start + milliseconds(500)) ==
+          duration::zero());
+    // A long rest fills no more than the burst; a clock behind takes nothing.
+    const instant later = start + std::chrono::hours(1);
+    for (int i = 0; i < 3; ++i)
+    {
+        take_token(bucket, rate, later);
+    }
+    CHECK(time_to_token(bucket, rate, later) > duration::zero());
+    CHECK(time_to_token(bucket, rate, start) > duration::zero());
+}
+
+TEST_CASE("the backoff doubles up to its cap and never passes it")
+{
+    const platform_settings settings;
+    CHECK(backoff_delay(settings, 1, 0.5) == settings.backoff_first_ / 2);
+    CHECK(backoff_delay(settings, 3, 0.5) == settings.backoff_first_ * 2);
+    for (unsigned attempt = 0; attempt < 100; ++attempt)
+    {
+        CHECK(backoff_delay(settings, attempt, 0.999) < settings.backoff_cap_);
+    }
+    CHECK(backoff_delay(settings, 4'000'000'000U, 0.5) ==
+          settings.backoff_cap_ / 2);
+}
+
+TEST_CASE("the breaker opens after failures in a row and lets probes through")
+{
+    const platform_settings settings;
+    circuit_breaker breaker = tripped_state(settings).breaker_;
+    CHECK_FALSE(admits(breaker, settings, start));
+    const instant probe_at = breaker.open_until_;
+    CHECK(probe_at == start + settings.breaker_open_first_ * 3 / 4);
+    REQUIRE(admits(breaker, settings, probe_at));
+    note_call(breaker, settings, probe_at);
+    CHECK_FALSE(admits(breaker, settings, probe_at));
+
+    SUBCASE("a failed probe doubles the open time")
+    {
+        note_failure(breaker, settings, probe_at, 0.5);
+        CHECK(breaker.open_until_ ==
+              probe_at + settings.breaker_open_first_ * 3 / 2);
+    }
+    SUBCASE("a good probe closes it")
+    {
+        note_answer(breaker);
+        CHECK(admits(breaker, settings, probe_at));
+    }
+    SUBCASE("a probe that was dropped makes room for the next")
+    {
+        CHECK(admits(breaker, settings, probe_at + settings.attempt_timeout_));
+    }
+    SUBCASE("the open time is capped")
+    {
+        instant now = probe_at;
+        for (int i = 0; i < 50; ++i)
+        {
+            note_failure(breaker, settings, now, 0.999);
+            CHECK(breaker.open_until_ <= now + settings.breaker_open_cap_);
+            now = breaker.open_until_;
+            note_call(breaker, settings, now);
+        }
+    }
+}
+
+TEST_CASE("answers between failures keep the breaker closed")
+{
+    const platform_settings settings;
+    circuit_breaker breaker;
+    for (int i = 0; i < 100; ++i)
+    {
+        note_failure(breaker, settings, start, 0.5);
+        note_answer(breaker);
+    }
+    CHECK(admits(breaker, settings, start));
+}
+
+TEST_CASE("a call gives up at its deadline, breaker or budgets")
+{
+    const platform_settings settings;
+    call_state state = new_call_state(settings, start);
+    call_progress progress = new_progress();
+
+    SUBCASE("deadline")
+    {
+        const auto d = next_step(state, settings, progress, start + seconds(5));
+        CHECK(d.step_ == call_step::give_up);
+        CHECK(d.reason_.code_ == error_code::timed_out);
+    }
+    SUBCASE("breaker")
+    {
+        state = tripped_state(settings);
+        const auto d = next_step(state, settings, progress, start);
+        CHECK(d.step_ == call_step::give_up);
+        CHECK(d.reason_.code_ == error_code::unavailable);
+    }
+    SUBCASE("retry budget")
+    {
+        state.retries_.tokens_ = 0;
+        CHECK(next_step(state, settings, progress, start).step_ ==
+              call_step::attempt);
+        const auto d = next_step(state, settings, progress, start);
+        CHECK(d.step_ == call_step::give_up);
+        CHECK(d.reason_.code_ == error_code::refused);
+    }
+    SUBCASE("call budget")
+    {
+        state.calls_.tokens_ = 0;
+        CHECK(next_step(state, settings, progress, start).step_ ==
+              call_step::wait);
+        progress.deadline_ = start + milliseconds(1);
+        CHECK(next_step(state, settings, progress, start).step_ ==
+              call_step::give_up);
+    }
+}
+
+TEST_CASE("a write that may have run waits for breaker and budgets")
+{
+    const platform_settings settings;
+    call_progress progress = new_progress();
+    progress.must_settle_ = true;
+    progress.attempts_ = 1;
+
+    call_state state = tripped_state(settings);
+    auto d = next_step(state, settings, progress, start);
+    CHECK(d.step_ == call_step::wait);
+    CHECK(start + d.wait_ == state.breaker_.open_until_);
+
+    state = new_call_state(settings, start);
+    state.retries_.tokens_ = 0;
+    d = next_step(state, settings, progress, start);
+    CHECK(d.step_ == call_step::wait);
+    CHECK(d.wait_ == milliseconds(500));
+}
+
+TEST_CASE("calls never pass their budget over a long time")
+{
+    platform_settings settings;
+    settings.calls_ = {10, 5};
+    call_state state = new_call_state(settings, start);
+    int attempts = 0;
+    for (instant now = start; now < start + seconds(10); now += milliseconds(7))
+    {
+        call_progress progress;
+        progress.deadline_ = now + seconds(5);
+        const auto d = next_step(state, settings, progress, now);
+        attempts += d.step_ == call_step::attempt ? 1 : 0;
+    }
+    CHECK(attempts <= 105);
+    CHECK(attempts >= 95);
+}
+
+TEST_CASE("a read after a refused write tells what became of it")
+{
+    write_progress progress;
+    progress.expected_ = object_version(4);
+    progress.write_ = make_write_id(1, 2);
+    progress.refused_at_ = object_version(5);
+    const std::string ours =
+        R"({"write_id":")" + progress.write_.value() + "\"}";
+    const std::string other = R"({"write_id":"x"})";
+
+    CHECK(judge_read_back(progress, object(5, other)) ==
+          read_back_meaning::not_accepted);
+    CHECK(judge_read_back(progress, object(4, other)) ==
+          read_back_meaning::stale);
+    progress.may_have_run_ = true;
+    CHECK(judge_read_back(progress, object(5, ours)) ==
+          read_back_meaning::accepted);
+    CHECK(judge_read_back(progress, object(5, other)) ==
+          read_back_meaning::not_accepted);
+    progress.refused_at_ = object_version(6);
+    CHECK(judge_read_back(progress, object(6, other)) ==
+          read_back_meaning::unknown);
+    CHECK(judge_read_back(progress, object(5, other)) ==
+          read_back_meaning::stale);
+}
+
+TEST_CASE("a write id inside a quoted text does not count")
+{
+    const write_id id = make_write_id(0xabcd, 0x1234);
+    CHECK(id.value() == "000000000000abcd0000000000001234");
+    CHECK(holds_write_id("[\"" + id.value() + "\"]", id));
+    CHECK_FALSE(holds_write_id(R"(["\")" + id.value() + R"(\""])", id));
+    CHECK_FALSE(holds_write_id("\"\"", write_id()));
+}
--- /dev/null
+++ b/src/libplatform/http_exchange.cpp
@@ -0,0 +1,191 @@
+#include <libplatform/http_exchange.h>
+
+#include <algorithm>
+#include <kj/encoding.h>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+
+namespace galenafork::pvt
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr const char* objects_url = "/v1/objects";
+// A value of 1 MB with its frame.
+constexpr std::uint64_t max_answer_bytes = 2U << 20U;
+constexpr unsigned first_success = 200;
+constexpr unsigned first_server_error = 500;
+
+kj::Own<kj::NetworkAddress> network_address(kj::Network& network,
+                                            const endpoint& e)
+{
+    const auto& bytes = e.address_.bytes_;
+    if (e.address_.is_v4())
+    {
+        sockaddr_in v4{};
+        v4.sin_family = AF_INET;
+        v4.sin_port = htons(e.port_);
+        std::copy(bytes.begin() + 12, bytes.end(),
+                  reinterpret_cast<std::uint8_t*>(&v4.sin_addr));
+        return network.getSockaddr(&v4, sizeof(v4));
+    }
+    sockaddr_in6 v6{};
+    v6.sin6_family = AF_INET6;
+    v6.sin6_port = htons(e.port_);
+    std::copy(bytes.begin(), bytes.end(), v6.sin6_addr.s6_addr);
+    return network.getSockaddr(&v6, sizeof(v6));
+}
+
+std::string encoded(const std::string& part)
+{
+    const kj::String text = kj::encodeUriComponent(
+        kj::arrayPtr(part.data(), part.size()).asBytes());
+    return {text.begin(), text.size()};
+}
+
+kj::Promise<api_answer> read_answer(kj::HttpClient::Response&& response)
+{
+    const unsigned status = response.statusCode;
+    auto text = response.body->readAllText(max_answer_bytes);
+    return text.attach(kj::mv(response.body))
+        .then(
+            [status](const kj::String& body) {
+                return api_answer{status, {body.begin(), body.size()}, false};
+            });
+}
+
+tl::unexpected<error> malformed(const std::string& why)
+{
+    return tl::unexpected(error{error_code::bad_message,
+                                "the platform's answer is malformed: " + why});
+}
+
+object_version version_from(const json& j)
+{
+    return object_version(j.at("version").get<std::uint64_t>());
+}
+
+} // namespace
+
+bool is_proper(const api_answer& answer)
+{
+    return answer.status_ >= first_success &&
+           answer.status_ < first_server_error;
+}
+
+std::string object_url(const std::string& name)
+{
+    std::string url = objects_url;
+    for (std::size_t start = 0; start <= name.size();)
+    {
+        const std::size_t end = std::min(name.find('/', start), name.size());
+        url += "/" + encoded(name.substr(start, end - start));
+        start = end + 1;
+    }
+    return url;
+}
+
+std::string list_url(const std::string& prefix)
+{
+    return std::string(objects_url) + "?prefix=" + encoded(prefix);
+}
+
+tl::expected<platform_object, error> read_object(const std::string& name,
+                                                 const std::string& body)
+{
+    try
+    {
+        const json j = json::parse(body);
+        return platform_object{name, version_from(j), j.at("value").dump()};
+    }
+    catch (const json::exception& e)
+    {
+        return malformed(e.what());
+    }
+}
+
+tl::expected<object_version, error> read_version(const std::string& body)
+{
+    try
+    {
+        return version_from(json::parse(body));
+    }
+    catch (const json::exception& e)
+    {
+        return malformed(e.what());
+    }
+}
+
+tl::expected<std::vector<object_entry>, error>
+read_list(const std::string& body)
+{
+    try
+    {
+        std::vector<object_entry> entries;
+        const json j = json::parse(body);
+        for (const json& entry : j.at("objects"))
+        {
+            entries.push_back(
+                {entry.at("name").get<std::string>(), version_from(entry)});
+        }
+        return entries;
+    }
+    catch (const json::exception& e)
+    {
+        return malformed(e.what());
+    }
+}
+
+http_exchange::http_exchange(kj::Timer& timer, kj::Network& network,
+                             const endpoint& address)
+    : timer_(timer), host_(to_string(address)),
+      if_match_(builder_.add("If-Match")), headers_(builder_.build()),
+      address_(network_address(network, address)),
+      client_(kj::newHttpClient(timer, *headers_, *address_))
+{
+}
+
+kj::Promise<api_answer> http_exchange::send(const api_request& request,
+                                            duration timeout)
+{
+    auto answered = kj::evalNow([&] { return exchange(request); });
+    return timer_
+        .timeoutAfter(timeout.count() * kj::MICROSECONDS, kj::mv(answered))
+        .catch_(
+            [](const kj::Exception& e)
+            {
+                const bool timed_out =
+                    e.getType() == kj::Exception::Type::OVERLOADED;
+                return api_answer{0, {}, timed_out};
+            });
+}
+
+kj::Promise<api_answer> http_exchange::exchange(const api_request& request)
+{
+    kj::HttpHeaders headers(*headers_);
+    headers.set(kj::HttpHeaderId::HOST, kj::StringPtr(host_.c_str()));
+    if (request.if_match_)
+    {
+        headers.set(if_match_, kj::str(request.if_match_->value()));
+    }
+    const std::uint64_t size = request.body_.size();
+    auto sent =
+        client_->request(request.method_, request.url_.c_str(), headers, size);
+    kj::Promise<void> written = kj::READY_NOW;
+    if (size != 0)
+    {
+        auto body = kj::heap<std::string>(request.body_);
+        written = sent.body->write(body->data(), body->size())
+                      .attach(kj::mv(body), kj::mv(sent.body));
+    }
+    return written
+        .then([response = kj::mv(sent.response)]() mutable
+              { return kj::mv(response); })
+        .then([](kj::HttpClient::Response&& response)
+              { return read_answer(kj::mv(response)); });
+}
+
+} // namespace galenafork::pvt
