--- a/src/galena_balancer/balancer_server.cpp
+++ b/src/galena_balancer/balancer_server.cpp
@@ -2,6 +2,8 @@
 
 #include <galenafork/spread_codec.h>
 
+#include <kj/debug.h>
+
 #include <nlohmann/json.hpp>
 
 namespace galenafork
--- a/src/galena_balancer/traffic_thread.cpp
+++ b/src/galena_balancer/traffic_thread.cpp
@@ -5,6 +5,7 @@
 
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/Event_Handler.h>
+#include <ace/OS_NS_Thread.h>
 #include <ace/Reactor.h>
 #include <chrono>
 
@@ -82,7 +83,7 @@
 
     void run()
     {
-        reactor_.owner(ACE_Thread::self());
+        reactor_.owner(ACE_OS::thr_self());
         while (!stopped_)
         {
             reactor_.handle_events();
