--- a/src/libbalancer/build_snapshot.cpp
+++ b/src/libbalancer/build_snapshot.cpp
@@ -54,12 +54,11 @@
     }
     auto next = std::make_shared<routing_snapshot>();
     next->rules_version_ = state.rules_->version_;
-    const bool same_rules = previous != nullptr &&
-                            previous->rules_version_ == next->rules_version_;
-    next->addresses_ = same_rules
-                           ? previous->addresses_
-                           : std::make_shared<const address_table>(
-                                 *state.rules_);
+    const bool same_rules =
+        previous != nullptr && previous->rules_version_ == next->rules_version_;
+    next->addresses_ =
+        same_rules ? previous->addresses_
+                   : std::make_shared<const address_table>(*state.rules_);
     const auto earlier = routes_by_name(previous);
     for (const service_name& name : next->addresses_->services())
     {
--- a/src/libbalancer/change_between.cpp
+++ b/src/libbalancer/change_between.cpp
@@ -65,9 +65,8 @@
     {
         return std::nullopt;
     }
-    const auto attempt =
-        [&](const member* was,
-            const member* is) -> std::optional<service_change>
+    const auto attempt = [&](const member* was,
+                             const member* is) -> std::optional<service_change>
     {
         const auto kind = kind_of(was, is);
         if (!kind)
--- a/src/libbalancer/digest.cpp
+++ b/src/libbalancer/digest.cpp
@@ -74,8 +74,7 @@
     return service.roster_ != nullptr;
 }
 
-void add_service_updates(const service_name& name,
-                         const service_state& service,
+void add_service_updates(const service_name& name, const service_state& service,
                          const service_version& have,
                          std::vector<spread_update>& out)
 {
--- a/src/libbalancer/routing.cpp
+++ b/src/libbalancer/routing.cpp
@@ -58,10 +58,10 @@
     for (std::uint16_t bucket = 0; bucket < bucket_count; ++bucket)
     {
         const member* home = effective_home_of(r, lapsed, bucket_id(bucket));
-        route->homes_[bucket] =
-            home == nullptr ? no_member
-                            : member_index(static_cast<std::uint16_t>(
-                                  home - r.members_.data()));
+        route->homes_[bucket] = home == nullptr
+                                    ? no_member
+                                    : member_index(static_cast<std::uint16_t>(
+                                          home - r.members_.data()));
     }
     return route;
 }
--- a/src/libbalancer/rules_in_force.cpp
+++ b/src/libbalancer/rules_in_force.cpp
@@ -25,9 +25,8 @@
     auto parsed = parse_rules(text);
     if (!parsed)
     {
-        return tl::unexpected(
-            error{error_code::bad_rule,
-                  to_string(parsed.error().front(), "rules")});
+        return tl::unexpected(error{
+            error_code::bad_rule, to_string(parsed.error().front(), "rules")});
     }
     return rules_in_force{version, text, std::move(parsed->rules_), {}};
 }
--- a/src/libwire/decode.cpp
+++ b/src/libwire/decode.cpp
@@ -27,6 +27,36 @@
 // not repeat; more means pointers that share targets.
 constexpr std::uint64_t traversal_factor = 2;
 
+journal_mark read(schema::JournalMark::Reader in)
+{
+    return {read_bucket(in.getBucket()), read(in.getHome())};
+}
+
+journal_gap read(schema::JournalGap::Reader in)
+{
+    require(in.getRemainingMicroseconds() >= 0, "negative time");
+    return {read_bucket(in.getBucket()),
+            duration(in.getRemainingMicroseconds())};
+}
+
+bucket_id read(std::uint16_t bucket)
+{
+    return read_bucket(bucket);
+}
+
+template <class Item, class ListReader>
+std::vector<Item> read_list(ListReader in)
+{
+    require(in.size() <= max_list_items, "list is too long");
+    std::vector<Item> items;
+    items.reserve(in.size());
+    for (const auto item : in)
+    {
+        items.push_back(read(item));
+    }
+    return items;
+}
+
 forwarded_packet read(schema::ForwardedPacket::Reader in)
 {
     require(in.getRole() <= static_cast<std::uint8_t>(packet_role::open_here),
@@ -45,6 +75,12 @@
     packet.payload_ = read_bytes(in.getPayload(), max_datagram_bytes);
     packet.rules_version_ = rules_version(in.getRulesVersion());
     packet.established_only_ = in.getEstablishedOnly();
+    packet.placement_ = in.getPlacement();
+    if (in.hasSender())
+    {
+        packet.sender_ = read(in.getSender());
+    }
+    packet.lapsed_ = read_list<instance_life>(in.getLapsed());
     return packet;
 }
 
@@ -55,39 +91,10 @@
     header.sender_ = read(in.getSender());
     header.target_ = read(in.getTarget());
     header.epoch_ = epoch(in.getEpoch());
+    header.lapsed_ = read_list<instance_life>(in.getLapsed());
     return header;
 }
 
-journal_mark read(schema::JournalMark::Reader in)
-{
-    return {read_bucket(in.getBucket()), read(in.getHome())};
-}
-
-journal_gap read(schema::JournalGap::Reader in)
-{
-    require(in.getRemainingMicroseconds() >= 0, "negative time");
-    return {read_bucket(in.getBucket()),
-            duration(in.getRemainingMicroseconds())};
-}
-
-bucket_id read(std::uint16_t bucket)
-{
-    return read_bucket(bucket);
-}
-
-template <class Item, class ListReader>
-std::vector<Item> read_list(ListReader in)
-{
-    require(in.size() <= max_list_items, "list is too long");
-    std::vector<Item> items;
-    items.reserve(in.size());
-    for (const auto item : in)
-    {
-        items.push_back(read(item));
-    }
-    return items;
-}
-
 template <class Reader>
 chunk_position read_position(const Reader& in)
 {
@@ -97,19 +104,17 @@
 
 heartbeat read(schema::Heartbeat::Reader in)
 {
-    return {in.getSequence(), read(in.getLoad()),
-            read_list<instance_life>(in.getLapsed())};
+    return {in.getSequence(), read(in.getLoad())};
 }
 
 heartbeat_ack read(schema::HeartbeatAck::Reader in)
 {
-    return {in.getSequence(), read(in.getLoad())};
+    return {in.getSequence(), read(in.getLoad()), in.getGrants()};
 }
 
 ownership_query read(schema::OwnershipQuery::Reader in)
 {
-    return {in.getQuery(), read_list<bucket_id>(in.getBuckets()),
-            read_list<instance_life>(in.getLapsed())};
+    return {in.getQuery(), read_list<bucket_id>(in.getBuckets())};
 }
 
 ownership_reply read(schema::OwnershipReply::Reader in)
@@ -124,11 +129,17 @@
     return reply;
 }
 
+flow_closed read(schema::FlowClosed::Reader in)
+{
+    return {read(in.getFlow()), in.getPlacement()};
+}
+
 journal_sync read(schema::JournalSync::Reader in)
 {
     return {in.getSync(), read_position(in),
             read_list<bucket_id>(in.getBuckets()),
-            read_list<journal_entry>(in.getEntries())};
+            read_list<journal_entry>(in.getEntries()),
+            read_list<instance_life>(in.getLapsed())};
 }
 
 journal_sync_ack read(schema::JournalSyncAck::Reader in)
@@ -151,7 +162,7 @@
     case schema::PeerMessage::OWNERSHIP_REPLY:
         return read(in.getOwnershipReply());
     case schema::PeerMessage::FLOW_CLOSED:
-        return flow_closed{read(in.getFlowClosed())};
+        return read(in.getFlowClosed());
     case schema::PeerMessage::JOURNAL_RECORD:
         return journal_record{read(in.getJournalRecord())};
     case schema::PeerMessage::JOURNAL_ACK:
--- a/src/libwire/encode.cpp
+++ b/src/libwire/encode.cpp
@@ -33,45 +33,48 @@
     return words_of_bytes(text.size() + 1);
 }
 
+bool is_named(const instance_life& life)
+{
+    return !life.instance_.value().empty();
+}
+
 template <class Schema>
 constexpr std::size_t words_of_struct()
 {
     return capnp::_::structSize<Schema>().total() / capnp::WORDS;
 }
 
-// Words of a forwarded packet less its texts and payload.
+std::size_t words_of_life(const instance_life& life)
+{
+    return words_of_struct<schema::InstanceLife>() +
+           words_of_text(life.instance_.value());
+}
+
+std::size_t words_of_lives(const std::vector<instance_life>& lives)
+{
+    // A list of structs starts with a tag.
+    std::size_t words = lives.empty() ? 0 : 1;
+    for (const instance_life& life : lives)
+    {
+        words += words_of_life(life);
+    }
+    return words;
+}
+
+// Words of a forwarded packet less names, lapsed members and payload.
 constexpr std::size_t fixed_packet_words()
 {
     return 1 + words_of_struct<schema::Datagram>() +
            words_of_struct<schema::ForwardedPacket>() +
-           words_of_struct<schema::InstanceLife>() +
            words_of_struct<schema::FlowKey>() +
            2 * words_of_struct<schema::Endpoint>() +
            words_of_struct<schema::TraceContext>();
 }
 
-void write(schema::ForwardedPacket::Builder out, const forwarded_packet& value)
-{
-    out.setService(text_of(value.service_.value()));
-    write(out.initTarget(), value.target_);
-    out.setEpoch(value.epoch_.value());
-    out.setRole(static_cast<std::uint8_t>(value.role_));
-    out.setHops(value.hops_);
-    write(out.initFlow(), value.flow_);
-    write(out.initBalancer(), value.balancer_);
-    write(out.initFabric(), value.fabric_);
-    write(out.initTrace(), value.trace_);
-    out.setPayload(data_of(value.payload_));
-    out.setRulesVersion(value.rules_version_.value());
-    out.setEstablishedOnly(value.established_only_);
-}
-
-void write(schema::PeerHeader::Builder out, const peer_header& value)
+template <class Items>
+unsigned list_size(const Items& items)
 {
-    out.setService(text_of(value.service_.value()));
-    write(out.initSender(), value.sender_);
-    write(out.initTarget(), value.target_);
-    out.setEpoch(value.epoch_.value());
+    return static_cast<unsigned>(items.size());
 }
 
 void write(schema::JournalMark::Builder out, const journal_mark& value)
@@ -97,6 +100,40 @@
     }
 }
 
+void write(schema::ForwardedPacket::Builder out, const forwarded_packet& value)
+{
+    out.setService(text_of(value.service_.value()));
+    write(out.initTarget(), value.target_);
+    out.setEpoch(value.epoch_.value());
+    out.setRole(static_cast<std::uint8_t>(value.role_));
+    out.setHops(value.hops_);
+    write(out.initFlow(), value.flow_);
+    write(out.initBalancer(), value.balancer_);
+    write(out.initFabric(), value.fabric_);
+    write(out.initTrace(), value.trace_);
+    out.setPayload(data_of(value.payload_));
+    out.setRulesVersion(value.rules_version_.value());
+    out.setEstablishedOnly(value.established_only_);
+    out.setPlacement(value.placement_);
+    if (is_named(value.sender_))
+    {
+        write(out.initSender(), value.sender_);
+    }
+    if (!value.lapsed_.empty())
+    {
+        write_list(out.initLapsed(list_size(value.lapsed_)), value.lapsed_);
+    }
+}
+
+void write(schema::PeerHeader::Builder out, const peer_header& value)
+{
+    out.setService(text_of(value.service_.value()));
+    write(out.initSender(), value.sender_);
+    write(out.initTarget(), value.target_);
+    out.setEpoch(value.epoch_.value());
+    write_list(out.initLapsed(list_size(value.lapsed_)), value.lapsed_);
+}
+
 void write_buckets(capnp::List<std::uint16_t>::Builder out,
                    const std::vector<bucket_id>& buckets)
 {
@@ -115,12 +152,6 @@
     out.setCount(position.count_);
 }
 
-template <class Items>
-unsigned list_size(const Items& items)
-{
-    return static_cast<unsigned>(items.size());
-}
-
 // Writes each kind of body into the union of a peer message.
 class body_writer
 {
@@ -132,12 +163,12 @@
         auto part = out_.initHeartbeat();
         part.setSequence(body.sequence_);
         write(part.initLoad(), body.load_);
-        write_list(part.initLapsed(list_size(body.lapsed_)), body.lapsed_);
     }
     void operator()(const heartbeat_ack& body)
     {
         auto part = out_.initHeartbeatAck();
         part.setSequence(body.sequence_);
+        part.setGrants(body.grants_);
         write(part.initLoad(), body.load_);
     }
     void operator()(const lapse_promise& body)
@@ -150,7 +181,6 @@
         part.setQuery(body.query_);
         write_buckets(part.initBuckets(list_size(body.buckets_)),
                       body.buckets_);
-        write_list(part.initLapsed(list_size(body.lapsed_)), body.lapsed_);
     }
     void operator()(const ownership_reply& body)
     {
@@ -164,7 +194,9 @@
     }
     void operator()(const flow_closed& body)
     {
-        write(out_.initFlowClosed(), body.flow_);
+        auto part = out_.initFlowClosed();
+        write(part.initFlow(), body.flow_);
+        part.setPlacement(body.placement_);
     }
     void operator()(const journal_record& body)
     {
@@ -182,6 +214,7 @@
         write_buckets(part.initBuckets(list_size(body.buckets_)),
                       body.buckets_);
         write_list(part.initEntries(list_size(body.entries_)), body.entries_);
+        write_list(part.initLapsed(list_size(body.lapsed_)), body.lapsed_);
     }
     void operator()(const journal_sync_ack& body)
     {
@@ -256,10 +289,12 @@
 
 std::size_t encoded_size(const forwarded_packet& packet)
 {
-    const std::size_t words = fixed_packet_words() +
-                              words_of_text(packet.service_.value()) +
-                              words_of_text(packet.target_.instance_.value()) +
-                              words_of_bytes(packet.payload_.size());
+    std::size_t words = fixed_packet_words();
+    words += words_of_text(packet.service_.value());
+    words += words_of_life(packet.target_);
+    words += is_named(packet.sender_) ? words_of_life(packet.sender_) : 0;
+    words += words_of_lives(packet.lapsed_);
+    words += words_of_bytes(packet.payload_.size());
     return segment_table_bytes + words * word_bytes;
 }
 
--- a/src/libwire/galenafork.capnp
+++ b/src/libwire/galenafork.capnp
@@ -48,6 +48,9 @@
   payload @9 :Data;
   rulesVersion @10 :UInt64;
   establishedOnly @11 :Bool;
+  sender @12 :InstanceLife;  # null from a balancer
+  placement @13 :UInt64;
+  lapsed @14 :List(InstanceLife);
 }
 
 struct PeerHeader {
@@ -55,6 +58,7 @@
   sender @1 :InstanceLife;
   target @2 :InstanceLife;
   epoch @3 :UInt64;
+  lapsed @4 :List(InstanceLife);
 }
 
 struct LoadReport {
@@ -67,18 +71,22 @@
 struct Heartbeat {
   sequence @0 :UInt64;
   load @1 :LoadReport;
-  lapsed @2 :List(InstanceLife);
 }
 
 struct HeartbeatAck {
   sequence @0 :UInt64;
   load @1 :LoadReport;
+  grants @2 :Bool;
+}
+
+struct FlowClosed {
+  flow @0 :FlowKey;
+  placement @1 :UInt64;
 }
 
 struct OwnershipQuery {
   query @0 :UInt64;
   buckets @1 :List(UInt16);
-  lapsed @2 :List(InstanceLife);
 }
 
 struct JournalEntry {
@@ -116,6 +124,7 @@
   count @2 :UInt16;
   buckets @3 :List(UInt16);
   entries @4 :List(JournalEntry);
+  lapsed @5 :List(InstanceLife);
 }
 
 struct JournalSyncAck {
@@ -131,7 +140,7 @@
     lapsePromise @3 :InstanceLife;
     ownershipQuery @4 :OwnershipQuery;
     ownershipReply @5 :OwnershipReply;
-    flowClosed @6 :FlowKey;
+    flowClosed @6 :FlowClosed;
     journalRecord @7 :JournalEntry;
     journalAck @8 :JournalEntry;
     journalSync @9 :JournalSync;
--- a/src/libwire/galenafork.capnp.h
+++ b/src/libwire/galenafork.capnp.h
@@ -25,6 +25,7 @@
 CAPNP_DECLARE_SCHEMA(8081fa8ddd7d316e);
 CAPNP_DECLARE_SCHEMA(c2bafb00feb679ce);
 CAPNP_DECLARE_SCHEMA(82cc2d38f90a25de);
+CAPNP_DECLARE_SCHEMA(d365584d83aa173c);
 CAPNP_DECLARE_SCHEMA(a6c72ad400039422);
 CAPNP_DECLARE_SCHEMA(b9f04c76df478eae);
 CAPNP_DECLARE_SCHEMA(d7ef185e68206a21);
@@ -111,7 +112,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f0a723ebf3cfd5ce, 3, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(f0a723ebf3cfd5ce, 4, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -126,7 +127,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(88d082c3429ee067, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(88d082c3429ee067, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -156,7 +157,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c2bafb00feb679ce, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c2bafb00feb679ce, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -171,7 +172,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(82cc2d38f90a25de, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(82cc2d38f90a25de, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FlowClosed {
+  FlowClosed() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d365584d83aa173c, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -186,7 +202,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a6c72ad400039422, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a6c72ad400039422, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -261,7 +277,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a0293a9e2b616100, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a0293a9e2b616100, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -759,6 +775,14 @@
 
   inline bool getEstablishedOnly() const;
 
+  inline bool hasSender() const;
+  inline  ::galenafork::pvt::schema::InstanceLife::Reader getSender() const;
+
+  inline  ::uint64_t getPlacement() const;
+
+  inline bool hasLapsed() const;
+  inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader getLapsed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -851,6 +875,23 @@
   inline bool getEstablishedOnly();
   inline void setEstablishedOnly(bool value);
 
+  inline bool hasSender();
+  inline  ::galenafork::pvt::schema::InstanceLife::Builder getSender();
+  inline void setSender( ::galenafork::pvt::schema::InstanceLife::Reader value);
+  inline  ::galenafork::pvt::schema::InstanceLife::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::galenafork::pvt::schema::InstanceLife>&& value);
+  inline ::capnp::Orphan< ::galenafork::pvt::schema::InstanceLife> disownSender();
+
+  inline  ::uint64_t getPlacement();
+  inline void setPlacement( ::uint64_t value);
+
+  inline bool hasLapsed();
+  inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder getLapsed();
+  inline void setLapsed( ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder initLapsed(unsigned int size);
+  inline void adoptLapsed(::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>> disownLapsed();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -874,6 +915,7 @@
   inline  ::galenafork::pvt::schema::Endpoint::Pipeline getBalancer();
   inline  ::galenafork::pvt::schema::Endpoint::Pipeline getFabric();
   inline  ::galenafork::pvt::schema::TraceContext::Pipeline getTrace();
+  inline  ::galenafork::pvt::schema::InstanceLife::Pipeline getSender();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -910,6 +952,9 @@
 
   inline  ::uint64_t getEpoch() const;
 
+  inline bool hasLapsed() const;
+  inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader getLapsed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -962,6 +1007,13 @@
   inline  ::uint64_t getEpoch();
   inline void setEpoch( ::uint64_t value);
 
+  inline bool hasLapsed();
+  inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder getLapsed();
+  inline void setLapsed( ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder initLapsed(unsigned int size);
+  inline void adoptLapsed(::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>> disownLapsed();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1103,9 +1155,6 @@
   inline bool hasLoad() const;
   inline  ::galenafork::pvt::schema::LoadReport::Reader getLoad() const;
 
-  inline bool hasLapsed() const;
-  inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader getLapsed() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1144,13 +1193,6 @@
   inline void adoptLoad(::capnp::Orphan< ::galenafork::pvt::schema::LoadReport>&& value);
   inline ::capnp::Orphan< ::galenafork::pvt::schema::LoadReport> disownLoad();
 
-  inline bool hasLapsed();
-  inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder getLapsed();
-  inline void setLapsed( ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder initLapsed(unsigned int size);
-  inline void adoptLapsed(::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>> disownLapsed();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1200,6 +1242,8 @@
   inline bool hasLoad() const;
   inline  ::galenafork::pvt::schema::LoadReport::Reader getLoad() const;
 
+  inline bool getGrants() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1238,6 +1282,9 @@
   inline void adoptLoad(::capnp::Orphan< ::galenafork::pvt::schema::LoadReport>&& value);
   inline ::capnp::Orphan< ::galenafork::pvt::schema::LoadReport> disownLoad();
 
+  inline bool getGrants();
+  inline void setGrants(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1265,6 +1312,93 @@
 };
 #endif  // !CAPNP_LITE
 
+class FlowClosed::Reader {
+public:
+  typedef FlowClosed Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFlow() const;
+  inline  ::galenafork::pvt::schema::FlowKey::Reader getFlow() const;
+
+  inline  ::uint64_t getPlacement() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FlowClosed::Builder {
+public:
+  typedef FlowClosed Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFlow();
+  inline  ::galenafork::pvt::schema::FlowKey::Builder getFlow();
+  inline void setFlow( ::galenafork::pvt::schema::FlowKey::Reader value);
+  inline  ::galenafork::pvt::schema::FlowKey::Builder initFlow();
+  inline void adoptFlow(::capnp::Orphan< ::galenafork::pvt::schema::FlowKey>&& value);
+  inline ::capnp::Orphan< ::galenafork::pvt::schema::FlowKey> disownFlow();
+
+  inline  ::uint64_t getPlacement();
+  inline void setPlacement( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FlowClosed::Pipeline {
+public:
+  typedef FlowClosed Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::galenafork::pvt::schema::FlowKey::Pipeline getFlow();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class OwnershipQuery::Reader {
 public:
   typedef OwnershipQuery Reads;
@@ -1287,9 +1421,6 @@
   inline bool hasBuckets() const;
   inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getBuckets() const;
 
-  inline bool hasLapsed() const;
-  inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader getLapsed() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1329,13 +1460,6 @@
   inline void adoptBuckets(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownBuckets();
 
-  inline bool hasLapsed();
-  inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder getLapsed();
-  inline void setLapsed( ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder initLapsed(unsigned int size);
-  inline void adoptLapsed(::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>> disownLapsed();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1808,6 +1932,9 @@
   inline bool hasEntries() const;
   inline  ::capnp::List< ::galenafork::pvt::schema::JournalEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
+  inline bool hasLapsed() const;
+  inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader getLapsed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1860,6 +1987,13 @@
   inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::JournalEntry,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::JournalEntry,  ::capnp::Kind::STRUCT>> disownEntries();
 
+  inline bool hasLapsed();
+  inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder getLapsed();
+  inline void setLapsed( ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder initLapsed(unsigned int size);
+  inline void adoptLapsed(::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>> disownLapsed();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2010,7 +2144,7 @@
 
   inline bool isFlowClosed() const;
   inline bool hasFlowClosed() const;
-  inline  ::galenafork::pvt::schema::FlowKey::Reader getFlowClosed() const;
+  inline  ::galenafork::pvt::schema::FlowClosed::Reader getFlowClosed() const;
 
   inline bool isJournalRecord() const;
   inline bool hasJournalRecord() const;
@@ -2106,11 +2240,11 @@
 
   inline bool isFlowClosed();
   inline bool hasFlowClosed();
-  inline  ::galenafork::pvt::schema::FlowKey::Builder getFlowClosed();
-  inline void setFlowClosed( ::galenafork::pvt::schema::FlowKey::Reader value);
-  inline  ::galenafork::pvt::schema::FlowKey::Builder initFlowClosed();
-  inline void adoptFlowClosed(::capnp::Orphan< ::galenafork::pvt::schema::FlowKey>&& value);
-  inline ::capnp::Orphan< ::galenafork::pvt::schema::FlowKey> disownFlowClosed();
+  inline  ::galenafork::pvt::schema::FlowClosed::Builder getFlowClosed();
+  inline void setFlowClosed( ::galenafork::pvt::schema::FlowClosed::Reader value);
+  inline  ::galenafork::pvt::schema::FlowClosed::Builder initFlowClosed();
+  inline void adoptFlowClosed(::capnp::Orphan< ::galenafork::pvt::schema::FlowClosed>&& value);
+  inline ::capnp::Orphan< ::galenafork::pvt::schema::FlowClosed> disownFlowClosed();
 
   inline bool isJournalRecord();
   inline bool hasJournalRecord();
@@ -2946,6 +3080,93 @@
       ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ForwardedPacket::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedPacket::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::galenafork::pvt::schema::InstanceLife::Reader ForwardedPacket::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::InstanceLife>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::galenafork::pvt::schema::InstanceLife::Builder ForwardedPacket::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::InstanceLife>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::galenafork::pvt::schema::InstanceLife::Pipeline ForwardedPacket::Pipeline::getSender() {
+  return  ::galenafork::pvt::schema::InstanceLife::Pipeline(_typeless.getPointerField(7));
+}
+#endif  // !CAPNP_LITE
+inline void ForwardedPacket::Builder::setSender( ::galenafork::pvt::schema::InstanceLife::Reader value) {
+  ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::InstanceLife>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::galenafork::pvt::schema::InstanceLife::Builder ForwardedPacket::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::InstanceLife>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void ForwardedPacket::Builder::adoptSender(
+    ::capnp::Orphan< ::galenafork::pvt::schema::InstanceLife>&& value) {
+  ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::InstanceLife>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::galenafork::pvt::schema::InstanceLife> ForwardedPacket::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::InstanceLife>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ForwardedPacket::Reader::getPlacement() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ForwardedPacket::Builder::getPlacement() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ForwardedPacket::Builder::setPlacement( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ForwardedPacket::Reader::hasLapsed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedPacket::Builder::hasLapsed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader ForwardedPacket::Reader::getLapsed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder ForwardedPacket::Builder::getLapsed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void ForwardedPacket::Builder::setLapsed( ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder ForwardedPacket::Builder::initLapsed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void ForwardedPacket::Builder::adoptLapsed(
+    ::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>> ForwardedPacket::Builder::disownLapsed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline bool PeerHeader::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3072,6 +3293,40 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerHeader::Reader::hasLapsed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerHeader::Builder::hasLapsed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader PeerHeader::Reader::getLapsed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder PeerHeader::Builder::getLapsed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void PeerHeader::Builder::setLapsed( ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder PeerHeader::Builder::initLapsed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void PeerHeader::Builder::adoptLapsed(
+    ::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>> PeerHeader::Builder::disownLapsed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t LoadReport::Reader::getInFlight() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3181,40 +3436,6 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasLapsed() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Heartbeat::Builder::hasLapsed() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getLapsed() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getLapsed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Heartbeat::Builder::setLapsed( ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initLapsed(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Heartbeat::Builder::adoptLapsed(
-    ::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownLapsed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
 inline  ::uint64_t HeartbeatAck::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3268,6 +3489,73 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool HeartbeatAck::Reader::getGrants() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool HeartbeatAck::Builder::getGrants() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void HeartbeatAck::Builder::setGrants(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FlowClosed::Reader::hasFlow() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FlowClosed::Builder::hasFlow() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::galenafork::pvt::schema::FlowKey::Reader FlowClosed::Reader::getFlow() const {
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::galenafork::pvt::schema::FlowKey::Builder FlowClosed::Builder::getFlow() {
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::galenafork::pvt::schema::FlowKey::Pipeline FlowClosed::Pipeline::getFlow() {
+  return  ::galenafork::pvt::schema::FlowKey::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void FlowClosed::Builder::setFlow( ::galenafork::pvt::schema::FlowKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::galenafork::pvt::schema::FlowKey::Builder FlowClosed::Builder::initFlow() {
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FlowClosed::Builder::adoptFlow(
+    ::capnp::Orphan< ::galenafork::pvt::schema::FlowKey>&& value) {
+  ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::galenafork::pvt::schema::FlowKey> FlowClosed::Builder::disownFlow() {
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t FlowClosed::Reader::getPlacement() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FlowClosed::Builder::getPlacement() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FlowClosed::Builder::setPlacement( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t OwnershipQuery::Reader::getQuery() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3320,40 +3608,6 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool OwnershipQuery::Reader::hasLapsed() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool OwnershipQuery::Builder::hasLapsed() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader OwnershipQuery::Reader::getLapsed() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder OwnershipQuery::Builder::getLapsed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void OwnershipQuery::Builder::setLapsed( ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder OwnershipQuery::Builder::initLapsed(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void OwnershipQuery::Builder::adoptLapsed(
-    ::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>> OwnershipQuery::Builder::disownLapsed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
 inline bool JournalEntry::Reader::hasFlow() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3901,6 +4155,40 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool JournalSync::Reader::hasLapsed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool JournalSync::Builder::hasLapsed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader JournalSync::Reader::getLapsed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder JournalSync::Builder::getLapsed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void JournalSync::Builder::setLapsed( ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>::Builder JournalSync::Builder::initLapsed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void JournalSync::Builder::adoptLapsed(
+    ::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>> JournalSync::Builder::disownLapsed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::pvt::schema::InstanceLife,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t JournalSyncAck::Reader::getSync() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4263,41 +4551,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::galenafork::pvt::schema::FlowKey::Reader PeerMessage::Reader::getFlowClosed() const {
+inline  ::galenafork::pvt::schema::FlowClosed::Reader PeerMessage::Reader::getFlowClosed() const {
   KJ_IREQUIRE((which() == PeerMessage::FLOW_CLOSED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowKey>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowClosed>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::galenafork::pvt::schema::FlowKey::Builder PeerMessage::Builder::getFlowClosed() {
+inline  ::galenafork::pvt::schema::FlowClosed::Builder PeerMessage::Builder::getFlowClosed() {
   KJ_IREQUIRE((which() == PeerMessage::FLOW_CLOSED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowKey>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowClosed>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setFlowClosed( ::galenafork::pvt::schema::FlowKey::Reader value) {
+inline void PeerMessage::Builder::setFlowClosed( ::galenafork::pvt::schema::FlowClosed::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FLOW_CLOSED);
-  ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowKey>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowClosed>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::galenafork::pvt::schema::FlowKey::Builder PeerMessage::Builder::initFlowClosed() {
+inline  ::galenafork::pvt::schema::FlowClosed::Builder PeerMessage::Builder::initFlowClosed() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FLOW_CLOSED);
-  return ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowKey>::init(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowClosed>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptFlowClosed(
-    ::capnp::Orphan< ::galenafork::pvt::schema::FlowKey>&& value) {
+    ::capnp::Orphan< ::galenafork::pvt::schema::FlowClosed>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FLOW_CLOSED);
-  ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowKey>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowClosed>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::galenafork::pvt::schema::FlowKey> PeerMessage::Builder::disownFlowClosed() {
+inline ::capnp::Orphan< ::galenafork::pvt::schema::FlowClosed> PeerMessage::Builder::disownFlowClosed() {
   KJ_IREQUIRE((which() == PeerMessage::FLOW_CLOSED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowKey>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::schema::FlowClosed>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
--- a/src/libwire/samples.h
+++ b/src/libwire/samples.h
@@ -42,6 +42,9 @@
     packet.trace_.sampled_ = true;
     packet.rules_version_ = rules_version(17);
     packet.established_only_ = true;
+    packet.sender_ = {instance_id("orders-3"), incarnation(7)};
+    packet.placement_ = 99;
+    packet.lapsed_ = {sample_life(), {instance_id("orders-4"), incarnation(1)}};
     packet.payload_ = {10, 20, 30, 40, 50, 60, 70, 80, 90};
     return packet;
 }
@@ -58,8 +61,11 @@
 /// `body` from `orders-1` to `orders-2`.
 inline peer_message sample_peer(peer_body body)
 {
-    return {{service_name("orders"), sample_life(),
-             instance_life{instance_id("orders-2"), incarnation(5)}, epoch(42)},
+    return {{service_name("orders"),
+             sample_life(),
+             instance_life{instance_id("orders-2"), incarnation(5)},
+             epoch(42),
+             {sample_life()}},
             std::move(body)};
 }
 
@@ -77,15 +83,16 @@
     reply.gaps_ = {{bucket, std::chrono::seconds(3)}};
     return {
         sample_packet(),
-        sample_peer(heartbeat{7, load, {sample_life()}}),
-        sample_peer(heartbeat_ack{7, load}),
+        sample_peer(heartbeat{7, load}),
+        sample_peer(heartbeat_ack{7, load, true}),
         sample_peer(lapse_promise{sample_life()}),
-        sample_peer(ownership_query{8, {bucket}, {sample_life()}}),
+        sample_peer(ownership_query{8, {bucket}}),
         sample_peer(reply),
-        sample_peer(flow_closed{sample_flow()}),
+        sample_peer(flow_closed{sample_flow(), 4}),
         sample_peer(journal_record{sample_entry()}),
         sample_peer(journal_ack{sample_entry()}),
-        sample_peer(journal_sync{9, {0, 1}, {bucket}, {sample_entry()}}),
+        sample_peer(journal_sync{
+            9, {0, 1}, {bucket}, {sample_entry()}, {sample_life()}}),
         sample_peer(journal_sync_ack{9, 3}),
         stale_notice{service_name("orders"),
                      epoch(43),
--- a/src/libwire/split.cpp
+++ b/src/libwire/split.cpp
@@ -22,11 +22,21 @@
 constexpr std::size_t fixed_entry_bytes =
     5 * word_bytes + flow_bytes + whole_words(max_token_bytes) + life_bytes;
 
-// Upper bound of a message with empty lists: segment table, root, datagram,
-// peer message, header with three names, body, and the tag of each list.
-constexpr std::size_t fixed_message_bytes = 20 * word_bytes +
-                                            whole_words(max_name_bytes + 1) +
-                                            2 * life_bytes + 4 * word_bytes;
+// Upper bound of a message less names and list items: segment table, root,
+// datagram, peer message, header, body and the tag of each list.
+constexpr std::size_t fixed_message_bytes = 30 * word_bytes;
+
+std::size_t bytes_of(const std::vector<instance_life>& lives)
+{
+    return lives.size() * life_bytes;
+}
+
+// Upper bound of a message with this header and empty lists.
+std::size_t bytes_of(const peer_header& header)
+{
+    return fixed_message_bytes + whole_words(max_name_bytes + 1) +
+           2 * life_bytes + bytes_of(header.lapsed_);
+}
 
 std::size_t bytes_of(const journal_entry& entry)
 {
@@ -108,11 +118,12 @@
 
 } // namespace
 
-std::vector<ownership_reply> split(const ownership_reply& whole)
+std::vector<ownership_reply> split(const ownership_reply& whole,
+                                   const peer_header& header)
 {
     ownership_reply empty;
     empty.query_ = whole.query_;
-    splitter<ownership_reply> parts(empty, fixed_message_bytes);
+    splitter<ownership_reply> parts(empty, bytes_of(header));
     parts.add(whole.flows_, &ownership_reply::flows_);
     parts.add(whole.entries_, &ownership_reply::entries_);
     parts.add(whole.marks_, &ownership_reply::marks_);
@@ -120,13 +131,15 @@
     return parts.finish();
 }
 
-std::vector<journal_sync> split(const journal_sync& whole)
+std::vector<journal_sync> split(const journal_sync& whole,
+                                const peer_header& header)
 {
     journal_sync empty;
     empty.sync_ = whole.sync_;
     empty.buckets_ = whole.buckets_;
+    empty.lapsed_ = whole.lapsed_;
     const std::size_t used =
-        fixed_message_bytes +
+        bytes_of(header) + bytes_of(whole.lapsed_) +
         whole_words(whole.buckets_.size() * sizeof(std::uint16_t));
     splitter<journal_sync> parts(empty, used);
     parts.add(whole.entries_, &journal_sync::entries_);
