Tests of merging, pulling and routing

Cause: versions must never go back in any order of updates. Before: untested. After: rapidcheck over order, repeats and losses; routing to the right service's home.

--- /dev/null
+++ b/src/libbalancer/routing_test.cpp
@@ -0,0 +1,109 @@
+#include "samples.h"
+
+#include <galenafork/forwarder.h>
+#include <galenafork/proxy_protocol.h>
+#include <galenafork/wire.h>
+
+#include <doctest/doctest.h>
+
+using namespace galenafork;
+using namespace galenafork::samples;
+
+namespace
+{
+
+flow_key make_flow(std::size_t rule, std::uint16_t port)
+{
+    return {{make_v4(192, 0, 2, 1), port}, make_address(rule)};
+}
+
+} // namespace
+
+TEST_CASE("each address leads to its own service's home")
+{
+    const spread_state state = make_state(50, 4);
+    const auto snapshot = build_snapshot(state, nullptr);
+    for (std::size_t i = 0; i < 50; ++i)
+    {
+        const flow_key flow = make_flow(i, static_cast<std::uint16_t>(99 + i));
+        const forwarding_decision d = decide(*snapshot, flow);
+        REQUIRE(d.refused_ == refusal::none);
+        CHECK(d.service_->service_ == make_service(i));
+        const roster& r = *state.services_.at(make_service(i)).roster_;
+        const member* home = effective_home_of(r, {}, bucket_of(flow));
+        CHECK(d.target_->life_.instance_ == home->instance_);
+        CHECK(d.target_->packets_ == home->packets_);
+    }
+    CHECK(decide(*snapshot, make_flow(51, 1)).refused_ ==
+          refusal::unknown_service);
+}
+
+TEST_CASE("a lapse moves packets to the deputy; unchanged parts are shared")
+{
+    spread_state state = make_state(3, 3);
+    const auto before = build_snapshot(state, nullptr);
+    const flow_key flow = make_flow(1, 7);
+    const route_target home = *decide(*before, flow).target_;
+    merge(state, lapsed_update{make_service(1), {home.life_}});
+    const auto after = build_snapshot(state, before.get());
+    CHECK(decide(*after, flow).target_->life_ != home.life_);
+    CHECK(after->addresses_ == before->addresses_);
+    CHECK(after->services_[0] == before->services_[0]);
+    CHECK(after->services_[1] != before->services_[1]);
+}
+
+TEST_CASE("a service without a roster refuses with no_home")
+{
+    spread_state state;
+    CHECK(build_snapshot(state, nullptr) == nullptr);
+    merge(state, make_rules(1, 1));
+    const auto snapshot = build_snapshot(state, nullptr);
+    CHECK(decide(*snapshot, make_flow(0, 1)).refused_ == refusal::no_home);
+}
+
+TEST_CASE("packets of retired rules are for established flows only")
+{
+    spread_state state;
+    auto rules = *rules_from(rules_version(1), "", "udp 10.9.0.1:5683 -> "
+                                                   "service-0 # J\n");
+    merge(state, rules);
+    merge(state, make_roster(make_service(0), 2));
+    const auto decision =
+        decide(*build_snapshot(state, nullptr), make_flow(0, 1));
+    CHECK(decision.refused_ == refusal::none);
+    CHECK(decision.established_only_);
+}
+
+TEST_CASE("a fabric's datagram becomes the agent's")
+{
+    const auto snapshot = build_snapshot(make_state(2, 3), nullptr);
+    const endpoint notices{make_v4(10, 1, 1, 1), 77};
+    const endpoint answers{make_v4(10, 1, 1, 2), 78};
+    forwarder f(notices, trace_source(1, 1));
+    const flow_key flow = make_flow(1, 5);
+    const byte_buffer payload{1, 2, 3};
+    const byte_buffer in = make_proxy_datagram(
+        {flow.caller_, flow.service_address_, {}}, payload);
+    std::vector<std::uint64_t> out(max_datagram_bytes / 8);
+    auto* bytes = reinterpret_cast<std::uint8_t*>(out.data());
+
+    const forwarding done = f.forward(
+        *snapshot, {in.data(), in.size(), answers}, bytes, max_datagram_bytes);
+    REQUIRE(done.refused_ == refusal::none);
+    const auto message = decode(bytes, done.size_);
+    REQUIRE(message.has_value());
+    const auto& packet = std::get<forwarded_packet>(*message);
+    CHECK(packet.service_ == make_service(1));
+    CHECK(packet.flow_ == flow);
+    CHECK(packet.payload_ == payload);
+    CHECK(packet.balancer_ == notices);
+    CHECK(packet.fabric_ == answers);
+    CHECK(packet.rules_version_ == rules_version(1));
+    CHECK(packet.epoch_ == epoch(3));
+    CHECK(packet.trace_.sampled_);
+
+    CHECK(f.forward(*snapshot, {in.data(), 20, answers}, bytes, 64).refused_ ==
+          refusal::malformed);
+    CHECK(f.forward(*snapshot, {in.data(), in.size(), answers}, bytes, 64)
+              .refused_ == refusal::malformed);
+}
--- /dev/null
+++ b/src/libbalancer/spread_test.cpp
@@ -0,0 +1,226 @@
+#include "samples.h"
+
+#include <galenafork/spread_codec.h>
+
+#include <algorithm>
+#include <capnp/message.h>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace galenafork;
+using namespace galenafork::samples;
+
+namespace
+{
+
+/// All updates of one service's life, in the order they were made: joins,
+/// lapses and removals as steps and as whole rosters.
+std::vector<spread_update> make_history(std::uint16_t seed)
+{
+    std::vector<spread_update> updates;
+    roster r;
+    r.service_ = make_service(seed);
+    const auto step = [&](const roster_change& change)
+    {
+        r = *apply(r, change);
+        updates.emplace_back(service_change{r.service_, r.epoch_, change});
+        updates.emplace_back(r);
+    };
+    for (std::uint16_t i = 0; i < 5; ++i)
+    {
+        step(make_join(i));
+    }
+    const auto gone = static_cast<std::uint16_t>(seed % 5);
+    updates.emplace_back(
+        lapsed_update{r.service_, {{make_member(gone).instance_,
+                                    make_member(gone).incarnation_}}});
+    step(make_remove(gone));
+    step(make_join(gone, 2));
+    return updates;
+}
+
+/// The state that a balancer has once it knows everything.
+spread_state final_state(const std::vector<spread_update>& updates)
+{
+    spread_state state;
+    for (const spread_update& update : updates)
+    {
+        merge(state, update);
+    }
+    return state;
+}
+
+std::uint64_t epoch_in(const spread_state& state, const service_name& service)
+{
+    const auto at = state.services_.find(service);
+    return at == state.services_.end() || !at->second.roster_
+               ? 0
+               : at->second.roster_->epoch_.value();
+}
+
+spread_update through_codec(const spread_update& update)
+{
+    capnp::MallocMessageBuilder message;
+    auto builder = message.initRoot<rpc::Update>();
+    write(builder, update);
+    const auto copy = read(builder.asReader());
+    REQUIRE(copy.has_value());
+    return *copy;
+}
+
+/// `to` gets from `from` what it lacks, as over RPC.
+void pull(spread_state& to, const spread_state& from)
+{
+    const auto have = versions_for(to, digest_of(from));
+    for (const spread_update& update : updates_beyond(from, have))
+    {
+        merge(to, through_codec(update));
+    }
+}
+
+} // namespace
+
+TEST_CASE("updates in any order and number never take a version back")
+{
+    const bool held = rc::check(
+        [](std::vector<std::uint8_t> picks)
+        {
+            auto updates = make_history(3);
+            updates.emplace_back(make_rules(1, 2));
+            updates.emplace_back(make_rules(2, 3));
+            spread_state state;
+            for (const std::uint8_t pick : picks)
+            {
+                const std::uint64_t rules_before =
+                    state.rules_ ? state.rules_->version_.value() : 0;
+                const std::uint64_t epoch_before =
+                    epoch_in(state, make_service(3));
+                merge(state, updates[pick % updates.size()]);
+                const std::uint64_t rules_after =
+                    state.rules_ ? state.rules_->version_.value() : 0;
+                RC_ASSERT(rules_after >= rules_before);
+                RC_ASSERT(epoch_in(state, make_service(3)) >= epoch_before);
+            }
+        });
+    CHECK(held);
+}
+
+TEST_CASE("whoever got all whole rosters in any order knows the same")
+{
+    const bool held = rc::check(
+        [](const std::vector<std::uint8_t>& swaps)
+        {
+            auto updates = make_history(4);
+            updates.emplace_back(make_rules(1, 2));
+            updates.emplace_back(make_rules(2, 3));
+            const spread_digest expected = digest_of(final_state(updates));
+            for (std::size_t i = 0; i < swaps.size(); ++i)
+            {
+                std::swap(updates[i % updates.size()],
+                          updates[swaps[i] % updates.size()]);
+            }
+            const auto again = updates;
+            updates.insert(updates.end(), again.begin(), again.end());
+            RC_ASSERT(digest_of(final_state(updates)) == expected);
+        });
+    CHECK(held);
+}
+
+TEST_CASE("one pull makes up for whatever was missed")
+{
+    const bool held = rc::check(
+        [](const std::vector<std::uint8_t>& missed)
+        {
+            std::vector<spread_update> all;
+            for (std::uint16_t i = 0; i < 10; ++i)
+            {
+                const auto history = make_history(i);
+                all.insert(all.end(), history.begin(), history.end());
+            }
+            all.emplace_back(make_rules(7, 10));
+            auto some = all;
+            for (const std::uint8_t at : missed)
+            {
+                some.erase(some.begin() + at % static_cast<int>(some.size()));
+                if (some.empty())
+                {
+                    break;
+                }
+            }
+            const spread_state full = final_state(all);
+            spread_state behind = final_state(some);
+            pull(behind, full);
+            RC_ASSERT(digest_of(behind) == digest_of(full));
+            RC_ASSERT(updates_beyond(full, all_versions(behind)).size() ==
+                      updates_beyond(full, all_versions(full)).size());
+        });
+    CHECK(held);
+}
+
+TEST_CASE("a step whose predecessor is unknown is a gap, not a change")
+{
+    roster r = make_roster(make_service(0), 2);
+    spread_state state;
+    merge(state, r);
+    const epoch third(r.epoch_.value() + 2);
+    CHECK(merge(state, service_change{r.service_, third, make_join(7)}) ==
+          merge_result::gap);
+    CHECK(epoch_in(state, r.service_) == r.epoch_.value());
+    const epoch next(r.epoch_.value() + 1);
+    CHECK(merge(state, service_change{r.service_, next, make_remove(9)}) ==
+          merge_result::bad);
+}
+
+TEST_CASE("who lags by a few steps gets steps, who lags further the roster")
+{
+    roster r = make_roster(make_service(0), 2);
+    spread_state ahead;
+    merge(ahead, r);
+    const spread_state behind = ahead;
+    for (std::uint16_t i = 10; i < 12; ++i)
+    {
+        r = *apply(r, make_join(i));
+        merge(ahead, r);
+    }
+    const auto steps = updates_beyond(ahead, all_versions(behind));
+    REQUIRE(steps.size() == 2);
+    CHECK(std::holds_alternative<service_change>(steps[0]));
+    const auto whole = updates_beyond(ahead, all_versions(spread_state()));
+    REQUIRE(whole.size() == 1);
+    CHECK(std::holds_alternative<roster>(whole[0]));
+}
+
+TEST_CASE("lapsed lives that are no member are bounded")
+{
+    spread_state state;
+    merge(state, make_roster(make_service(0), 3));
+    lapsed_update update{make_service(0), {{instance_id("m-1"),
+                                            incarnation(1)}}};
+    for (std::uint64_t i = 0; i < 10 * max_lapsed_lives; ++i)
+    {
+        update.lives_.push_back({instance_id("a-gone"), incarnation(i)});
+    }
+    CHECK(merge(state, update) == merge_result::applied);
+    const auto& lapsed = state.services_[make_service(0)].lapsed_;
+    CHECK(lapsed.lives_.size() == max_lapsed_lives + 1);
+    CHECK(lapsed.contains(make_member(1)));
+}
+
+TEST_CASE("removed rules are retired until their address is used again")
+{
+    const rules_proposal first{"udp 10.9.0.1:1 -> a # J\n"
+                               "udp 10.9.0.2:1 -> b # J\n",
+                               "J", "2026-01-01T00:00:00Z", write_id("1")};
+    const rules_proposal second{"udp 10.9.0.1:1 -> c # J\n", "J",
+                                "2026-01-01T00:00:01Z", write_id("2")};
+    const auto object =
+        next_rules_object(next_rules_object(std::nullopt, first), second);
+    const auto rules = rules_from(object);
+    REQUIRE(rules.has_value());
+    REQUIRE(rules->retired_.size() == 1);
+    CHECK(rules->retired_[0].service_ == service_name("b"));
+    const auto copy =
+        std::get<rules_in_force>(through_codec(spread_update(*rules)));
+    CHECK(copy.rules_ == rules->rules_);
+    CHECK(copy.retired_ == rules->retired_);
+}
