Placement: flows given away count less as time goes by

Cause: the local correction added a full request for each flow given away until the next report, 100 ms later, though its request takes 5 ms; others looked loaded and a slow home kept its flows. Conclusion: each flow decays with the member's service time.

--- a/src/galena_experiment/model/simulation.cpp
+++ b/src/galena_experiment/model/simulation.cpp
@@ -44,7 +44,7 @@
       random_(input.seed_ ^ placement_stream),
       members_(make_members(*input.service_)), flows_(input.trace_->size()),
       reports_(members_.size()),
-      assigned_(members_.size(), std::vector<double>(members_.size(), 0)),
+      assigned_(members_.size(), std::vector<assigned_flows>(members_.size())),
       recorder_(members_, instant(timing_.warm_up_), end_,
                 instant(scenario_.fault_at_))
 {
@@ -228,7 +228,8 @@
         place(input_.strategy_, view_, policy_, random_, turn_);
     if (owner != nobody)
     {
-        assigned_[home][owner] += 1;
+        assigned_[home][owner] = add_flow(assigned_[home][owner],
+                                          reports_[owner].service_time_, now_);
         recorder_.flow_opened(now_, owner != home, members_[owner].draining_);
     }
     return owner;
@@ -256,7 +257,8 @@
     c.may_open_ = u.may_open_;
     c.slots_ = u.slots_;
     c.in_flight_ = report.in_flight_;
-    c.assigned_since_report_ = assigned_[home][member];
+    c.assigned_since_report_ =
+        decay(assigned_[home][member], report.service_time_, now_).count_;
     c.upstream_report_ = report.upstream_report_;
     c.serving_for_ = report.serving_for_;
     if (member == home)
--- a/src/galena_experiment/model/simulation.h
+++ b/src/galena_experiment/model/simulation.h
@@ -138,7 +138,7 @@
     std::vector<live_flow> flows_;
     std::vector<load_report> reports_;
     /// Flows that a home gave a member since the member's last report.
-    std::vector<std::vector<double>> assigned_;
+    std::vector<std::vector<assigned_flows>> assigned_;
     /// Reused for each placement.
     placement_view view_;
     recorder recorder_;
--- a/src/galena_experiment/model/simulation_faults.cpp
+++ b/src/galena_experiment/model/simulation_faults.cpp
@@ -12,7 +12,7 @@
         reports_[member] = report_of(u, input_.setup_->faults_, now_);
         for (auto& by_home : assigned_)
         {
-            by_home[member] = 0;
+            by_home[member] = {};
         }
     }
     schedule(now_ + timing_.heartbeat_interval_, event_kind::heartbeat, 0,
--- a/src/galena_experiment/model/upstream.cpp
+++ b/src/galena_experiment/model/upstream.cpp
@@ -104,6 +104,7 @@
     load_report report;
     report.in_flight_ = u.smoothed_;
     report.upstream_report_ = upstream_report(u, faults, now);
+    report.service_time_ = u.service_time_;
     report.serving_for_ = serving_for(u, now);
     return report;
 }
--- a/src/include/galenafork/load_policy.h
+++ b/src/include/galenafork/load_policy.h
@@ -32,7 +32,8 @@
     /// agent's own count: exact for the home, `load_report::in_flight_` for
     /// the others.
     double in_flight_ = 0;
-    /// Flows that this home gave the member since that report was made.
+    /// Flows that this home gave the member since that report was made and
+    /// that still count, see `assigned_flows`.
     double assigned_since_report_ = 0;
     /// Requests in flight as the upstream itself reports them; may lie.
     std::optional<double> upstream_report_;
@@ -53,6 +54,23 @@
 /// `1 + report_influence_` at most and can never lower it.
 double standing(const load_candidate& candidate, const load_settings& settings);
 
+/// Flows that a home gave one member since the member's last report. Each
+/// counts less as time goes by: its request is over after about the member's
+/// service time. Begin anew with each report.
+struct assigned_flows
+{
+    double count_ = 0;
+    instant counted_at_;
+};
+
+/// What is left of `flows` at `now`.
+assigned_flows decay(const assigned_flows& flows, duration service_time,
+                     instant now);
+
+/// `flows` with one more given away at `now`.
+assigned_flows add_flow(const assigned_flows& flows, duration service_time,
+                        instant now);
+
 /// Random numbers for one placement, each uniform in [0, 1).
 struct placement_draws
 {
@@ -169,6 +187,8 @@
     double in_flight_ = 0;
     /// The upstream's own report, if it has one.
     std::optional<double> upstream_report_;
+    /// Smoothed time that the upstream takes for one request.
+    duration service_time_{0};
     duration serving_for_{0};
 };
 
--- a/src/libpolicy/placement.cpp
+++ b/src/libpolicy/placement.cpp
@@ -108,6 +108,21 @@
     return (in_flight + 1) / effective_slots(candidate, settings);
 }
 
+assigned_flows decay(const assigned_flows& flows, duration service_time,
+                     instant now)
+{
+    const duration elapsed = now - flows.counted_at_;
+    return {smooth(flows.count_, 0, elapsed, service_time), now};
+}
+
+assigned_flows add_flow(const assigned_flows& flows, duration service_time,
+                        instant now)
+{
+    assigned_flows next = decay(flows, service_time, now);
+    next.count_ += 1;
+    return next;
+}
+
 const char* to_string(placement_reason reason)
 {
     switch (reason)
