Placement: a slow upstream's load counts for more

Cause: after a slow upstream (factor 3, load 0.6) max/mean of load stayed above 1.25: the home kept flows while its own count looked ordinary, and the callers it already had kept coming back. Change: an agent measures its upstream's service time; beyond 1.25 times the median its load counts up to 1.5 times.

--- a/src/galena_experiment/model/setup.cpp
+++ b/src/galena_experiment/model/setup.cpp
@@ -150,6 +150,8 @@
     reader.read("locality_margin", place.locality_margin_, 0, 1e6);
     reader.read("report_influence", place.report_influence_, 0, 1);
     reader.read("local_correction", place.local_correction_);
+    reader.read("slowness_tolerance", place.slowness_tolerance_, 1, 1e6);
+    reader.read("slowness_limit", place.slowness_limit_, 1, 1e6);
     reader.read("slow_start_floor", policy.slow_start_.floor_, 0, 1);
     reader.read("slow_start_length_ms", policy.slow_start_.length_);
     reader.read("queue_per_slot", policy.admission_.queue_per_slot_, 0, 1e6);
--- a/src/galena_experiment/model/simulation.cpp
+++ b/src/galena_experiment/model/simulation.cpp
@@ -260,11 +260,13 @@
     c.assigned_since_report_ =
         decay(assigned_[home][member], report.service_time_, now_).count_;
     c.upstream_report_ = report.upstream_report_;
+    c.service_time_ = report.service_time_;
     c.serving_for_ = report.serving_for_;
     if (member == home)
     {
         c.in_flight_ = in_flight(u);
         c.assigned_since_report_ = 0;
+        c.service_time_ = u.service_time_;
         c.serving_for_ = serving_for(u, now_);
     }
     return c;
--- a/src/galena_experiment/model/upstream.cpp
+++ b/src/galena_experiment/model/upstream.cpp
@@ -10,7 +10,7 @@
 {
 
 // Weight of the latest request in the smoothed service time.
-constexpr double service_time_weight = 0.1;
+constexpr double service_time_weight = 0.02;
 
 // What an upstream that reports a full queue claims, in requests per slot.
 constexpr double full_report = 4;
--- a/src/include/galenafork/load_policy.h
+++ b/src/include/galenafork/load_policy.h
@@ -37,6 +37,9 @@
     double assigned_since_report_ = 0;
     /// Requests in flight as the upstream itself reports them; may lie.
     std::optional<double> upstream_report_;
+    /// Smoothed time that the upstream takes for one request, by the agent's
+    /// own clock. Zero: not known.
+    duration service_time_{0};
     /// How long the member has been serving; see `slow_start_settings`.
     duration serving_for_ = duration::max();
 };
@@ -49,10 +52,20 @@
 double effective_slots(const load_candidate& candidate,
                        const load_settings& settings);
 
+/// The median of the service times of those of `candidates` that may open
+/// flows and know it; zero if none does.
+duration usual_service_time(const std::vector<load_candidate>& candidates);
+
+/// By how much a member with `service_time` is slower than usual, beyond
+/// `slowness_tolerance_`: 1 if it is not, `slowness_limit_` at most.
+double slowness(duration service_time, duration usual,
+                const placement_settings& settings);
+
 /// Requests per effective slot that `candidate` would have with one more
-/// flow. The upstream's report can raise this by the factor
-/// `1 + report_influence_` at most and can never lower it.
-double standing(const load_candidate& candidate, const load_settings& settings);
+/// flow, times its slowness against `usual`. The upstream's report can raise
+/// this by the factor `1 + report_influence_` at most and can never lower it.
+double standing(const load_candidate& candidate, duration usual,
+                const load_settings& settings);
 
 /// Flows that a home gave one member since the member's last report. Each
 /// counts less as time goes by: its request is over after about the member's
--- a/src/include/galenafork/load_settings.h
+++ b/src/include/galenafork/load_settings.h
@@ -19,13 +19,17 @@
 {
     /// Requests per slot by which the home's load must be above a candidate's
     /// before the flow is given away.
-    double home_margin_ = 0.34;
+    double home_margin_ = 0.1;
     /// What a candidate in another data centre must be better by on top.
     double locality_margin_ = 0.1;
     /// Most that an upstream's report may raise its load, as a share of it.
     double report_influence_ = 0.1;
     /// Counts the flows given to a member since its last report.
     bool local_correction_ = true;
+    /// A member is slow once a request takes this many times the usual.
+    double slowness_tolerance_ = 1.25;
+    /// Most that slowness multiplies a member's load by. One turns it off.
+    double slowness_limit_ = 1.5;
 };
 
 /// How a member's weight rises after a start.
--- a/src/libpolicy/load_settings.cpp
+++ b/src/libpolicy/load_settings.cpp
@@ -37,6 +37,9 @@
                 found);
     pvt::expect(pvt::is_share(place.report_influence_),
                 "report_influence is not within 0 to 1", found);
+    pvt::expect(place.slowness_tolerance_ >= 1, "slowness_tolerance is below 1",
+                found);
+    pvt::expect(place.slowness_limit_ >= 1, "slowness_limit is below 1", found);
     const auto& start = settings.slow_start_;
     pvt::expect(start.floor_ > 0 && start.floor_ <= 1,
                 "slow_start_floor is not above 0 and up to 1", found);
--- a/src/libpolicy/placement.cpp
+++ b/src/libpolicy/placement.cpp
@@ -48,16 +48,16 @@
     return drawn;
 }
 
-double standing_from_home(const load_candidate& candidate,
+double standing_from_home(const load_candidate& candidate, duration usual,
                           const load_settings& settings)
 {
     const double margin =
         candidate.same_data_centre_ ? 0 : settings.placement_.locality_margin_;
-    return standing(candidate, settings) + margin;
+    return standing(candidate, usual, settings) + margin;
 }
 
 std::size_t better_of_two(const candidates& all, std::size_t home,
-                          const load_settings& settings,
+                          duration usual, const load_settings& settings,
                           const placement_draws& draws)
 {
     const std::size_t first =
@@ -68,8 +68,10 @@
     {
         return first;
     }
-    const double first_standing = standing_from_home(all[first], settings);
-    const double second_standing = standing_from_home(all[second], settings);
+    const double first_standing =
+        standing_from_home(all[first], usual, settings);
+    const double second_standing =
+        standing_from_home(all[second], usual, settings);
     return second_standing < first_standing ? second : first;
 }
 
@@ -95,7 +97,41 @@
     return slots * warm_share(candidate.serving_for_, settings.slow_start_);
 }
 
-double standing(const load_candidate& candidate, const load_settings& settings)
+duration usual_service_time(const std::vector<load_candidate>& candidates)
+{
+    std::vector<duration> times;
+    for (const load_candidate& c : candidates)
+    {
+        if (c.may_open_ && c.service_time_ > duration(0))
+        {
+            times.push_back(c.service_time_);
+        }
+    }
+    if (times.empty())
+    {
+        return duration(0);
+    }
+    const auto middle =
+        times.begin() + static_cast<std::ptrdiff_t>((times.size() - 1) / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    return *middle;
+}
+
+double slowness(duration service_time, duration usual,
+                const placement_settings& settings)
+{
+    if (usual <= duration(0))
+    {
+        return 1;
+    }
+    const double ratio = static_cast<double>(service_time.count()) /
+                         static_cast<double>(usual.count());
+    return std::clamp(ratio / settings.slowness_tolerance_, 1.0,
+                      settings.slowness_limit_);
+}
+
+double standing(const load_candidate& candidate, duration usual,
+                const load_settings& settings)
 {
     double in_flight = candidate.in_flight_;
     if (settings.placement_.local_correction_)
@@ -105,7 +141,10 @@
     const double reported = candidate.upstream_report_.value_or(0);
     const double most = in_flight * (1 + settings.placement_.report_influence_);
     in_flight = std::max(in_flight, std::min(reported, most));
-    return (in_flight + 1) / effective_slots(candidate, settings);
+    const double per_slot =
+        (in_flight + 1) / effective_slots(candidate, settings);
+    return per_slot *
+           slowness(candidate.service_time_, usual, settings.placement_);
 }
 
 assigned_flows decay(const assigned_flows& flows, duration service_time,
@@ -143,8 +182,9 @@
 choose_owner(const std::vector<load_candidate>& candidates, std::size_t home,
              const load_settings& settings, const placement_draws& draws)
 {
+    const duration usual = usual_service_time(candidates);
     const std::size_t best =
-        pvt::better_of_two(candidates, home, settings, draws);
+        pvt::better_of_two(candidates, home, usual, settings, draws);
     const bool home_opens =
         home < candidates.size() && candidates[home].may_open_;
     if (best == pvt::none)
@@ -157,9 +197,10 @@
     {
         return placement{best, placement_reason::home_closed};
     }
-    const double limit = pvt::standing_from_home(candidates[best], settings) +
-                         settings.placement_.home_margin_;
-    if (standing(candidates[home], settings) <= limit)
+    const double limit =
+        pvt::standing_from_home(candidates[best], usual, settings) +
+        settings.placement_.home_margin_;
+    if (standing(candidates[home], usual, settings) <= limit)
     {
         return placement{home, placement_reason::home};
     }
