Slow start: 5 s instead of 10 s

Cause: with the slow upstream rule in place, a cold member is held back twice; 5 s after a cold start its load was still low.

--- a/src/include/galenafork/load_settings.h
+++ b/src/include/galenafork/load_settings.h
@@ -38,7 +38,7 @@
     /// Share of its full weight that a member has right after the start.
     double floor_ = 0.1;
     /// Time until it has its full weight. Zero turns slow start off.
-    duration length_ = std::chrono::seconds(10);
+    duration length_ = std::chrono::seconds(5);
 };
 
 /// When a request is refused.
