--- a/src/galena_experiment/model/upstream.cpp
+++ b/src/galena_experiment/model/upstream.cpp
@@ -10,7 +10,7 @@
 {
 
 // Weight of the latest request in the smoothed service time.
-constexpr double service_time_weight = 0.1;
+constexpr double service_time_weight = 0.02;
 
 // What an upstream that reports a full queue claims, in requests per slot.
 constexpr double full_report = 4;
@@ -104,6 +104,7 @@
     load_report report;
     report.in_flight_ = u.smoothed_;
     report.upstream_report_ = upstream_report(u, faults, now);
+    report.service_time_ = u.service_time_;
     report.serving_for_ = serving_for(u, now);
     return report;
 }
