--- a/src/galena_balancer/traffic_thread.cpp
+++ b/src/galena_balancer/traffic_thread.cpp
@@ -5,6 +5,7 @@
 
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/Event_Handler.h>
+#include <ace/OS_NS_Thread.h>
 #include <ace/Reactor.h>
 #include <chrono>
 
@@ -55,11 +56,9 @@
            traffic_dependencies dependencies, unique_fd fabric,
            unique_fd agents)
         : answers_(settings.answers_), fabric_(std::move(fabric)),
-          agents_(std::move(agents)),
-          metrics_(dependencies.metrics_, number), spans_(dependencies.spans_),
-          notices_(dependencies.notices_),
-          forwarder_(local_endpoint(agents_),
-                     dependencies.traces_),
+          agents_(std::move(agents)), metrics_(dependencies.metrics_, number),
+          spans_(dependencies.spans_), notices_(dependencies.notices_),
+          forwarder_(local_endpoint(agents_), dependencies.traces_),
           reactor_(new ACE_Dev_Poll_Reactor, true)
     {
         watch(fabric_.get(), on_fabric_);
@@ -82,7 +81,7 @@
 
     void run()
     {
-        reactor_.owner(ACE_Thread::self());
+        reactor_.owner(ACE_OS::thr_self());
         while (!stopped_)
         {
             reactor_.handle_events();
