Relays: a few balancers of a data centre follow the platform

Cause: a watch per balancer and roster grows with the fleet times services. Ruled out: every balancer watching; a relay named in the settings (any instance may be replaced at any time). Before: each balancer watched all. After: places in relays/DC, held by renewed beats, claimed by conditional update; the others subscribe to two relays.

--- a/src/galena_balancer/balancer_app.cpp
+++ b/src/galena_balancer/balancer_app.cpp
@@ -67,6 +67,12 @@
       peers_(*loop_, known_, *metrics_, settings.control_.rpc_,
              [this] { return draw(); }),
       subscribers_(*loop_, known_),
+      relay_({settings.data_centre_,
+              {settings.instance_, incarnation(random_()),
+               settings.control_.rpc_, 0}},
+             settings.spread_.relay_,
+             {*loop_, platform_, watch_, known_, peers_,
+              [this] { return draw(); }, [this] { return random_(); }}),
       ready_(metrics_->add_gauge("galena_balancer_ready",
                                  "1 while it should get traffic.")),
       platform_calls_(metrics_->add_gauge(
@@ -135,7 +141,7 @@
     loop_->every(settings_.spread_.exchange_interval_,
                  [this] { loop_->add_task("exchange", peers_.exchange()); });
     loop_->every(metrics_interval, [this] { update_metrics(); });
-    watch_.start();
+    relay_.start();
 }
 
 void balancer_app::take_notice(const stale_notice& notice)
@@ -147,7 +153,7 @@
                         at->second.roster_->epoch_ < notice.epoch_;
     if (behind)
     {
-        watch_.fetch(notice.service_);
+        relay_.catch_up(notice.service_);
     }
 }
 
@@ -191,6 +197,8 @@
                            {"data_centre", settings_.data_centre_.value()},
                            {"ready", now.ready_},
                            {"reason", now.reason_},
+                           {"relay", relay_.is_relay_now()},
+                           {"links", relay_.link_count()},
                            {"subscribers", subscribers_.count()}};
     const spread_state& state = known_.state();
     json["rules_version"] = state.rules_ ? state.rules_->version_.value() : 0;
--- a/src/galena_balancer/balancer_app.h
+++ b/src/galena_balancer/balancer_app.h
@@ -9,6 +9,7 @@
 #include "knowledge.h"
 #include "peers.h"
 #include "platform_watch.h"
+#include "relay_role.h"
 #include "traffic_thread.h"
 
 #include <memory>
@@ -59,6 +60,7 @@
     platform_watch watch_;
     peers peers_;
     subscribers subscribers_;
+    relay_role relay_;
     gauge& ready_;
     gauge& platform_calls_;
     gauge& spans_dropped_;
--- a/src/galena_balancer/balancer_settings.cpp
+++ b/src/galena_balancer/balancer_settings.cpp
@@ -36,8 +36,9 @@
     section.optional("seeds", s.seeds_)
         .optional("exchange_interval", s.exchange_interval_,
                   {milliseconds(50), seconds(60)})
-        .optional("relays", s.relays_, {1, 16})
-        .optional("relay_lease", s.relay_lease_, {milliseconds(500), hours(1)});
+        .optional("relays", s.relay_.wanted_, {1, 16})
+        .optional("relay_lease", s.relay_.lease_,
+                  {milliseconds(500), hours(1)});
     section.finish();
 }
 
--- a/src/galena_balancer/balancer_settings.h
+++ b/src/galena_balancer/balancer_settings.h
@@ -7,6 +7,7 @@
 #include <galenafork/control_loop.h>
 #include <galenafork/log.h>
 #include <galenafork/platform_client.h>
+#include <galenafork/relay.h>
 #include <galenafork/settings.h>
 #include <galenafork/trace_export.h>
 
@@ -32,12 +33,20 @@
     std::vector<endpoint> seeds_;
     /// Between two exchanges with a random peer.
     duration exchange_interval_ = std::chrono::seconds(1);
-    /// Relays wanted in each data centre.
-    std::uint64_t relays_ = 2;
-    /// A relay that did not renew for so long has lost its place.
-    duration relay_lease_ = std::chrono::seconds(6);
+    relay_settings relay_;
 };
 
+/// A relay watches every roster: that takes more calls than other processes
+/// need.
+inline platform_settings default_platform()
+{
+    constexpr double calls_per_second = 100;
+    constexpr double calls_burst = 200;
+    platform_settings s;
+    s.calls_ = {calls_per_second, calls_burst};
+    return s;
+}
+
 /// All settings of galena-balancer.
 struct balancer_settings
 {
@@ -49,7 +58,7 @@
     control_addresses control_;
     packet_settings packets_;
     spread_settings spread_;
-    platform_settings platform_;
+    platform_settings platform_ = default_platform();
     trace_settings traces_;
 };
 
--- a/src/galena_balancer/platform_watch.cpp
+++ b/src/galena_balancer/platform_watch.cpp
@@ -94,7 +94,11 @@
     events.newer_ = [this](const platform_object& object)
     { take_roster(object); };
     events.failed_ = [this](const error& why) { note_failure(why); };
-    events.confirmed_ = [this, service] { known_.mark_looked_up(service); };
+    events.confirmed_ = [this, service]
+    {
+        last_failure_.clear();
+        known_.mark_looked_up(service);
+    };
     rosters_.emplace(service,
                      follow(roster_object_name(service), std::move(events)));
 }
@@ -114,9 +118,32 @@
                                          follow_events events)
 {
     followers_.push_back(std::make_unique<object_follower>(
-        store_, loop_.timer(), random_, std::move(events)));
-    // From version 0: the first answer is the object in force.
-    return followers_.back()->follow(name, no_object).eagerlyEvaluate(nullptr);
+        store_, loop_.timer(), random_, events));
+    object_follower& follower = *followers_.back();
+    // Read first: a watch would be silent for long about an absent object.
+    return store_.get(name)
+        .then(
+            [name, events = std::move(events),
+             &follower](tl::expected<platform_object, error>&& object)
+            {
+                const bool answered =
+                    object || object.error().code_ == error_code::not_found;
+                if (answered)
+                {
+                    events.confirmed_();
+                }
+                else
+                {
+                    events.failed_(object.error());
+                }
+                if (object)
+                {
+                    events.newer_(*object);
+                }
+                return follower.follow(name,
+                                       object ? object->version_ : no_object);
+            })
+        .eagerlyEvaluate(nullptr);
 }
 
 void platform_watch::take_rules(const platform_object& object)
@@ -143,7 +170,6 @@
             {{"object", object.name_}, {"version", object.version_.value()}});
         return;
     }
-    known_.mark_looked_up(read->service_);
     known_.take(*read, source_name);
 }
 
--- /dev/null
+++ b/src/libbalancer/relay.cpp
@@ -0,0 +1,127 @@
+#include <galenafork/relay.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace galenafork
+{
+
+namespace
+{
+
+// Two renewals may be lost before the place is.
+constexpr int renewals_per_lease = 3;
+
+const relay_entry* find(const relay_list& list, const instance_id& instance)
+{
+    const auto at = std::find_if(list.relays_.begin(), list.relays_.end(),
+                                 [&](const relay_entry& r)
+                                 { return r.instance_ == instance; });
+    return at == list.relays_.end() ? nullptr : &*at;
+}
+
+bool same_beat(const relay_entry& a, const relay_entry& b)
+{
+    return a.incarnation_ == b.incarnation_ && a.beat_ == b.beat_;
+}
+
+} // namespace
+
+std::string relay_object_name(const data_centre& dc)
+{
+    return "relays/" + dc.value();
+}
+
+void observe(relay_view& view, const relay_list& list, instant now)
+{
+    std::map<instance_id, instant> seen;
+    for (const relay_entry& relay : list.relays_)
+    {
+        const relay_entry* before = find(view.list_, relay.instance_);
+        const bool stood = before != nullptr && same_beat(*before, relay);
+        seen[relay.instance_] = stood ? view.seen_[relay.instance_] : now;
+    }
+    view.list_ = list;
+    view.seen_ = std::move(seen);
+}
+
+bool is_relay(const relay_view& view, const relay_entry& self)
+{
+    const relay_entry* entry = find(view.list_, self.instance_);
+    return entry != nullptr && entry->incarnation_ == self.incarnation_;
+}
+
+std::optional<relay_list> next_list(const relay_view& view,
+                                    const relay_entry& self,
+                                    const relay_settings& settings, instant now)
+{
+    relay_list next;
+    for (const relay_entry& relay : view.list_.relays_)
+    {
+        const auto seen = view.seen_.find(relay.instance_);
+        const bool holds =
+            seen != view.seen_.end() && now - seen->second < settings.lease_;
+        if (holds && relay.instance_ != self.instance_)
+        {
+            next.relays_.push_back(relay);
+        }
+    }
+    const bool relay_now = is_relay(view, self);
+    const bool due =
+        now - view.renewed_ >= settings.lease_ / renewals_per_lease;
+    const bool place_free = next.relays_.size() < settings.wanted_;
+    if (relay_now ? !due : !place_free)
+    {
+        return std::nullopt;
+    }
+    relay_entry renewed = self;
+    const relay_entry* before = find(view.list_, self.instance_);
+    renewed.beat_ = before == nullptr ? 1 : before->beat_ + 1;
+    next.relays_.push_back(renewed);
+    return next;
+}
+
+std::string to_json(const relay_list& list)
+{
+    auto relays = nlohmann::json::array();
+    for (const relay_entry& relay : list.relays_)
+    {
+        relays.push_back({{"instance", relay.instance_.value()},
+                          {"incarnation", relay.incarnation_.value()},
+                          {"rpc", to_string(relay.rpc_)},
+                          {"beat", relay.beat_}});
+    }
+    const nlohmann::json json = {{"relays", relays},
+                                 {"write_id", list.last_write_.value()}};
+    return json.dump();
+}
+
+tl::expected<relay_list, error> relay_list_from_json(const std::string& text)
+{
+    try
+    {
+        const auto json = nlohmann::json::parse(text);
+        relay_list list;
+        list.last_write_ = write_id(json.at("write_id").get<std::string>());
+        for (const auto& in : json.at("relays"))
+        {
+            const auto rpc = parse_endpoint(in.at("rpc").get<std::string>());
+            if (!rpc)
+            {
+                return tl::unexpected(
+                    error{error_code::bad_message, rpc.error().message_});
+            }
+            list.relays_.push_back(
+                {instance_id(in.at("instance").get<std::string>()),
+                 incarnation(in.at("incarnation").get<std::uint64_t>()), *rpc,
+                 in.at("beat").get<std::uint64_t>()});
+        }
+        return list;
+    }
+    catch (const nlohmann::json::exception& failure)
+    {
+        return tl::unexpected(error{error_code::bad_message, failure.what()});
+    }
+}
+
+} // namespace galenafork
