--- /dev/null
+++ b/src/galena_balancer_capacity/main.cpp
@@ -0,0 +1,197 @@
+/// \file
+/// State, messages and CPU of a balancer's control part against the number of
+/// services and changes: one JSON line a size, for docs/CAPACITY.md.
+
+#include <galenafork/relay.h>
+#include <galenafork/spread_codec.h>
+#include <libbalancer/samples.h>
+
+#include <array>
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <ctime>
+#include <iostream>
+#include <malloc.h>
+
+using namespace galenafork;
+using namespace galenafork::samples;
+
+namespace
+{
+
+constexpr std::array<std::size_t, 5> service_counts{50, 200, 600, 1100, 2200};
+constexpr std::uint16_t members = 4;
+constexpr int repeats = 20;
+
+double cpu_seconds()
+{
+    timespec now{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+    constexpr double seconds_per_ns = 1e-9;
+    return static_cast<double>(now.tv_sec) +
+           static_cast<double>(now.tv_nsec) * seconds_per_ns;
+}
+
+/// CPU time in microseconds of one call of `act`, the mean of `repeats`.
+template <class Act>
+double cpu_us(Act act)
+{
+    constexpr double us_per_second = 1e6;
+    const double start = cpu_seconds();
+    for (int i = 0; i < repeats; ++i)
+    {
+        act(i);
+    }
+    return (cpu_seconds() - start) * us_per_second / repeats;
+}
+
+std::size_t heap_bytes()
+{
+    return mallinfo2().uordblks;
+}
+
+template <class Schema, class Value>
+std::size_t encoded_bytes(const Value& value)
+{
+    capnp::MallocMessageBuilder message;
+    write(message.initRoot<Schema>(), value);
+    return capnp::computeSerializedSizeInWords(message) * sizeof(capnp::word);
+}
+
+std::size_t encoded_bytes(const std::vector<spread_update>& updates)
+{
+    std::size_t bytes = 0;
+    for (const spread_update& update : updates)
+    {
+        bytes += encoded_bytes<rpc::Update>(update);
+    }
+    return bytes;
+}
+
+/// One roster change in a balancer that knows `services` services.
+void measure_services(std::size_t services)
+{
+    const std::size_t heap_before = heap_bytes();
+    spread_state state = make_state(services, members);
+    const std::size_t state_bytes = heap_bytes() - heap_before;
+    auto snapshot = build_snapshot(state, nullptr);
+    const std::size_t all_bytes = heap_bytes() - heap_before;
+
+    const roster before = *state.services_.at(make_service(0)).roster_;
+    const service_change change{before.service_,
+                                epoch(before.epoch_.value() + 1),
+                                make_join(members)};
+    const double merge_us = cpu_us(
+        [&](int i)
+        {
+            const auto at = static_cast<std::size_t>(i) % services;
+            service_change step = change;
+            step.service_ = make_service(at);
+            step.epoch_ = epoch(
+                state.services_.at(step.service_).roster_->epoch_.value() + 1);
+            step.change_ = make_join(static_cast<std::uint16_t>(members + i));
+            merge(state, step);
+        });
+    const double snapshot_us = cpu_us(
+        [&](int) { snapshot = build_snapshot(state, snapshot.get()); });
+    const double digest_us = cpu_us([&](int) { digest_of(state); });
+
+    const spread_update step(change);
+    const spread_update whole(before);
+    const lapsed_update lapse{before.service_,
+                              {{instance_id("m-0"), incarnation(1)}}};
+    std::cout << "{\"measure\":\"services\",\"services\":" << services
+              << ",\"members\":" << services * members
+              << ",\"state_bytes\":" << state_bytes
+              << ",\"state_and_table_bytes\":" << all_bytes
+              << ",\"digest_bytes\":"
+              << encoded_bytes<rpc::Digest>(digest_of(state))
+              << ",\"change_bytes\":" << encoded_bytes<rpc::Update>(step)
+              << ",\"lapse_bytes\":"
+              << encoded_bytes<rpc::Update>(spread_update(lapse))
+              << ",\"roster_bytes\":" << encoded_bytes<rpc::Update>(whole)
+              << ",\"rules_bytes\":"
+              << encoded_bytes<rpc::Update>(spread_update(*state.rules_))
+              << ",\"full_pull_bytes\":"
+              << encoded_bytes(updates_beyond(state,
+                                              all_versions(spread_state())))
+              << ",\"merge_change_us\":" << merge_us
+              << ",\"rebuild_table_us\":" << snapshot_us
+              << ",\"digest_us\":" << digest_us << "}\n";
+}
+
+/// A pull by a balancer that missed `changes` changes, of 1,100 services.
+void measure_missed(std::size_t changes)
+{
+    constexpr std::size_t services = 1100;
+    spread_state ahead = make_state(services, members);
+    spread_state behind = ahead;
+    for (std::size_t i = 0; i < changes; ++i)
+    {
+        const service_name name = make_service(i % services);
+        const epoch next(ahead.services_.at(name).roster_->epoch_.value() + 1);
+        const auto joiner =
+            static_cast<std::uint16_t>(members + i / services);
+        merge(ahead, service_change{name, next, make_join(joiner)});
+    }
+    const auto have = versions_for(behind, digest_of(ahead));
+    std::vector<spread_update> updates;
+    const double answer_us =
+        cpu_us([&](int) { updates = updates_beyond(ahead, have); });
+    const double start = cpu_seconds();
+    for (const spread_update& update : updates)
+    {
+        merge(behind, update);
+    }
+    constexpr double us_per_second = 1e6;
+    const double merge_us = (cpu_seconds() - start) * us_per_second;
+    std::cout << "{\"measure\":\"missed\",\"changes\":" << changes
+              << ",\"digest_bytes\":"
+              << encoded_bytes<rpc::Digest>(digest_of(ahead))
+              << ",\"versions_bytes\":" << encoded_bytes<rpc::Versions>(have)
+              << ",\"updates_bytes\":" << encoded_bytes(updates)
+              << ",\"answer_us\":" << answer_us
+              << ",\"merge_us\":" << merge_us << ",\"same_after\":"
+              << (digest_of(behind) == digest_of(ahead) ? "true" : "false")
+              << "}\n";
+}
+
+/// One relay's fan-out of one change to `subscribers`.
+void measure_fan_out(std::size_t subscribers)
+{
+    const roster before = make_roster(make_service(0), members);
+    const spread_update step(service_change{before.service_,
+                                            epoch(before.epoch_.value() + 1),
+                                            make_join(members)});
+    const double encode_us = cpu_us(
+        [&](int)
+        {
+            for (std::size_t i = 0; i < subscribers; ++i)
+            {
+                encoded_bytes<rpc::Update>(step);
+            }
+        });
+    std::cout << "{\"measure\":\"fan_out\",\"subscribers\":" << subscribers
+              << ",\"bytes\":"
+              << subscribers * encoded_bytes<rpc::Update>(step)
+              << ",\"encode_us\":" << encode_us << "}\n";
+}
+
+} // namespace
+
+int main()
+{
+    for (const std::size_t services : service_counts)
+    {
+        measure_services(services);
+    }
+    for (const std::size_t changes : {1UL, 10UL, 100UL, 1000UL, 3000UL})
+    {
+        measure_missed(changes);
+    }
+    for (const std::size_t subscribers : {10UL, 30UL, 60UL, 124UL, 248UL})
+    {
+        measure_fan_out(subscribers);
+    }
+    return 0;
+}
