--- /dev/null
+++ b/src/galena_agent/request_tracker.cpp
@@ -0,0 +1,76 @@
+#include "request_tracker.h"
+
+namespace galenafork
+{
+
+tl::expected<std::optional<request_info>, error>
+read_request(const forwarded_packet& packet)
+{
+    const auto message =
+        parse_coap(packet.payload_.data(), packet.payload_.size());
+    if (!message)
+    {
+        return tl::unexpected(message.error());
+    }
+    if (!is_request(*message))
+    {
+        return std::nullopt;
+    }
+    const request_key key{packet.flow_, message->message_id_, message->token_};
+    return request_info{key, is_idempotent(message->code_)};
+}
+
+bool request_tracker::begin(const flow_key& flow, const byte_buffer& token,
+                            const outstanding_request& request)
+{
+    const bool added = flows_[flow].emplace(token, request).second;
+    size_ += added ? 1 : 0;
+    return added;
+}
+
+std::optional<outstanding_request>
+request_tracker::finish(const flow_key& flow, const byte_buffer& token)
+{
+    const auto known = flows_.find(flow);
+    if (known == flows_.end())
+    {
+        return std::nullopt;
+    }
+    const auto request = known->second.find(token);
+    if (request == known->second.end())
+    {
+        return std::nullopt;
+    }
+    const outstanding_request finished = request->second;
+    known->second.erase(request);
+    --size_;
+    return finished;
+}
+
+void request_tracker::close(const flow_key& flow)
+{
+    const auto known = flows_.find(flow);
+    if (known != flows_.end())
+    {
+        size_ -= known->second.size();
+        flows_.erase(known);
+    }
+}
+
+std::size_t request_tracker::expire(instant before)
+{
+    std::size_t expired = 0;
+    for (auto& [flow, requests] : flows_)
+    {
+        for (auto at = requests.begin(); at != requests.end();)
+        {
+            const bool old = at->second.sent_ < before;
+            expired += old ? 1 : 0;
+            at = old ? requests.erase(at) : std::next(at);
+        }
+    }
+    size_ -= expired;
+    return expired;
+}
+
+} // namespace galenafork
--- a/src/galena_experiment/model/simulation.cpp
+++ b/src/galena_experiment/model/simulation.cpp
@@ -250,7 +250,7 @@
                                         std::size_t member) const
 {
     const upstream& u = members_[member];
-    const load_report& report = reports_[member];
+    const load_sample& report = reports_[member];
     load_candidate c;
     c.member_ = member_index(static_cast<std::uint16_t>(member));
     c.same_data_centre_ = u.data_centre_ == members_[home].data_centre_;
--- a/src/galena_experiment/model/simulation.h
+++ b/src/galena_experiment/model/simulation.h
@@ -136,7 +136,7 @@
     std::vector<upstream> members_;
     bucket_homes homes_{};
     std::vector<live_flow> flows_;
-    std::vector<load_report> reports_;
+    std::vector<load_sample> reports_;
     /// Flows that a home gave a member since the member's last report.
     std::vector<std::vector<assigned_flows>> assigned_;
     /// Reused for each placement.
--- a/src/galena_experiment/model/upstream.cpp
+++ b/src/galena_experiment/model/upstream.cpp
@@ -99,9 +99,9 @@
                                               : now - u.serving_since_;
 }
 
-load_report report_of(upstream& u, const fault_setup& faults, instant now)
+load_sample report_of(upstream& u, const fault_setup& faults, instant now)
 {
-    load_report report;
+    load_sample report;
     report.in_flight_ = u.smoothed_;
     report.upstream_report_ = upstream_report(u, faults, now);
     report.service_time_ = u.service_time_;
--- a/src/galena_experiment/model/upstream.h
+++ b/src/galena_experiment/model/upstream.h
@@ -64,7 +64,7 @@
 duration serving_for(const upstream& u, instant now);
 
 /// The heartbeat's report at `now`, with the lies of a faulty upstream.
-load_report report_of(upstream& u, const fault_setup& faults, instant now);
+load_sample report_of(upstream& u, const fault_setup& faults, instant now);
 
 } // namespace galenafork::pvt
 
--- a/src/include/galenafork/agent_core.h
+++ b/src/include/galenafork/agent_core.h
@@ -7,6 +7,7 @@
 
 #include <galenafork/journal.h>
 #include <galenafork/lease.h>
+#include <galenafork/load_settings.h>
 #include <galenafork/member_view.h>
 #include <galenafork/messages.h>
 
@@ -191,6 +192,8 @@
     std::map<endpoint, instant> balancers_;
     load_report load_;
     owner_chooser choose_owner_ = nullptr;
+    /// For `choose_owner_`.
+    load_settings load_policy_;
     /// State of the random number generator; seeded by the caller.
     std::uint64_t random_ = 0;
     std::uint64_t next_round_ = 1;
--- /dev/null
+++ b/src/include/galenafork/input_handler.h
@@ -0,0 +1,40 @@
+/// \file
+/// Lets an ACE reactor call a function when a descriptor turns readable.
+
+#ifndef GALENAFORK_INPUT_HANDLER_H
+#define GALENAFORK_INPUT_HANDLER_H
+
+#include <ace/Event_Handler.h>
+#include <functional>
+#include <utility>
+
+namespace galenafork
+{
+
+/// Calls a function when its descriptor turns readable, or its timer fires.
+/// Must outlive its registration.
+class input_handler final : public ACE_Event_Handler
+{
+public:
+    explicit input_handler(std::function<void()> act) : act_(std::move(act)) {}
+
+    int handle_input(ACE_HANDLE /*handle*/) override
+    {
+        act_();
+        return 0;
+    }
+
+    int handle_timeout(const ACE_Time_Value& /*now*/,
+                       const void* /*argument*/) override
+    {
+        act_();
+        return 0;
+    }
+
+private:
+    std::function<void()> act_;
+};
+
+} // namespace galenafork
+
+#endif
--- a/src/include/galenafork/load_policy.h
+++ b/src/include/galenafork/load_policy.h
@@ -29,7 +29,7 @@
     bool may_open_ = true;
     slot_count slots_{1};
     /// Requests that the member's agent holds, running or queued, by the
-    /// agent's own count: exact for the home, `load_report::in_flight_` for
+    /// agent's own count: exact for the home, `load_sample::in_flight_` for
     /// the others.
     double in_flight_ = 0;
     /// Flows that this home gave the member since that report was made and
@@ -194,7 +194,7 @@
                                           instant now);
 
 /// What a heartbeat tells peers of a member's load.
-struct load_report
+struct load_sample
 {
     /// Smoothed count of requests in flight, see `smooth`.
     double in_flight_ = 0;
--- a/src/include/galenafork/udp_socket.h
+++ b/src/include/galenafork/udp_socket.h
@@ -36,6 +36,14 @@
 /// The address that `fd` is bound to.
 endpoint local_endpoint(const unique_fd& fd);
 
+/// Opens a non-blocking UDP socket that talks to `to` only. Its descriptor is
+/// negative if there is none left.
+unique_fd connect_udp(const endpoint& to);
+
+/// Sends one datagram without waiting. False if the kernel refused it.
+bool send_udp(const unique_fd& fd, const endpoint& to,
+              const std::uint8_t* bytes, std::size_t size);
+
 /// Buffers to receive a batch of datagrams into; allocates once.
 class receive_batch
 {
--- a/src/libdaemon/udp_socket.cpp
+++ b/src/libdaemon/udp_socket.cpp
@@ -104,6 +104,28 @@
     return fd;
 }
 
+unique_fd connect_udp(const endpoint& to)
+{
+    unique_fd fd(
+        ::socket(AF_INET6, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    const sockaddr_in6 address = to_sockaddr(to);
+    const auto* generic = reinterpret_cast<const sockaddr*>(&address);
+    if (fd.get() >= 0 && ::connect(fd.get(), generic, sizeof(address)) != 0)
+    {
+        return unique_fd();
+    }
+    return fd;
+}
+
+bool send_udp(const unique_fd& fd, const endpoint& to,
+              const std::uint8_t* bytes, std::size_t size)
+{
+    const sockaddr_in6 address = to_sockaddr(to);
+    const auto* generic = reinterpret_cast<const sockaddr*>(&address);
+    return ::sendto(fd.get(), bytes, size, MSG_DONTWAIT, generic,
+                    sizeof(address)) >= 0;
+}
+
 endpoint local_endpoint(const unique_fd& fd)
 {
     sockaddr_in6 address{};
