A caller built on libcoap's own client

Cause: the callers' interface has to be proved by a client not written here.

Before: only caller_standin, on galenafork's codec. After: libcoap_caller uses libcoap's sessions, repeats and block-wise reassembly.

--- a/testsuite/standins/caller/flow.h
+++ b/testsuite/standins/caller/flow.h
@@ -4,7 +4,7 @@
 #ifndef GALENAFORK_STANDINS_FLOW_H
 #define GALENAFORK_STANDINS_FLOW_H
 
-#include "tally.h"
+#include <common/tally.h>
 
 #include <common/answer_text.h>
 #include <common/event_loop.h>
--- a/testsuite/standins/caller/tally.cpp
+++ b/testsuite/standins/common/tally.cpp
@@ -1,4 +1,4 @@
-#include "tally.h"
+#include <common/tally.h>
 
 #include <common/log.h>
 
--- /dev/null
+++ b/testsuite/standins/libcoap_caller/client.cpp
@@ -0,0 +1,273 @@
+#include "client.h"
+
+#include <arpa/inet.h>
+#include <cstring>
+#include <stdexcept>
+
+namespace galenafork::standin
+{
+
+namespace
+{
+
+constexpr coap_fixed_point_t ack_timeout{0, 300};
+constexpr std::uint16_t most_repeats = 6;
+constexpr std::uint32_t step_ms = 20;
+constexpr std::size_t v4_offset = 12;
+
+client_session& session_of(const coap_session_t* session)
+{
+    return *static_cast<client_session*>(coap_session_get_app_data(session));
+}
+
+coap_response_t on_response(coap_session_t* session, const coap_pdu_t* /*sent*/,
+                            const coap_pdu_t* received, coap_mid_t /*mid*/)
+{
+    session_of(session).take_answer(*received);
+    return COAP_RESPONSE_OK;
+}
+
+void on_nack(coap_session_t* session, const coap_pdu_t* /*sent*/,
+             coap_nack_reason_t reason, coap_mid_t /*mid*/)
+{
+    const bool timeout = reason == COAP_NACK_TOO_MANY_RETRIES;
+    session_of(session).take_failure(timeout ? "no_answer" : "rejected");
+}
+
+coap_address_t to_coap_address(const endpoint& e)
+{
+    coap_address_t address;
+    coap_address_init(&address);
+    address.size = sizeof(address.addr.sin);
+    address.addr.sin.sin_family = AF_INET;
+    address.addr.sin.sin_port = htons(e.port_);
+    std::memcpy(&address.addr.sin.sin_addr,
+                e.address_.bytes_.data() + v4_offset,
+                sizeof(address.addr.sin.sin_addr));
+    return address;
+}
+
+void add_path(coap_pdu_t* pdu, const std::string& path)
+{
+    std::size_t start = 1;
+    while (start < path.size())
+    {
+        const std::size_t end = std::min(path.find('/', start), path.size());
+        coap_add_option(
+            pdu, COAP_OPTION_URI_PATH, end - start,
+            reinterpret_cast<const std::uint8_t*>(path.data() + start));
+        start = end + 1;
+    }
+}
+
+std::string body_of(const coap_pdu_t& answer)
+{
+    std::size_t size = 0;
+    const std::uint8_t* data = nullptr;
+    std::size_t offset = 0;
+    std::size_t total = 0;
+    if (coap_get_data_large(&answer, &size, &data, &offset, &total) == 0)
+    {
+        return {};
+    }
+    return {data, data + size};
+}
+
+} // namespace
+
+client_session::client_session(coap_context_t& context,
+                               session_settings settings, tally& counts)
+    : settings_(std::move(settings)), counts_(counts)
+{
+    const coap_address_t server = to_coap_address(settings_.service_);
+    session_ =
+        coap_new_client_session(&context, nullptr, &server, COAP_PROTO_UDP);
+    if (session_ == nullptr)
+    {
+        throw std::runtime_error("libcoap opened no session");
+    }
+    coap_session_set_app_data(session_, this);
+    coap_session_set_ack_timeout(session_, ack_timeout);
+    coap_session_set_max_retransmit(session_, most_repeats);
+}
+
+client_session::~client_session()
+{
+    coap_session_release(session_);
+}
+
+void client_session::next()
+{
+    if (waiting_ || started_ == settings_.requests_)
+    {
+        return;
+    }
+    ++started_;
+    waiting_ = true;
+    counts_.sent();
+    if (settings_.kind_ == session_kind::photos)
+    {
+        send(COAP_REQUEST_CODE_GET, "/photos/" + request_id(), "");
+    }
+    else if (is_intake())
+    {
+        send(COAP_REQUEST_CODE_POST, "/intake", request_id());
+    }
+    else
+    {
+        send(COAP_REQUEST_CODE_GET, "/status/" + request_id(), "");
+    }
+}
+
+void client_session::send(coap_pdu_code_t code, const std::string& path,
+                          const std::string& payload)
+{
+    coap_pdu_t* pdu = coap_new_pdu(COAP_MESSAGE_CON, code, session_);
+    std::array<std::uint8_t, 8> token{};
+    std::size_t token_size = 0;
+    coap_session_new_token(session_, &token_size, token.data());
+    coap_add_token(pdu, token_size, token.data());
+    add_path(pdu, path);
+    if (!payload.empty())
+    {
+        coap_add_data(pdu, payload.size(),
+                      reinterpret_cast<const std::uint8_t*>(payload.data()));
+    }
+    if (coap_send(session_, pdu) == COAP_INVALID_MID)
+    {
+        take_failure("not_sent");
+    }
+}
+
+void client_session::take_answer(const coap_pdu_t& answer)
+{
+    if (!waiting_)
+    {
+        counts_.came_late();
+        return;
+    }
+    const coap_pdu_code_t code = coap_pdu_get_code(&answer);
+    const bool not_run = code == COAP_RESPONSE_CODE_SERVICE_UNAVAILABLE;
+    if (not_run || code == COAP_RESPONSE_CODE_GATEWAY_TIMEOUT)
+    {
+        if (is_intake())
+        {
+            counts_.intake_ended(not_run ? intake_state::did_not_run
+                                         : intake_state::may_have_run,
+                                 request_id());
+        }
+        end_request(outcome::refused, body_of(answer));
+        return;
+    }
+    check_body(body_of(answer));
+}
+
+void client_session::check_body(const std::string& body)
+{
+    const auto text = parse_answer_text(body);
+    const bool photo = settings_.kind_ == session_kind::photos;
+    if (!text.has_value() || text->id_ != request_id())
+    {
+        end_request(outcome::broken, "answer_of_another_request");
+    }
+    else if (text->service_ != settings_.expected_)
+    {
+        end_request(outcome::misdelivered, "wrong_service");
+    }
+    else if (instance_.has_value() && *instance_ != text->instance_)
+    {
+        end_request(outcome::broken, "moved");
+    }
+    else if (photo && body != photo_bytes(*text, 0, body.size()))
+    {
+        end_request(outcome::broken, "wrong_bytes");
+    }
+    else
+    {
+        instance_ = text->instance_;
+        if (is_intake())
+        {
+            counts_.intake_ended(intake_state::ran, request_id());
+        }
+        end_request(outcome::answered, "");
+    }
+}
+
+void client_session::take_failure(const char* reason)
+{
+    if (!waiting_)
+    {
+        return;
+    }
+    if (is_intake())
+    {
+        counts_.intake_ended(intake_state::unknown, request_id());
+    }
+    end_request(outcome::broken, reason);
+}
+
+void client_session::end_request(outcome how, const std::string& reason)
+{
+    waiting_ = false;
+    ++ended_;
+    counts_.ended(how, reason);
+}
+
+bool client_session::is_intake() const
+{
+    return settings_.kind_ == session_kind::orders && started_ % 2 == 1;
+}
+
+std::string client_session::request_id() const
+{
+    return settings_.tag_ + "-" + std::to_string(started_);
+}
+
+client::client()
+{
+    coap_startup();
+    context_ = coap_new_context(nullptr);
+    if (context_ == nullptr)
+    {
+        throw std::runtime_error("libcoap made no context");
+    }
+    coap_context_set_block_mode(context_, COAP_BLOCK_USE_LIBCOAP |
+                                              COAP_BLOCK_SINGLE_BODY);
+    coap_register_response_handler(context_, on_response);
+    coap_register_nack_handler(context_, on_nack);
+}
+
+client::~client()
+{
+    sessions_.clear();
+    coap_free_context(context_);
+    coap_cleanup();
+}
+
+void client::add(session_settings settings, tally& counts)
+{
+    sessions_.push_back(std::make_unique<client_session>(
+        *context_, std::move(settings), counts));
+}
+
+bool client::run(duration limit)
+{
+    const instant end = read_monotonic_clock() + limit;
+    while (read_monotonic_clock() < end)
+    {
+        bool all_done = true;
+        for (const auto& session : sessions_)
+        {
+            session->next();
+            all_done = all_done && session->done();
+        }
+        if (all_done)
+        {
+            return true;
+        }
+        coap_io_process(context_, step_ms);
+    }
+    return false;
+}
+
+} // namespace galenafork::standin
