--- /dev/null
+++ b/testsuite/demo/demo.py
@@ -0,0 +1,202 @@
+"""The main job on loopback: callers send through fabric, balancers and agents
+to the workshop's services, while parts fail and are replaced if asked to.
+Closes with one line of totals; exit status 1 if any request was broken, ran
+twice or reached another service."""
+
+import argparse
+import collections
+import pathlib
+import random
+import re
+import shutil
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "lib"))
+
+# pylint: disable=wrong-import-position
+from processes import Failed, Processes  # noqa: E402
+from system import ECHO, ORDERS, PHOTOS, System  # noqa: E402
+
+BALANCERS = 3
+ORDERS_INSTANCES = 3
+PHOTOS_INSTANCES = 2
+ECHO_INSTANCES = 2
+# How long the fabric goes on sending to a balancer that died.
+FABRIC_NOTICES_SECONDS = 0.5
+CALLERS_END_SECONDS = 60
+FIELDS = ("sent", "answered", "refused", "broken", "misdelivered")
+
+
+def read_arguments():
+    """The command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--binaries", required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--duration", type=float, default=10,
+                        help="seconds that callers send for")
+    parser.add_argument("--faults", action="store_true",
+                        help="kill and replace balancers and instances")
+    parser.add_argument("--loss", type=int, default=0,
+                        help="permille of datagrams that the fabric loses")
+    parser.add_argument("--keep", help="copy all logs to this folder")
+    return parser.parse_args()
+
+
+def start(system, loss):
+    """Starts everything but the callers."""
+    system.start_platform()
+    system.apply_rules()
+    wanted = ((ORDERS, ORDERS_INSTANCES), (PHOTOS, PHOTOS_INSTANCES),
+              (ECHO, ECHO_INSTANCES))
+    for service, count in wanted:
+        for _ in range(count):
+            system.start_instance(service)
+    for _ in range(BALANCERS):
+        system.start_balancer()
+    for instance in system.instances:
+        system.wait_for_instance(instance)
+    for balancer in system.balancers:
+        system.wait_for_balancer(balancer)
+    system.start_fabric("--drop-permille", loss, "--trace-permille", 5)
+
+
+class Faults:
+    """Kills and replaces parts in turn, in an order that the seed gives."""
+
+    def __init__(self, system, seed):
+        self._system = system
+        self._random = random.Random(seed)
+        self._queue = []
+        self.done = collections.Counter()
+
+    def step(self):
+        """Does the next fault."""
+        if not self._queue:
+            self._queue = [self.kill_balancer, self.roll_balancer,
+                           self.roll_instance, self.roll_both]
+            self._random.shuffle(self._queue)
+        action = self._queue.pop()
+        print(f"demo: {action.__name__}", flush=True)
+        action()
+        self.done[action.__name__] += 1
+
+    def kill_balancer(self):
+        """A balancer dies; the fabric notices later; a new one joins."""
+        self._system.kill_balancer(self._pick(self._system.balancers))
+        time.sleep(FABRIC_NOTICES_SECONDS)
+        self._system.list_balancers()
+        self._join_balancer()
+
+    def roll_balancer(self):
+        """A balancer is replaced in good order."""
+        old = self._pick(self._system.balancers)
+        self._join_balancer()
+        self._system.stop_balancer(old)
+
+    def roll_instance(self):
+        """An upstream and its agent are replaced in good order."""
+        old = self._pick(self._system.instances)
+        self._join_instance(old.service)
+        if not self._system.drain_instance(old):
+            raise Failed(f"{old.name} did not drain in time")
+
+    def roll_both(self):
+        """A balancer is killed in the middle of an instance's change."""
+        old = self._pick(self._system.instances)
+        self._join_instance(old.service)
+        self.kill_balancer()
+        if not self._system.drain_instance(old):
+            raise Failed(f"{old.name} did not drain in time")
+
+    def _pick(self, parts):
+        return parts[self._random.randrange(len(parts))]
+
+    def _join_balancer(self):
+        balancer = self._system.start_balancer()
+        self._system.wait_for_balancer(balancer)
+        self._system.list_balancers()
+
+    def _join_instance(self, service):
+        self._system.wait_for_instance(self._system.start_instance(service))
+
+
+def run_callers(system, arguments):
+    """Lets callers send for the duration; returns the callers' totals."""
+    callers = [
+        system.start_callers(
+            arguments.duration, "--status-flows", 12, "--intake-flows", 12,
+            "--photo-flows", 8, "--udp-flows", 8,
+            "--photo-life-ms", int(arguments.duration * 1000)
+            if not arguments.faults else 8000),
+        system.start_libcoap_callers(arguments.duration + CALLERS_END_SECONDS),
+    ]
+    end = time.monotonic() + arguments.duration
+    faults = Faults(system, arguments.seed)
+    while arguments.faults and time.monotonic() < end:
+        faults.step()
+    if faults.done:
+        print("demo: faults " + " ".join(
+            f"{name}={count}" for name, count in sorted(faults.done.items())))
+    totals = collections.Counter()
+    left = max(0.0, end - time.monotonic()) + CALLERS_END_SECONDS
+    for process in callers:
+        if process.wait(left) is None:
+            raise Failed(f"{process.name} did not end")
+        totals.update(read_totals(process))
+    return totals
+
+
+def read_totals(process):
+    """The numbers in a caller's last line."""
+    lines = [line for line in process.text().splitlines()
+             if line.startswith("caller ")]
+    if not lines:
+        raise Failed(f"{process.name} printed no totals")
+    pairs = dict(re.findall(r"(\w+)=(\d+)", lines[-1]))
+    return {field: int(pairs[field]) for field in FIELDS}
+
+
+def check_ledgers(system, totals):
+    """Compares what callers were told with what upstreams did."""
+    runs = collections.Counter()
+    for ledger in system.ledgers():
+        runs.update(ledger.read_text().split())
+    totals["doubled"] = sum(1 for count in runs.values() if count > 1)
+    for intake, state in system.intakes().items():
+        if state == "ran" and runs[intake] == 0:
+            print(f"demo: {intake} was answered but never ran")
+            totals["broken"] += 1
+        if state == "did_not_run" and runs[intake] > 0:
+            print(f"demo: {intake} was refused as not run but ran")
+            totals["broken"] += 1
+
+
+def main():
+    """Runs the demo; returns the exit status."""
+    arguments = read_arguments()
+    folder = tempfile.mkdtemp(prefix="galena-demo-")
+    try:
+        with Processes(folder) as processes:
+            system = System(arguments.binaries, processes, arguments.seed,
+                            (ORDERS, PHOTOS, ECHO))
+            start(system, arguments.loss)
+            totals = run_callers(system, arguments)
+            check_ledgers(system, totals)
+    except Failed as failure:
+        print(f"demo: failed: {failure}", file=sys.stderr)
+        return 1
+    finally:
+        if arguments.keep:
+            shutil.copytree(folder, arguments.keep, dirs_exist_ok=True)
+        shutil.rmtree(folder)
+    print("demo: " + " ".join(
+        f"{field}={totals[field]}" for field in
+        ("sent", "answered", "refused", "broken", "doubled", "misdelivered")))
+    bad = totals["broken"] + totals["doubled"] + totals["misdelivered"]
+    return 0 if bad == 0 and totals["answered"] > 0 else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
