--- /dev/null
+++ b/src/galenactl/rules_commands.cpp
@@ -0,0 +1,99 @@
+#include <galenactl/commands.h>
+#include <galenactl/report.h>
+#include <galenafork/program_options.h>
+
+#include <iostream>
+
+namespace galenafork::ctl
+{
+
+tl::expected<rules_in_force, error> read_rules_in_force(session& s)
+{
+    auto read = s.wait(s.store().get(rules_object_name));
+    if (!read)
+    {
+        return tl::unexpected(std::move(read.error()));
+    }
+    auto object = rules_object_from_json(read->value_);
+    if (!object)
+    {
+        return tl::unexpected(std::move(object.error()));
+    }
+    return rules_in_force{read->version_, std::move(*object)};
+}
+
+exit_status check_rules(const arguments& given)
+{
+    const std::string& file = given.words_[2];
+    const auto text = read_text_file(file);
+    if (!text)
+    {
+        return fail(given, exit_status::bad_rules, text.error().message_);
+    }
+    const auto parsed = parse_rules(*text);
+    if (!parsed)
+    {
+        return fail(given, file, parsed.error());
+    }
+    json rules = json::array();
+    for (const rule& r : parsed->rules_)
+    {
+        rules.push_back(to_json(r));
+    }
+    print(given,
+          file + ": " + std::to_string(parsed->rules_.size()) + " rules\n",
+          {{"rules", rules}});
+    return exit_status::success;
+}
+
+exit_status show_rules(const arguments& given, session& s)
+{
+    const auto current = read_rules_in_force(s);
+    if (!current)
+    {
+        return fail(given, current.error());
+    }
+    const rules_object& object = current->object_;
+    const rules_version version(
+        given.version_.value_or(object.version_.value()));
+    const auto text = text_at(object, version);
+    if (!text)
+    {
+        return fail(given, text.error());
+    }
+    // Only the file itself, so that it can be edited and applied.
+    print(given, *text, {{"version", version.value()}, {"text", *text}});
+    if (!given.json_)
+    {
+        std::cerr << "version " << version.value() << '\n';
+    }
+    return exit_status::success;
+}
+
+exit_status show_history(const arguments& given, session& s)
+{
+    const auto current = read_rules_in_force(s);
+    if (!current)
+    {
+        return fail(given, current.error());
+    }
+    std::string text;
+    json list = json::array();
+    for (const rules_history_entry& e : current->object_.history_)
+    {
+        text += std::to_string(e.version_.value()) + "  " + e.time_ + "  " +
+                e.author_ + "  +" + std::to_string(e.edit_.added_.size()) +
+                " -" + std::to_string(e.edit_.removed_.size()) + " lines\n";
+        list.push_back({{"version", e.version_.value()},
+                        {"time", e.time_},
+                        {"author", e.author_},
+                        {"write_id", e.write_.value()},
+                        {"first_line", e.edit_.first_line_ + 1},
+                        {"removed", e.edit_.removed_},
+                        {"added", e.edit_.added_}});
+    }
+    print(given, text, {{"history", list}});
+    return exit_status::success;
+}
+
+} // namespace galenafork::ctl
--- a/src/include/galenafork/platform.h
+++ b/src/include/galenafork/platform.h
@@ -73,8 +73,8 @@
     write_outcome outcome_ = write_outcome::unknown;
     /// For `accepted`: the object's version when the write was seen in it.
     object_version version_;
-    /// The object in force that was read to tell. Always there when another
-    /// writer won; after `unknown` only if something could be read.
+    /// The object in force that was read to tell, if it could be read: the
+    /// winner's if another writer won.
     std::optional<platform_object> current_;
     /// Why, unless accepted: `conflict` if another writer won.
     error reason_;
--- a/src/include/galenafork/rules.h
+++ b/src/include/galenafork/rules.h
@@ -42,6 +42,8 @@
     std::string requested_by_;
     /// Line in the file, from 1; not part of the comparison.
     std::size_t line_ = 0;
+    /// Column of the service's name, from 1; not part of the comparison.
+    std::size_t service_column_ = 0;
 
     friend bool operator==(const rule& a, const rule& b)
     {
--- a/src/libplatform/call_policy.cpp
+++ b/src/libplatform/call_policy.cpp
@@ -152,11 +152,13 @@
 {
     if (now >= progress.deadline_)
     {
-        return give_up(error_code::timed_out, "deadline passed");
+        return give_up(error_code::timed_out,
+                       "the platform did not answer in time");
     }
     if (!admits(state.breaker_, settings, now))
     {
-        error reason{error_code::unavailable, "circuit breaker is open"};
+        error reason{error_code::unavailable,
+                     "the platform does not answer (circuit breaker is open)"};
         if (!progress.must_settle_)
         {
             return {call_step::give_up, {}, std::move(reason)};
@@ -170,7 +172,8 @@
                  : duration::zero();
     if (retry_wait > duration::zero() && !progress.must_settle_)
     {
-        return give_up(error_code::refused, "retry budget is spent");
+        return give_up(error_code::refused,
+                       "the platform does not answer (retry budget is spent)");
     }
     const duration wait =
         std::max(retry_wait, time_to_token(state.calls_, settings.calls_, now));
--- a/src/libplatform/platform_client.cpp
+++ b/src/libplatform/platform_client.cpp
@@ -255,19 +255,21 @@
 platform_client::impl::judge_read(const write_ptr& write, const call_ptr& call,
                                   answer_or_error answer)
 {
-    const auto unless_read = write->progress_.may_have_run_
-                                 ? write_outcome::unknown
-                                 : write_outcome::not_accepted;
-    if (!answer)
+    const error conflict{error_code::conflict, "another writer came first"};
+    if (!answer && write->progress_.may_have_run_)
     {
-        return settled(*write, unless_read, std::nullopt,
+        return settled(*write, write_outcome::unknown, std::nullopt,
                        std::move(answer.error()));
     }
+    if (!answer)
+    {
+        return settled(*write, write_outcome::not_accepted, std::nullopt,
+                       conflict);
+    }
     auto object = pvt::read_object(write->name_, answer->body_);
     const auto meaning = object && answer->status_ == status_ok
                              ? pvt::judge_read_back(write->progress_, *object)
                              : pvt::read_back_meaning::stale;
-    const error conflict{error_code::conflict, "another writer came first"};
     switch (meaning)
     {
     case pvt::read_back_meaning::accepted:
--- a/src/librules/rules.cpp
+++ b/src/librules/rules.cpp
@@ -25,6 +25,7 @@
     const std::size_t address_column = reader.next_column();
     const bool has_address = reader.read_address(r.address_, errors);
     reader.read_arrow(errors);
+    r.service_column_ = reader.next_column();
     reader.read_service(r.service_, errors);
     reader.read_end(errors);
     reader.read_comment(r.requested_by_, errors);
--- a/src/librules/rules_test.cpp
+++ b/src/librules/rules_test.cpp
@@ -70,6 +70,7 @@
     REQUIRE(parsed->rules_.size() == 2);
     CHECK(parsed->rules_[0].requested_by_ == "Jana, office");
     CHECK(parsed->rules_[0].line_ == 3);
+    CHECK(parsed->rules_[0].service_column_ == 22);
     CHECK(parsed->rules_[1].kind_ == rule_kind::coap);
     CHECK(parsed->rules_[1].requested_by_ == "Piotr");
     CHECK(parsed->text_ == text);
