--- a/testsuite/operators/race.py
+++ b/testsuite/operators/race.py
@@ -54,7 +54,7 @@
         process = operator.start("rules", "apply", path, "--new-services",
                                  "--base", str(shown["version"]))
         if self.random.random() < KILL_SHARE:
-            time.sleep(self.random.uniform(0, 0.03))
+            time.sleep(self.random.uniform(0, 0.015))
             process.kill()
         _, out = finish(process)
         if out:
