--- a/src/galena_agent/upstream_flows.cpp
+++ b/src/galena_agent/upstream_flows.cpp
@@ -53,8 +53,8 @@
 bool upstream_flows::send(const flow_key& flow, const byte_buffer& bytes)
 {
     const flow_socket* socket = open(flow);
-    return socket != nullptr && ::send(socket->fd_.get(), datagram.data(),
-                                       datagram.size(), MSG_DONTWAIT) >= 0;
+    return socket != nullptr && ::send(socket->fd_.get(), bytes.data(),
+                                       bytes.size(), MSG_DONTWAIT) >= 0;
 }
 
 void upstream_flows::receive(const flow_key& flow, int fd)
--- a/src/libbalancer/routing_test.cpp
+++ b/src/libbalancer/routing_test.cpp
@@ -64,8 +64,9 @@
 TEST_CASE("packets of retired rules are for established flows only")
 {
     spread_state state;
-    auto rules = *rules_from(rules_version(1), "", "udp 10.9.0.1:5683 -> "
-                                                   "service-0 # J\n");
+    auto rules = *rules_from(rules_version(1), "",
+                             "udp 10.9.0.1:5683 -> "
+                             "service-0 # J\n");
     merge(state, rules);
     merge(state, make_roster(make_service(0), 2));
     const auto decision =
@@ -82,8 +83,8 @@
     forwarder f(notices, trace_source(1, 1));
     const flow_key flow = make_flow(1, 5);
     const byte_buffer payload{1, 2, 3};
-    const byte_buffer in = make_proxy_datagram(
-        {flow.caller_, flow.service_address_, {}}, payload);
+    const byte_buffer in =
+        make_proxy_datagram({flow.caller_, flow.service_address_, {}}, payload);
     std::vector<std::uint64_t> out(max_datagram_bytes / 8);
     auto* bytes = reinterpret_cast<std::uint8_t*>(out.data());
 
--- a/src/libbalancer/samples.h
+++ b/src/libbalancer/samples.h
@@ -19,10 +19,8 @@
     m.instance_ = instance_id("m-" + std::to_string(i));
     m.incarnation_ = incarnation(life);
     m.data_centre_ = data_centre("dc-" + std::to_string(i % 3));
-    m.packets_ = {make_v4(10, 0, 0, 1),
-                  static_cast<std::uint16_t>(10'000 + i)};
-    m.control_ = {make_v4(10, 0, 0, 2),
-                  static_cast<std::uint16_t>(10'000 + i)};
+    m.packets_ = {make_v4(10, 0, 0, 1), static_cast<std::uint16_t>(10'000 + i)};
+    m.control_ = {make_v4(10, 0, 0, 2), static_cast<std::uint16_t>(10'000 + i)};
     m.slots_ = slot_count(3);
     m.state_ = member_state::serving;
     return m;
@@ -74,8 +72,8 @@
     std::vector<rule> rules;
     for (std::size_t i = 0; i < count; ++i)
     {
-        rules.push_back({make_address(i), rule_kind::udp, make_service(i),
-                         "Jana", i + 1});
+        rules.push_back(
+            {make_address(i), rule_kind::udp, make_service(i), "Jana", i + 1});
     }
     return *rules_from(rules_version(version), print_rules(rules), "");
 }
--- a/src/libbalancer/spread_test.cpp
+++ b/src/libbalancer/spread_test.cpp
@@ -31,9 +31,9 @@
         step(make_join(i));
     }
     const auto gone = static_cast<std::uint16_t>(seed % 5);
-    updates.emplace_back(
-        lapsed_update{r.service_, {{make_member(gone).instance_,
-                                    make_member(gone).incarnation_}}});
+    updates.emplace_back(lapsed_update{
+        r.service_,
+        {{make_member(gone).instance_, make_member(gone).incarnation_}}});
     step(make_remove(gone));
     step(make_join(gone, 2));
     return updates;
@@ -194,8 +194,8 @@
 {
     spread_state state;
     merge(state, make_roster(make_service(0), 3));
-    lapsed_update update{make_service(0), {{instance_id("m-1"),
-                                            incarnation(1)}}};
+    lapsed_update update{make_service(0),
+                         {{instance_id("m-1"), incarnation(1)}}};
     for (std::uint64_t i = 0; i < 10 * max_lapsed_lives; ++i)
     {
         update.lives_.push_back({instance_id("a-gone"), incarnation(i)});
