Promises under failure as real processes; three faults found by them mended

A member that skipped epochs took a member that had drained and left for a lost one. A joiner whose write's answer was lost held buckets before it ran; later, itself removed, it asked the platform to remove its peers. Members now join without buckets and get them once they hold a lease; only a present member may have another removed; a member that nobody acks reads the roster. - agents aborted at the end of a drain: the loop outlived the mailbox it watches. The loop now drops its tasks when it stops; a drain that does not exit with 0 fails every case. Ruled out: longer leases for joiners (the lost answer may take any time).

--- a/src/galena_agent/agent_app.cpp
+++ b/src/galena_agent/agent_app.cpp
@@ -55,9 +55,9 @@
 agent_app::agent_app(const agent_config& config,
                      std::unique_ptr<metrics_registry> metrics,
                      std::unique_ptr<control_loop> loop, unique_fd packets)
-    : config_(config), metrics_(std::move(metrics)), loop_(std::move(loop)),
+    : config_(config), metrics_(std::move(metrics)),
       random_(std::random_device{}()), spans_(span_queue_size),
-      mail_(mailbox_size),
+      mail_(mailbox_size), loop_(std::move(loop)),
       platform_(config.platform_,
                 {loop_->timer(), loop_->io().provider->getNetwork(),
                  read_monotonic_clock,
@@ -124,6 +124,7 @@
 void agent_app::rejoin()
 {
     joined_ = false;
+    serving_ = false;
     loop_->add_task("join", join());
 }
 
@@ -143,7 +144,7 @@
 kj::Promise<void> agent_app::try_to_join()
 {
     const roster_change change{
-        roster_change_kind::join, self_as(member_state::serving), {}};
+        roster_change_kind::join, self_as(member_state::joining), {}};
     return membership_.change(change).then(
         [this](change_result result) -> kj::Promise<void>
         {
@@ -165,6 +166,38 @@
         });
 }
 
+// A member gets buckets only once it runs and holds its lease: were the answer
+// to its joining write lost, nothing would depend on it meanwhile.
+void agent_app::start_serving()
+{
+    serving_ = true;
+    loop_->add_task("serve", try_to_serve(incarnation_));
+}
+
+kj::Promise<void> agent_app::try_to_serve(incarnation life)
+{
+    if (!joined_ || draining_ || life != incarnation_)
+    {
+        return kj::READY_NOW;
+    }
+    const roster_change change{
+        roster_change_kind::join, self_as(member_state::serving), {}};
+    return membership_.change(change, instance_life{config_.instance_, life})
+        .then(
+            [this, life](const change_result& result) -> kj::Promise<void>
+            {
+                const bool settled =
+                    result || result.error().code_ == error_code::conflict ||
+                    result.error().code_ == error_code::refused;
+                if (settled)
+                {
+                    return kj::READY_NOW;
+                }
+                return wait(join_retry)
+                    .then([this, life] { return try_to_serve(life); });
+            });
+}
+
 // One member of each service watches the platform; the others learn of a new
 // epoch from its messages.
 kj::Promise<void> agent_app::keep_watching()
@@ -184,6 +217,11 @@
         const bool renewed =
             report->incarnation_ == next_incarnation(incarnation_);
         incarnation_ = renewed ? report->incarnation_ : incarnation_;
+        const bool current = report->incarnation_ == incarnation_;
+        if (joined_ && !serving_ && current && report->holds_lease_)
+        {
+            start_serving();
+        }
     }
     else if (std::holds_alternative<fetch_roster>(mail))
     {
@@ -209,17 +247,19 @@
     const roster_change change{roster_change_kind::remove, lost, {}};
     loop_->add_task(
         "remove",
-        membership_.change(change).then(
-            [life](change_result result)
-            {
-                // Another member's removal may have come first.
-                if (result)
+        membership_
+            .change(change, instance_life{config_.instance_, incarnation_})
+            .then(
+                [life](const change_result& result)
                 {
-                    log_event(log_level::warning, "member_removed",
-                              {{"instance", life.instance_.value()},
-                               {"epoch", result->roster_.epoch_.value()}});
-                }
-            }));
+                    // Another member's removal may have come first.
+                    if (result)
+                    {
+                        log_event(log_level::warning, "member_removed",
+                                  {{"instance", life.instance_.value()},
+                                   {"epoch", result->roster_.epoch_.value()}});
+                    }
+                }));
 }
 
 kj::Promise<void> agent_app::drain()
@@ -271,7 +311,7 @@
         return kj::READY_NOW;
     }
     const roster_change change{
-        roster_change_kind::remove, self_as(member_state::draining), {}};
+        roster_change_kind::leave, self_as(member_state::draining), {}};
     return membership_.change(change).then(
         [this](change_result result) -> kj::Promise<void>
         {
@@ -300,6 +340,10 @@
     {
         return {false, "no lease from a watcher"};
     }
+    if (!report_.serving_)
+    {
+        return {false, "joining"};
+    }
     if (report_.open_homes_ < report_.homes_)
     {
         return {false, "directory incomplete"};
--- a/src/galena_agent/agent_app.h
+++ b/src/galena_agent/agent_app.h
@@ -40,6 +40,8 @@
 
     kj::Promise<void> join();
     kj::Promise<void> try_to_join();
+    void start_serving();
+    kj::Promise<void> try_to_serve(incarnation life);
     kj::Promise<void> keep_watching();
     kj::Promise<void> drain();
     kj::Promise<void> begin_drain();
@@ -56,10 +58,11 @@
 
     agent_config config_;
     std::unique_ptr<metrics_registry> metrics_;
-    std::unique_ptr<control_loop> loop_;
     std::mt19937_64 random_;
     span_queue spans_;
     mailbox<control_mail> mail_;
+    // After the mailbox, which the loop watches.
+    std::unique_ptr<control_loop> loop_;
     platform_client platform_;
     membership membership_;
     agent_worker worker_;
@@ -67,6 +70,8 @@
     incarnation incarnation_;
     agent_report report_;
     bool joined_ = false;
+    /// The roster lets this life hold buckets, or is being asked to.
+    bool serving_ = false;
     bool draining_ = false;
 };
 
--- a/src/galena_agent/agent_mail.h
+++ b/src/galena_agent/agent_mail.h
@@ -31,6 +31,8 @@
     incarnation incarnation_;
     epoch epoch_;
     bool holds_lease_ = false;
+    /// The roster lets this agent open flows.
+    bool serving_ = false;
     bool fenced_ = false;
     bool may_leave_ = false;
     /// First among the live members: the one that watches the platform.
--- a/src/galena_agent/agent_worker.cpp
+++ b/src/galena_agent/agent_worker.cpp
@@ -52,8 +52,8 @@
       on_tick_([this] { take_tick(); }),
       reactor_(new ACE_Dev_Poll_Reactor, true),
       upstreams_(config.upstream_, reactor_,
-                 [this](const flow_key& flow, byte_buffer answer)
-                 { take_upstream(flow, std::move(answer)); })
+                 [this](const flow_key& flow, const byte_buffer& answer)
+                 { take_upstream(flow, answer); })
 {
     watch(packets_.get(), on_packets_);
     watch(inbox_.fd(), on_inbox_);
@@ -333,7 +333,8 @@
     upstreams_.send(flow, upstream_payload(action, trace));
 }
 
-void agent_worker::take_upstream(const flow_key& flow, byte_buffer answer)
+void agent_worker::take_upstream(const flow_key& flow,
+                                 const byte_buffer& answer)
 {
     metrics_.answers_.add();
     const auto owned = state_->owned_.find(flow);
@@ -441,6 +442,8 @@
     r.epoch_ = state_->view_.roster_.epoch_;
     r.holds_lease_ = holds_lease(state_->lease_, state_->view_,
                                  config_.decisions_.lease_, now);
+    const member* self = find_life(state_->view_, state_->self_);
+    r.serving_ = self != nullptr && self->state_ == member_state::serving;
     r.fenced_ = state_->fenced_;
     r.may_leave_ = may_leave(*state_);
     r.is_first_ = std::all_of(peers.begin(), peers.end(),
--- a/src/galena_agent/agent_worker.h
+++ b/src/galena_agent/agent_worker.h
@@ -58,7 +58,7 @@
     void take_datagram(const datagram_view& in);
     void take_packet(forwarded_packet packet);
     void take_tick();
-    void take_upstream(const flow_key& flow, byte_buffer answer);
+    void take_upstream(const flow_key& flow, const byte_buffer& answer);
     void finish_request(const flow_key& flow, const byte_buffer& answer);
     void begin(const begin_life& life);
     void act(const agent_actions& actions);
--- a/src/galena_agent/membership.cpp
+++ b/src/galena_agent/membership.cpp
@@ -19,6 +19,12 @@
     return r;
 }
 
+bool is_member(const roster& r, const instance_life& life)
+{
+    const member* found = find_member(r, life.instance_);
+    return found != nullptr && found->incarnation_ == life.incarnation_;
+}
+
 } // namespace
 
 membership::membership(const service_name& service,
@@ -75,55 +81,57 @@
             });
 }
 
-kj::Promise<change_result> membership::change(roster_change wanted)
+kj::Promise<change_result>
+membership::change(roster_change wanted, std::optional<instance_life> requester)
 {
-    wanted.write_ = make_write_id(needs_.random_(), needs_.random_());
-    return try_change(std::move(wanted), 0);
+    return try_change(request{std::move(wanted), std::move(requester), 0});
 }
 
-kj::Promise<change_result> membership::try_change(roster_change wanted,
-                                                  int attempt)
+kj::Promise<change_result> membership::try_change(request r)
 {
     return needs_.store_.get(object_).then(
-        [this, wanted = std::move(wanted),
-         attempt](tl::expected<platform_object, error> read) mutable
+        [this,
+         r = std::move(r)](tl::expected<platform_object, error>&& read) mutable
         -> kj::Promise<change_result>
         {
             if (!read && read.error().code_ == error_code::not_found)
             {
-                return write(std::move(wanted), empty_roster(service_),
-                             no_object, attempt);
+                return write(std::move(r), empty_roster(service_), no_object);
             }
             if (!read)
             {
                 return change_result(tl::unexpected(read.error()));
             }
-            auto current = roster_from_json(read->value_);
+            take(*read);
+            const auto current = roster_from_json(read->value_);
             if (!current)
             {
                 return change_result(tl::unexpected(current.error()));
             }
-            return write(std::move(wanted), std::move(*current), read->version_,
-                         attempt);
+            return write(std::move(r), *current, read->version_);
         });
 }
 
-kj::Promise<change_result> membership::write(roster_change wanted,
-                                             roster current,
-                                             object_version version,
-                                             int attempt)
+kj::Promise<change_result> membership::write(request r, const roster& current,
+                                             object_version version)
 {
-    auto next = apply(current, wanted);
+    if (r.requester_ && !is_member(current, *r.requester_))
+    {
+        return change_result(tl::unexpected(
+            error{error_code::refused, "the requester is no member"}));
+    }
+    r.wanted_.write_ = make_write_id(needs_.random_(), needs_.random_());
+    auto next = apply(current, r.wanted_);
     if (!next)
     {
         return change_result(tl::unexpected(next.error()));
     }
     const instant sent = read_monotonic_clock();
-    object_write update{object_, version, to_json(*next), wanted.write_};
+    object_write update{object_, version, to_json(*next), r.wanted_.write_};
     return needs_.store_.put_if(std::move(update))
         .then(
-            [this, wanted = std::move(wanted), next = std::move(*next), sent,
-             attempt](write_result result) mutable -> kj::Promise<change_result>
+            [this, r = std::move(r), next = std::move(*next),
+             sent](write_result&& result) mutable -> kj::Promise<change_result>
             {
                 switch (result.outcome_)
                 {
@@ -131,7 +139,7 @@
                     needs_.on_roster_(next);
                     return change_result(written_change{std::move(next), sent});
                 case write_outcome::not_accepted:
-                    return try_again(std::move(wanted), attempt + 1);
+                    return try_again(std::move(r));
                 case write_outcome::unknown:
                     break;
                 }
@@ -140,20 +148,18 @@
             });
 }
 
-kj::Promise<change_result> membership::try_again(roster_change wanted,
-                                                 int attempt)
+kj::Promise<change_result> membership::try_again(request r)
 {
-    if (attempt >= max_attempts)
+    if (++r.attempt_ >= max_attempts)
     {
         return change_result(tl::unexpected(
             error{error_code::conflict, "other writers kept coming first"}));
     }
-    wanted.write_ = make_write_id(needs_.random_(), needs_.random_());
     const auto pause =
         (1 + needs_.random_() % longest_pause_ms) * kj::MILLISECONDS;
     return needs_.timer_.afterDelay(pause).then(
-        [this, wanted = std::move(wanted), attempt]() mutable
-        { return try_change(std::move(wanted), attempt); });
+        [this, r = std::move(r)]() mutable
+        { return try_change(std::move(r)); });
 }
 
 } // namespace galenafork
--- a/src/galena_agent/membership.h
+++ b/src/galena_agent/membership.h
@@ -48,7 +48,9 @@
     /// was first. Fails with `not_found` or `conflict` if the change does not
     /// apply, `unavailable`, `timed_out` or `unknown_outcome` if the platform
     /// did not settle it.
-    kj::Promise<change_result> change(roster_change wanted);
+    /// With a `requester`, fails with `refused` unless that life is a member.
+    kj::Promise<change_result>
+    change(roster_change wanted, std::optional<instance_life> requester = {});
 
     /// Reads the roster, if no read is under way.
     void fetch();
@@ -57,10 +59,17 @@
     kj::Promise<void> watch(duration wait);
 
 private:
-    kj::Promise<change_result> try_change(roster_change wanted, int attempt);
-    kj::Promise<change_result> write(roster_change wanted, roster current,
-                                     object_version version, int attempt);
-    kj::Promise<change_result> try_again(roster_change wanted, int attempt);
+    struct request
+    {
+        roster_change wanted_;
+        std::optional<instance_life> requester_;
+        int attempt_ = 0;
+    };
+
+    kj::Promise<change_result> try_change(request r);
+    kj::Promise<change_result> write(request r, const roster& current,
+                                     object_version version);
+    kj::Promise<change_result> try_again(request r);
     void take(const platform_object& object);
 
     service_name service_;
--- a/src/galena_agent/upstream_flows.h
+++ b/src/galena_agent/upstream_flows.h
@@ -24,7 +24,7 @@
 public:
     /// Called with each datagram that the upstream sends on a flow's socket.
     using receiver =
-        std::function<void(const flow_key& flow, byte_buffer bytes)>;
+        std::function<void(const flow_key& flow, const byte_buffer& bytes)>;
 
     /// `reactor` must outlive this.
     upstream_flows(const endpoint& upstream, ACE_Reactor& reactor,
--- a/src/include/galenafork/agent_core.h
+++ b/src/include/galenafork/agent_core.h
@@ -202,6 +202,8 @@
     std::optional<instant> last_heartbeat_;
     /// Last search for idle flows and expired entries.
     std::optional<instant> last_sweep_;
+    /// Last request for a newer roster because the lease is missing.
+    std::optional<instant> last_fetch_;
     /// Last requests to remove a member.
     std::map<instance_life, instant> removals_asked_;
 };
@@ -266,7 +268,8 @@
     epoch at_least_;
 };
 
-/// The control thread is to remove a member from the roster.
+/// The control thread is to remove a member from the roster, if this agent is
+/// a member itself in the newest one.
 struct request_removal
 {
     instance_life life_;
--- a/src/include/galenafork/roster.h
+++ b/src/include/galenafork/roster.h
@@ -84,8 +84,14 @@
     /// The writes that made the latest epochs, newest first, at most
     /// `max_recent_writes`; they settle lost answers.
     std::vector<write_id> recent_writes_;
+    /// Lives that left in good order, newest first, at most `max_left`: whoever
+    /// skipped epochs tells them from lost ones.
+    std::vector<instance_life> left_;
 };
 
+/// Departures that a roster remembers.
+inline constexpr std::size_t max_left = 32;
+
 /// Writes that a roster remembers.
 inline constexpr std::size_t max_recent_writes = 16;
 
@@ -98,8 +104,10 @@
     drain,
     /// Makes a draining member serving again.
     undrain,
-    /// Removes the member: it left, or its lease lapsed.
+    /// Removes a member that is lost.
     remove,
+    /// Removes a draining member that has no flow and no request left.
+    leave,
 };
 
 /// One change of a roster.
--- a/src/libbalancer/change_between.cpp
+++ b/src/libbalancer/change_between.cpp
@@ -33,11 +33,15 @@
 }
 
 /// The step that changed member `was` (null: new) to `is` (null: gone).
-std::optional<roster_change_kind> kind_of(const member* was, const member* is)
+std::optional<roster_change_kind> kind_of(const roster& after,
+                                          const member* was, const member* is)
 {
     if (is == nullptr)
     {
-        return roster_change_kind::remove;
+        const bool left = !after.left_.empty() &&
+                          after.left_.front().instance_ == was->instance_ &&
+                          after.left_.front().incarnation_ == was->incarnation_;
+        return left ? roster_change_kind::leave : roster_change_kind::remove;
     }
     if (was == nullptr || was->incarnation_ != is->incarnation_)
     {
@@ -68,7 +72,7 @@
     const auto attempt = [&](const member* was,
                              const member* is) -> std::optional<service_change>
     {
-        const auto kind = kind_of(was, is);
+        const auto kind = kind_of(after, was, is);
         if (!kind)
         {
             return std::nullopt;
--- a/src/libbalancer/spread_codec.cpp
+++ b/src/libbalancer/spread_codec.cpp
@@ -124,8 +124,7 @@
     const auto kind = static_cast<roster_change_kind>(in.getKind());
     auto changed = read_member(in.getMember());
     const auto service = name_of<service_name>(in.getService());
-    if (!changed || kind > roster_change_kind::remove ||
-        service.value().empty())
+    if (!changed || kind > roster_change_kind::leave || service.value().empty())
     {
         return bad("bad roster change");
     }
--- a/src/libdaemon/control_loop.cpp
+++ b/src/libdaemon/control_loop.cpp
@@ -55,7 +55,7 @@
     explicit state(const metrics_registry& metrics)
         : io_(set_up_io()), service_(headers_, metrics),
           server_(io_.provider->getTimer(), headers_, service_),
-          tasks_(failures_)
+          tasks_(kj::heap<kj::TaskSet>(failures_))
     {
         auto pair = kj::newPromiseAndFulfiller<void>();
         stopped_ = kj::mv(pair.promise);
@@ -78,12 +78,12 @@
         }
         stopping_ = true;
         auto drained = drain_ ? drain_() : kj::Promise<void>(kj::READY_NOW);
-        tasks_.add(drained.then([this] { stop_->fulfill(); },
-                                [this](kj::Exception&& failure)
-                                {
-                                    failures_.taskFailed(kj::mv(failure));
-                                    stop_->fulfill();
-                                }));
+        tasks_->add(drained.then([this] { stop_->fulfill(); },
+                                 [this](kj::Exception&& failure)
+                                 {
+                                     failures_.taskFailed(kj::mv(failure));
+                                     stop_->fulfill();
+                                 }));
     }
 
     void on_signal(int number)
@@ -144,7 +144,7 @@
     kj::Own<kj::ConnectionReceiver> rpc_port_;
     // Declared last, so that what runs in the background goes first.
     std::unique_ptr<capnp::TwoPartyServer> rpc_server_;
-    kj::TaskSet tasks_;
+    kj::Own<kj::TaskSet> tasks_;
 };
 
 control_loop::control_loop(std::unique_ptr<state> s) : state_(std::move(s)) {}
@@ -166,9 +166,9 @@
         return tl::unexpected(
             error{error_code::unavailable, failure.getDescription().cStr()});
     }
-    s->tasks_.add(s->server_.listenHttp(*s->http_port_));
-    s->tasks_.add(s->watch_signal(SIGTERM));
-    s->tasks_.add(s->watch_signal(SIGINT));
+    s->tasks_->add(s->server_.listenHttp(*s->http_port_));
+    s->tasks_->add(s->watch_signal(SIGTERM));
+    s->tasks_->add(s->watch_signal(SIGINT));
     return std::unique_ptr<control_loop>(new control_loop(std::move(s)));
 }
 
@@ -196,7 +196,7 @@
 {
     state_->rpc_server_ =
         std::make_unique<capnp::TwoPartyServer>(kj::mv(bootstrap));
-    state_->tasks_.add(state_->rpc_server_->listen(*state_->rpc_port_));
+    state_->tasks_->add(state_->rpc_server_->listen(*state_->rpc_port_));
 }
 
 void control_loop::set_drain(std::function<kj::Promise<void>()> drain)
@@ -206,12 +206,12 @@
 
 void control_loop::every(duration interval, std::function<void()> act)
 {
-    state_->tasks_.add(state_->repeat(to_kj(interval), std::move(act)));
+    state_->tasks_->add(state_->repeat(to_kj(interval), std::move(act)));
 }
 
 void control_loop::add_task(const std::string& name, kj::Promise<void> task)
 {
-    state_->tasks_.add(task.catch_(
+    state_->tasks_->add(task.catch_(
         [name](kj::Exception&& failure)
         {
             log_event(
@@ -225,7 +225,7 @@
     using observer = kj::UnixEventPort::FdObserver;
     auto watched = kj::heap<observer>(state_->io_.unixEventPort, fd,
                                       observer::OBSERVE_READ);
-    state_->tasks_.add(state_->watch_fd(*watched, std::move(act)));
+    state_->tasks_->add(state_->watch_fd(*watched, std::move(act)));
     state_->observers_.push_back(kj::mv(watched));
 }
 
@@ -267,6 +267,8 @@
 exit_code control_loop::run()
 {
     state_->stopped_.wait(state_->io_.waitScope);
+    // Tasks hold on to what the daemon takes down next.
+    state_->tasks_ = nullptr;
     return exit_code::success;
 }
 
--- a/src/libflow/agent_core.cpp
+++ b/src/libflow/agent_core.cpp
@@ -141,6 +141,20 @@
     }
 }
 
+// A member that nobody acks may have been removed without hearing of it.
+void ask_for_news(agent_state& state, instant now, agent_actions& out)
+{
+    const auto& missing = state.lease_.missing_since_;
+    const duration patience = state.settings_.lease_.lease_length_ / 2;
+    if (!missing || now < *missing + patience ||
+        (state.last_fetch_ && now < *state.last_fetch_ + patience))
+    {
+        return;
+    }
+    state.last_fetch_ = now;
+    out.push_back(fetch_roster{epoch(state.view_.roster_.epoch_.value() + 1)});
+}
+
 void sweep(agent_state& state, instant now, agent_actions& out)
 {
     if (state.last_sweep_ && now < *state.last_sweep_ + sweep_interval)
@@ -270,15 +284,20 @@
     }
 };
 
-// Members that vanished without having drained are as lost as lapsed ones.
+bool has_left(const roster& r, const instance_life& life)
+{
+    return std::find(r.left_.begin(), r.left_.end(), life) != r.left_.end();
+}
+
+// Members that vanished without having left are as lost as lapsed ones.
 std::vector<instance_life> lost_between(const roster& before,
                                         const member_view& after)
 {
     std::vector<instance_life> lost;
     for (const member& m : before.members_)
     {
-        if (m.state_ != member_state::draining &&
-            find_life(after, life_of(m)) == nullptr)
+        if (find_life(after, life_of(m)) == nullptr &&
+            !has_left(after.roster_, life_of(m)))
         {
             lost.push_back(life_of(m));
         }
@@ -459,6 +478,7 @@
     pvt::send_promises(state, now, out);
     pvt::learn_lapsed(state, find_lapsed(state.watch_, state.view_, lease, now),
                       now, out);
+    pvt::ask_for_news(state, now, out);
     pvt::ask_removals(state, now, out);
     pvt::drive_query(state, now, out);
     pvt::drive_syncs(state, now, out);
--- a/src/libflow/agent_test.cpp
+++ b/src/libflow/agent_test.cpp
@@ -25,8 +25,9 @@
 int broken_flows(const service_fixture& service)
 {
     int broken = 0;
-    for (const auto& [flow, served] : service.served_)
+    for (const auto& entry : service.served_)
     {
+        const std::vector<instance_id>& served = entry.second;
         const bool same = std::all_of(served.begin(), served.end(),
                                       [&](const instance_id& id)
                                       { return id == served.front(); });
--- a/src/libflow/roster.cpp
+++ b/src/libflow/roster.cpp
@@ -131,6 +131,25 @@
     return {};
 }
 
+tl::expected<void, error> leave(roster& r, const member& m)
+{
+    const auto at = position_of(r.members_, m.instance_);
+    if (is_present(r.members_, at, m) && at->state_ != member_state::draining)
+    {
+        return tl::unexpected(
+            error{error_code::refused,
+                  "member " + m.instance_.value() + " is not draining"});
+    }
+    auto removed = remove(r, m);
+    if (removed)
+    {
+        r.left_.insert(r.left_.begin(),
+                       instance_life{m.instance_, m.incarnation_});
+        r.left_.resize(std::min(r.left_.size(), max_left));
+    }
+    return removed;
+}
+
 tl::expected<void, error> change_members(roster& r, const roster_change& change)
 {
     switch (change.kind_)
@@ -143,6 +162,8 @@
         return set_state(r, change.member_, member_state::serving);
     case roster_change_kind::remove:
         return remove(r, change.member_);
+    case roster_change_kind::leave:
+        return leave(r, change.member_);
     }
     return {};
 }
--- a/src/libflow/roster_json.cpp
+++ b/src/libflow/roster_json.cpp
@@ -100,6 +100,12 @@
         }
         r.members_.push_back(std::move(*m));
     }
+    for (const json& element : in.at("left"))
+    {
+        r.left_.push_back(
+            instance_life{instance_id(element.at(0).get<std::string>()),
+                          incarnation(element.at(1).get<std::uint64_t>())});
+    }
     const json& homes = in.at("homes");
     const json& deputies = in.at("deputies");
     if (homes.size() != bucket_count || deputies.size() != bucket_count)
@@ -124,7 +130,13 @@
 {
     json out{{"service", r.service_.value()},  {"epoch", r.epoch_.value()},
              {"recent_writes", json::array()}, {"members", json::array()},
-             {"homes", json::array()},         {"deputies", json::array()}};
+             {"left", json::array()},          {"homes", json::array()},
+             {"deputies", json::array()}};
+    for (const instance_life& life : r.left_)
+    {
+        out["left"].push_back(
+            {life.instance_.value(), life.incarnation_.value()});
+    }
     for (const write_id& write : r.recent_writes_)
     {
         out["recent_writes"].push_back(write.value());
--- a/testsuite/lib/processes.py
+++ b/testsuite/lib/processes.py
@@ -1,6 +1,7 @@
 """Processes of one test run: started, waited for and stopped, and nothing
 that this run did not start is ever touched."""
 
+import json
 import os
 import pathlib
 import signal
@@ -13,6 +14,7 @@
 LOOPBACK = "127.0.0.1"
 STOP_SECONDS = 5
 POLL_SECONDS = 0.05
+HTTP_SECONDS = 3
 
 
 class Failed(Exception):
@@ -136,6 +138,24 @@
         return False
 
 
+def get_json(address, path):
+    """The JSON that `http://ADDRESS/PATH` answers."""
+    with urllib.request.urlopen(f"http://{address}{path}",
+                                timeout=HTTP_SECONDS) as answer:
+        return json.load(answer)
+
+
+def post_json(address, path, value):
+    """Posts a JSON value; raises Failed unless it is taken."""
+    request = urllib.request.Request(
+        f"http://{address}{path}", json.dumps(value).encode(), method="POST")
+    try:
+        with urllib.request.urlopen(request, timeout=HTTP_SECONDS):
+            pass
+    except urllib.error.HTTPError as refused:
+        raise Failed(f"{path}: {refused}") from refused
+
+
 def wait_ready(process, address, seconds):
     """Waits until the daemon's /readyz answers 200."""
     def ready():
--- a/testsuite/lib/system.py
+++ b/testsuite/lib/system.py
@@ -6,7 +6,7 @@
 import signal
 
 from processes import Failed, Ports, http_ok, replace_file, tail, wait_ready
-from processes import wait_until
+from processes import get_json, post_json, wait_until
 
 READY_SECONDS = 20
 DRAIN_SECONDS = 60
@@ -188,14 +188,26 @@
 
     def drain_instance(self, instance):
         """Stops an agent in good order, then its upstream. Returns False if
-        the agent had to be killed because it did not end in time."""
+        the agent did not end well in time."""
         self.instances.remove(instance)
         instance.agent.signal(signal.SIGTERM)
-        ended = instance.agent.wait(DRAIN_SECONDS) is not None
-        if not ended:
+        status = instance.agent.wait(DRAIN_SECONDS)
+        if status is None:
             instance.agent.kill()
         self._stop(instance.upstream)
-        return ended
+        return status == 0
+
+    def set_platform_faults(self, **faults):
+        """Puts faults of the platform stand-in in force; none ends all."""
+        post_json(self.platform, "/v1/standin/faults", faults)
+
+    def platform_calls(self):
+        """Calls that the platform stand-in has counted."""
+        return get_json(self.platform, "/v1/standin/calls")
+
+    def status(self, daemon):
+        """The daemon's /status."""
+        return get_json(daemon.http, "/status")
 
     def kill_instance(self, instance):
         """Ends agent and upstream without warning."""
