--- a/testsuite/standins/spread_driver/main.cpp
+++ b/testsuite/standins/spread_driver/main.cpp
@@ -7,6 +7,7 @@
 /// |---|---|
 /// | `rules TEXT` | accepts a rule file; prints its version |
 /// | `join SERVICE N` | adds member N to the roster of SERVICE |
+/// | `fill SERVICES MEMBERS` | rules and rosters of so many services |
 /// | `faults JSON` | orders faults of the platform stand-in |
 /// | `calls` | prints the stand-in's counts of calls |
 /// | `get HTTP PATH` | prints status and body of a page |
@@ -96,6 +97,29 @@
                     change.write_});
     }
 
+    int fill(int services, int members)
+    {
+        std::vector<rule> rules;
+        for (int i = 0; i < services; ++i)
+        {
+            const auto high = static_cast<std::uint8_t>(i / 250);
+            const auto low = static_cast<std::uint8_t>(1 + i % 250);
+            rules.push_back({{make_v4(10, 9, high, low), 5683},
+                             rule_kind::udp,
+                             service_name("service-" + std::to_string(i)),
+                             "driver", 0});
+        }
+        int failures = set_rules(print_rules(rules));
+        for (int i = 0; i < services; ++i)
+        {
+            for (int number = 0; number < members; ++number)
+            {
+                failures += join("service-" + std::to_string(i), number);
+            }
+        }
+        return failures;
+    }
+
     int print(const endpoint& at, kj::HttpMethod method,
               const std::string& path, const std::string& body)
     {
@@ -142,6 +166,8 @@
     {
         platform_settings s;
         s.address_ = platform;
+        constexpr double unlimited = 1e6;
+        s.calls_ = {unlimited, unlimited};
         return s;
     }
 
@@ -226,6 +252,10 @@
     {
         return d.join(a.at(1), std::stoi(a.at(2)));
     }
+    if (command == "fill")
+    {
+        return d.fill(std::stoi(a.at(1)), std::stoi(a.at(2)));
+    }
     if (command == "faults")
     {
         return d.print(d.platform(), kj::HttpMethod::POST, "/v1/standin/faults",
