Relays share the rosters out

Cause: a relay that watches 1,100 rosters held 36 MB (process run of tools/capacity_balancer.sh), over the 32 MB of the budget: one idle connection a watch. Ruled out: polling a list of all objects (55 KB a poll). Before: each relay watched all. After: each watches its part by rendezvous hashing and hears the rest from the other relays; a relay that lost its place tells its subscribers, which look for the new one. Conclusion: galena_balance_test and testsuite/spread/run.sh pass in release.

--- a/src/galena_balancer/knowledge.cpp
+++ b/src/galena_balancer/knowledge.cpp
@@ -105,6 +105,14 @@
     looked_up_.insert(service);
 }
 
+bool knowledge::is_looked_up(const service_name& service) const
+{
+    const auto at = state_.services_.find(service);
+    const bool known =
+        at != state_.services_.end() && at->second.roster_ != nullptr;
+    return known || looked_up_.count(service) != 0;
+}
+
 void knowledge::mark_all_looked_up()
 {
     for (const service_name& service : services())
@@ -127,10 +135,7 @@
     std::string example;
     for (const service_name& service : services())
     {
-        const auto at = state_.services_.find(service);
-        const bool known =
-            at != state_.services_.end() && at->second.roster_ != nullptr;
-        if (!known && looked_up_.count(service) == 0)
+        if (!is_looked_up(service))
         {
             example = service.value();
             ++missing;
--- a/src/galena_balancer/knowledge.h
+++ b/src/galena_balancer/knowledge.h
@@ -40,6 +40,9 @@
     /// it knows.
     void mark_looked_up(const service_name& service);
 
+    /// True if the roster of `service` is known, or known to be absent.
+    bool is_looked_up(const service_name& service) const;
+
     /// The same for every service of the rules in force.
     void mark_all_looked_up();
 
--- a/src/galena_balancer/peers.h
+++ b/src/galena_balancer/peers.h
@@ -27,6 +27,9 @@
     /// Sends every later update to `to`, until a call to it fails.
     void add(rpc::Subscriber::Client to);
 
+    /// Tells all that nothing more will come, and forgets them.
+    void end();
+
     /// How many there are.
     std::size_t count() const
     {
@@ -49,17 +52,25 @@
 class subscriber_server final : public rpc::Subscriber::Server
 {
 public:
-    /// `known` outlives this; `source` is for the log; `on_gap` is called when
-    /// an update builds on something that is not known here.
-    subscriber_server(knowledge& known, std::string source,
-                      std::function<void()> on_gap);
+    /// What the owner of the subscription does.
+    struct events
+    {
+        /// An update builds on something that is not known here.
+        std::function<void()> gap_;
+        /// Nothing more will come.
+        std::function<void()> ended_;
+    };
+
+    /// `known` outlives this; `source` is for the log.
+    subscriber_server(knowledge& known, std::string source, events on);
 
     kj::Promise<void> push(PushContext context) override;
+    kj::Promise<void> ended(EndedContext context) override;
 
 private:
     knowledge& known_;
     std::string source_;
-    std::function<void()> on_gap_;
+    events on_;
 };
 
 /// Other balancers and the periodic exchange with a random one.
--- a/src/galena_balancer/platform_watch.cpp
+++ b/src/galena_balancer/platform_watch.cpp
@@ -31,28 +31,27 @@
                                std::holds_alternative<rules_change>(update);
             if (active_ && rules)
             {
-                follow_new_services();
+                follow_services();
             }
         });
 }
 
-void platform_watch::start()
+void platform_watch::start(share_function share)
 {
-    if (active_)
+    share_ = std::move(share);
+    if (!active_)
     {
-        return;
+        active_ = true;
+        follow_rules();
     }
-    active_ = true;
-    follow_rules();
-    follow_new_services();
+    follow_services();
 }
 
 void platform_watch::stop()
 {
     active_ = false;
-    rules_ = nullptr;
+    rules_ = watch();
     rosters_.clear();
-    followers_.clear();
 }
 
 void platform_watch::fetch(const service_name& service)
@@ -70,7 +69,11 @@
                     {
                         take_roster(*object);
                     }
-                    else if (object.error().code_ != error_code::not_found)
+                    else if (object.error().code_ == error_code::not_found)
+                    {
+                        known_.mark_looked_up(service);
+                    }
+                    else
                     {
                         note_failure(object.error());
                     }
@@ -108,48 +111,65 @@
                      follow(roster_object_name(service), std::move(events)));
 }
 
-void platform_watch::follow_new_services()
+void platform_watch::follow_services()
 {
     for (const service_name& service : known_.services())
     {
-        if (rosters_.count(service) == 0)
+        follow_service(service);
+    }
+}
+
+void platform_watch::follow_service(const service_name& service)
+{
+    if (!share_(service))
+    {
+        rosters_.erase(service);
+        if (!known_.is_looked_up(service))
         {
-            follow_roster(service);
+            fetch(service);
         }
+        return;
+    }
+    if (rosters_.count(service) == 0)
+    {
+        follow_roster(service);
     }
 }
 
-kj::Promise<void> platform_watch::follow(const std::string& name,
-                                         follow_events events)
+platform_watch::watch platform_watch::follow(const std::string& name,
+                                             follow_events events)
 {
-    followers_.push_back(std::make_unique<object_follower>(
+    watch result;
+    result.follower_ = std::make_unique<object_follower>(
         store_, loop_.timer(), random_, events,
-        follow_settings{watch_wait, follow_settings().pause_}));
-    object_follower& follower = *followers_.back();
+        follow_settings{watch_wait, follow_settings().pause_});
+    object_follower& follower = *result.follower_;
     // Read first: a watch would be silent for long about an absent object.
-    return store_.get(name)
-        .then(
-            [name, events = std::move(events),
-             &follower](tl::expected<platform_object, error>&& object)
-            {
-                const bool answered =
-                    object || object.error().code_ == error_code::not_found;
-                if (answered)
-                {
-                    events.confirmed_();
-                }
-                else
-                {
-                    events.failed_(object.error());
-                }
-                if (object)
+    result.running_ =
+        store_.get(name)
+            .then(
+                [name, events = std::move(events),
+                 &follower](tl::expected<platform_object, error>&& object)
                 {
-                    events.newer_(*object);
-                }
-                return follower.follow(name,
-                                       object ? object->version_ : no_object);
-            })
-        .eagerlyEvaluate(nullptr);
+                    const bool answered =
+                        object || object.error().code_ == error_code::not_found;
+                    if (answered)
+                    {
+                        events.confirmed_();
+                    }
+                    else
+                    {
+                        events.failed_(object.error());
+                    }
+                    if (object)
+                    {
+                        events.newer_(*object);
+                    }
+                    return follower.follow(name, object ? object->version_
+                                                        : no_object);
+                })
+            .eagerlyEvaluate(nullptr);
+    return result;
 }
 
 void platform_watch::take_rules(const platform_object& object)
--- a/src/galena_balancer/platform_watch.h
+++ b/src/galena_balancer/platform_watch.h
@@ -20,7 +20,8 @@
 /// Name of the platform object that holds the roster of `service`.
 std::string roster_object_name(const service_name& service);
 
-/// Keeps one watch open for the rules and, on a relay, one for each roster.
+/// On a relay: keeps one watch open for the rules and one for each roster of
+/// its share.
 class platform_watch
 {
 public:
@@ -28,8 +29,19 @@
     platform_watch(control_loop& loop, platform_store& store, knowledge& known,
                    std::function<double()> random);
 
-    /// Begins to follow; follows the rosters of services as rules name them.
-    void start();
+    /// Whether this balancer is to watch the roster of a service.
+    using share_function = std::function<bool(const service_name&)>;
+
+    /// Begins to follow the rules and the rosters in `share`, as rules name
+    /// services; reads the other rosters once. Called again, only changes the
+    /// share.
+    void start(share_function share);
+
+    /// True between `start` and `stop`.
+    bool active() const
+    {
+        return active_;
+    }
 
     /// Ends all watches.
     void stop();
@@ -44,10 +56,18 @@
     }
 
 private:
+    struct watch
+    {
+        std::unique_ptr<object_follower> follower_;
+        // After the follower, so that it goes first.
+        kj::Promise<void> running_ = nullptr;
+    };
+
     void follow_rules();
     void follow_roster(const service_name& service);
-    void follow_new_services();
-    kj::Promise<void> follow(const std::string& name, follow_events events);
+    void follow_services();
+    void follow_service(const service_name& service);
+    watch follow(const std::string& name, follow_events events);
     void take_rules(const platform_object& object);
     void take_roster(const platform_object& object);
     void note_failure(const error& why);
@@ -58,10 +78,10 @@
     std::function<double()> random_;
     bool active_ = false;
     std::string last_failure_ = "platform not asked yet";
-    std::vector<std::unique_ptr<object_follower>> followers_;
-    std::map<service_name, kj::Promise<void>> rosters_;
+    share_function share_;
+    std::map<service_name, watch> rosters_;
     std::map<service_name, kj::Promise<void>> fetches_;
-    kj::Promise<void> rules_ = nullptr;
+    watch rules_;
 };
 
 } // namespace galenafork
--- a/src/galena_balancer/relay_role.cpp
+++ b/src/galena_balancer/relay_role.cpp
@@ -19,6 +19,8 @@
 
 constexpr unsigned write_attempts = 3;
 
+constexpr auto drop_delay = 10 * kj::MILLISECONDS;
+
 } // namespace
 
 relay_role::relay_role(relay_identity identity, const relay_settings& settings,
@@ -118,28 +120,34 @@
         dependencies_.peers_.add(relay.rpc_);
     }
     set_relay(is_relay(view_, identity_.self_));
-    if (!relay_)
-    {
-        link_to_relays();
-    }
+    link_to_relays();
 }
 
 void relay_role::set_relay(bool relay)
 {
-    if (relay == relay_)
+    if (relay != relay_)
     {
-        return;
+        relay_ = relay;
+        log_event(log_level::info, relay ? "relay_begun" : "relay_ended");
     }
-    relay_ = relay;
-    log_event(log_level::info, relay ? "relay_begun" : "relay_ended");
-    if (relay)
+    if (!relay)
     {
-        links_.clear();
-        dependencies_.watch_.start();
+        dependencies_.watch_.stop();
+        dependencies_.subscribers_.end();
+        return;
     }
-    else
+    const bool same_relays =
+        std::equal(sharing_.begin(), sharing_.end(),
+                   view_.list_.relays_.begin(), view_.list_.relays_.end(),
+                   [](const relay_entry& a, const relay_entry& b)
+                   { return a.instance_ == b.instance_; });
+    if (!same_relays || !dependencies_.watch_.active())
     {
-        dependencies_.watch_.stop();
+        sharing_ = view_.list_.relays_;
+        const instance_id self = identity_.self_.instance_;
+        dependencies_.watch_.start(
+            [self, list = view_.list_](const service_name& service)
+            { return watches(list, self, service); });
     }
 }
 
@@ -147,7 +155,11 @@
 {
     for (const relay_entry& relay : view_.list_.relays_)
     {
-        if (links_.size() < links_wanted && links_.count(relay.rpc_) == 0)
+        // Relays need each other: each watches a part of the rosters.
+        const bool wanted = relay_ || links_.size() < links_wanted;
+        const bool other = relay.instance_ != identity_.self_.instance_;
+        if (wanted && other && links_.count(relay.rpc_) == 0 &&
+            opening_.insert(relay.rpc_).second)
         {
             dependencies_.loop_.add_task("link", open_link(relay.rpc_));
         }
@@ -161,21 +173,15 @@
         [this, relay](std::unique_ptr<rpc_connection>&& connection)
         {
             auto client = connection->bootstrap().castAs<rpc::Balancer>();
-            auto request = client.subscribeRequest();
-            request.setSubscriber(kj::heap<subscriber_server>(
-                dependencies_.known_, to_string(relay),
-                [this] { exchange_over_link(); }));
-            auto subscribed = request.send().ignoreResult();
-            links_.erase(relay);
-            links_.emplace(
-                relay, link{std::move(connection), client, to_string(relay)});
-            return subscribed;
+            add_link(relay, std::move(connection), client);
+            return subscribe(relay, client);
         });
     return loop.timer()
         .timeoutAfter(link_timeout, kj::mv(opened))
         .then(
             [this, relay]
             {
+                opening_.erase(relay);
                 log_event(log_level::info, "link_opened",
                           {{"relay", to_string(relay)}});
                 exchange_over_link();
@@ -185,7 +191,41 @@
                            : at->second.connection_->on_disconnect();
             })
         .then([this, relay] { links_.erase(relay); },
-              [this, relay](kj::Exception&&) { links_.erase(relay); });
+              [this, relay](kj::Exception&&)
+              {
+                  opening_.erase(relay);
+                  links_.erase(relay);
+              });
+}
+
+void relay_role::add_link(const endpoint& relay,
+                          std::unique_ptr<rpc_connection> connection,
+                          rpc::Balancer::Client client)
+{
+    links_.erase(relay);
+    links_.emplace(
+        relay, link{std::move(connection), kj::mv(client), to_string(relay)});
+}
+
+kj::Promise<void> relay_role::subscribe(const endpoint& relay,
+                                        rpc::Balancer::Client client)
+{
+    subscriber_server::events on;
+    on.gap_ = [this] { exchange_over_link(); };
+    on.ended_ = [this, relay] { drop_link_later(relay); };
+    auto request = client.subscribeRequest();
+    request.setSubscriber(kj::heap<subscriber_server>(
+        dependencies_.known_, to_string(relay), std::move(on)));
+    return request.send().ignoreResult();
+}
+
+void relay_role::drop_link_later(const endpoint& relay)
+{
+    // The call that asks for it comes over this very link.
+    dependencies_.loop_.add_task(
+        "drop_link", dependencies_.loop_.timer()
+                         .afterDelay(drop_delay)
+                         .then([this, relay] { links_.erase(relay); }));
 }
 
 void relay_role::exchange_over_link()
--- a/src/galena_balancer/relay_role.h
+++ b/src/galena_balancer/relay_role.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 
 namespace galenafork
 {
@@ -30,6 +31,7 @@
     platform_watch& watch_;
     knowledge& known_;
     peers& peers_;
+    subscribers& subscribers_;
     std::function<double()> random_;
     std::function<std::uint64_t()> random_bits_;
 };
@@ -76,6 +78,12 @@
     void set_relay(bool relay);
     void link_to_relays();
     kj::Promise<void> open_link(const endpoint& relay);
+    void add_link(const endpoint& relay,
+                  std::unique_ptr<rpc_connection> connection,
+                  rpc::Balancer::Client client);
+    kj::Promise<void> subscribe(const endpoint& relay,
+                                rpc::Balancer::Client client);
+    void drop_link_later(const endpoint& relay);
     void exchange_over_link();
 
     relay_identity identity_;
@@ -84,6 +92,10 @@
     relay_view view_;
     object_version version_ = no_object;
     std::map<endpoint, link> links_;
+    /// Relays that are being connected to.
+    std::set<endpoint> opening_;
+    /// The relays that share the rosters out now.
+    std::vector<relay_entry> sharing_;
     bool relay_ = false;
     bool busy_ = false;
     bool exchanging_ = false;
--- a/src/galena_balancer/subscribers.cpp
+++ b/src/galena_balancer/subscribers.cpp
@@ -28,6 +28,17 @@
     ++next_id_;
 }
 
+void subscribers::end()
+{
+    for (auto& [id, client] : clients_)
+    {
+        loop_.add_task("end", loop_.timer().timeoutAfter(
+                                  push_timeout,
+                                  client.endedRequest().send().ignoreResult()));
+    }
+    clients_.clear();
+}
+
 void subscribers::schedule(const spread_update& update)
 {
     if (clients_.empty())
@@ -75,8 +86,8 @@
 }
 
 subscriber_server::subscriber_server(knowledge& known, std::string source,
-                                     std::function<void()> on_gap)
-    : known_(known), source_(std::move(source)), on_gap_(std::move(on_gap))
+                                     events on)
+    : known_(known), source_(std::move(source)), on_(std::move(on))
 {
 }
 
@@ -97,9 +108,15 @@
     }
     if (gap)
     {
-        on_gap_();
+        on_.gap_();
     }
     return kj::READY_NOW;
 }
 
+kj::Promise<void> subscriber_server::ended(EndedContext /*context*/)
+{
+    on_.ended_();
+    return kj::READY_NOW;
+}
+
 } // namespace galenafork
--- a/src/include/galenafork/relay.h
+++ b/src/include/galenafork/relay.h
@@ -75,6 +75,12 @@
                                     const relay_settings& settings,
                                     instant now);
 
+/// True if `relay` is the one of `list` that watches the roster of `service`:
+/// relays share them out, and each passes its part on to the others. Moves few
+/// services when the list changes.
+bool watches(const relay_list& list, const instance_id& relay,
+             const service_name& service);
+
 /// The JSON form kept in the platform.
 std::string to_json(const relay_list& list);
 
--- a/src/libbalancer/relay.cpp
+++ b/src/libbalancer/relay.cpp
@@ -25,6 +25,21 @@
     return a.incarnation_ == b.incarnation_ && a.beat_ == b.beat_;
 }
 
+// FNV-1a: the same on every machine, which std::hash need not be.
+std::uint64_t hash_of(const instance_id& relay, const service_name& service)
+{
+    constexpr std::uint64_t fnv_offset = 0xcbf29ce484222325U;
+    constexpr std::uint64_t fnv_prime = 0x100000001b3U;
+    std::uint64_t hash = fnv_offset;
+    for (const char c : service.value() + "/" + relay.value())
+    {
+        hash = (hash ^ static_cast<unsigned char>(c)) * fnv_prime;
+    }
+    // The last bytes alone would not reach the high bits.
+    hash = (hash ^ (hash >> 32U)) * fnv_prime;
+    return hash ^ (hash >> 29U);
+}
+
 } // namespace
 
 std::string relay_object_name(const data_centre& dc)
@@ -78,9 +93,24 @@
     const relay_entry* before = find(view.list_, self.instance_);
     renewed.beat_ = before == nullptr ? 1 : before->beat_ + 1;
     next.relays_.push_back(renewed);
+    std::sort(next.relays_.begin(), next.relays_.end(),
+              [](const relay_entry& a, const relay_entry& b)
+              { return a.instance_ < b.instance_; });
     return next;
 }
 
+bool watches(const relay_list& list, const instance_id& relay,
+             const service_name& service)
+{
+    const std::uint64_t mine = hash_of(relay, service);
+    return std::none_of(list.relays_.begin(), list.relays_.end(),
+                        [&](const relay_entry& other)
+                        {
+                            return other.instance_ != relay &&
+                                   hash_of(other.instance_, service) > mine;
+                        });
+}
+
 std::string to_json(const relay_list& list)
 {
     auto relays = nlohmann::json::array();
--- a/src/libbalancer/relay_test.cpp
+++ b/src/libbalancer/relay_test.cpp
@@ -91,6 +91,30 @@
     CHECK(object.relays_[0].beat_ == 2);
 }
 
+TEST_CASE("each roster is watched by one relay, about as many by each")
+{
+    const relay_list list{{make_relay(1), make_relay(2), make_relay(3)}, {}};
+    std::map<instance_id, int> shares;
+    for (int i = 0; i < 900; ++i)
+    {
+        const service_name service("service-" + std::to_string(i));
+        int watchers = 0;
+        for (const relay_entry& relay : list.relays_)
+        {
+            const bool mine = watches(list, relay.instance_, service);
+            shares[relay.instance_] += mine ? 1 : 0;
+            watchers += mine ? 1 : 0;
+        }
+        CHECK(watchers == 1);
+    }
+    for (const auto& [relay, share] : shares)
+    {
+        // 300 expected; six standard deviations are 85.
+        CHECK(share > 215);
+        CHECK(share < 385);
+    }
+}
+
 TEST_CASE("a list is read back as it was written; other text is refused")
 {
     relay_list list{{make_relay(1), make_relay(2)}, write_id("w")};
--- a/src/libdaemon/control.capnp
+++ b/src/libdaemon/control.capnp
@@ -34,6 +34,9 @@
 interface Subscriber {
   push @0 (updates :List(Update)) -> ();
   # Old and repeated updates do no harm.
+
+  ended @1 () -> ();
+  # The sender is no relay any more and will push nothing.
 }
 
 struct Digest {
--- a/src/libdaemon/control.capnp.c++
+++ b/src/libdaemon/control.capnp.c++
@@ -604,7 +604,7 @@
   0, 0, nullptr, nullptr, nullptr, { &s_8ac95ffb0e6a7f30, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<29> b_d27d5feec7e4c5fa = {
+static const ::capnp::_::AlignedData<39> b_d27d5feec7e4c5fa = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     250, 197, 228, 199, 238,  95, 125, 210,
      14,   0,   0,   0,   3,   0,   0,   0,
@@ -614,37 +614,49 @@
      21,   0,   0,   0, 202,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  71,   0,   0,   0,
-     69,   0,   0,   0,   7,   0,   0,   0,
+     29,   0,   0,   0, 135,   0,   0,   0,
+    109,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  83, 117,
      98, 115,  99, 114, 105,  98, 101, 114,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      4,   0,   0,   0,   3,   0,   5,   0,
+      8,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      80,  54,  16, 149, 147, 149,   0, 140,
     250, 233, 248, 210, 221, 172, 106, 145,
-     17,   0,   0,   0,  42,   0,   0,   0,
+     49,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,   7,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+    132,  68,  49, 141,  85,   3, 132, 142,
+    202,  47, 233, 205, 113, 163,  30, 218,
+     25,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      5,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   7,   0,   0,   0,
     112, 117, 115, 104,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    101, 110, 100, 101, 100,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_d27d5feec7e4c5fa = b_d27d5feec7e4c5fa.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_d27d5feec7e4c5fa[] = {
   &s_8c00959395103650,
+  &s_8e8403558d314484,
   &s_916aacddd2f8e9fa,
+  &s_da1ea371cde92fca,
 };
-static const uint16_t m_d27d5feec7e4c5fa[] = {0};
+static const uint16_t m_d27d5feec7e4c5fa[] = {1, 0};
 const ::capnp::_::RawSchema s_d27d5feec7e4c5fa = {
-  0xd27d5feec7e4c5fa, b_d27d5feec7e4c5fa.words, 29, d_d27d5feec7e4c5fa, m_d27d5feec7e4c5fa,
-  2, 1, nullptr, nullptr, nullptr, { &s_d27d5feec7e4c5fa, nullptr, nullptr, 0, 0, nullptr }
+  0xd27d5feec7e4c5fa, b_d27d5feec7e4c5fa.words, 39, d_d27d5feec7e4c5fa, m_d27d5feec7e4c5fa,
+  4, 2, nullptr, nullptr, nullptr, { &s_d27d5feec7e4c5fa, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<37> b_8c00959395103650 = {
@@ -724,6 +736,58 @@
   0, 0, nullptr, nullptr, nullptr, { &s_916aacddd2f8e9fa, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_8e8403558d314484 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    132,  68,  49, 141,  85,   3, 132, 142,
+     25,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  50,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  83, 117,
+     98, 115,  99, 114, 105,  98, 101, 114,
+     46, 101, 110, 100, 101, 100,  36,  80,
+     97, 114,  97, 109, 115,   0,   0,   0, }
+};
+::capnp::word const* const bp_8e8403558d314484 = b_8e8403558d314484.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_8e8403558d314484 = {
+  0x8e8403558d314484, b_8e8403558d314484.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_8e8403558d314484, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_da1ea371cde92fca = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    202,  47, 233, 205, 113, 163,  30, 218,
+     25,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  58,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  83, 117,
+     98, 115,  99, 114, 105,  98, 101, 114,
+     46, 101, 110, 100, 101, 100,  36,  82,
+    101, 115, 117, 108, 116, 115,   0,   0, }
+};
+::capnp::word const* const bp_da1ea371cde92fca = b_da1ea371cde92fca.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_da1ea371cde92fca = {
+  0xda1ea371cde92fca, b_da1ea371cde92fca.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_da1ea371cde92fca, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<52> b_c6ef0b38b125f621 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      33, 246,  37, 177,  56,  11, 239, 198,
@@ -1925,6 +1989,16 @@
       "control.capnp:Subscriber", "push",
       0xd27d5feec7e4c5faull, 0);
 }
+::capnp::Request< ::galenafork::rpc::Subscriber::EndedParams,  ::galenafork::rpc::Subscriber::EndedResults>
+Subscriber::Client::endedRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::galenafork::rpc::Subscriber::EndedParams,  ::galenafork::rpc::Subscriber::EndedResults>(
+      0xd27d5feec7e4c5faull, 1, sizeHint);
+}
+::kj::Promise<void> Subscriber::Server::ended(EndedContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "control.capnp:Subscriber", "ended",
+      0xd27d5feec7e4c5faull, 1);
+}
 ::capnp::Capability::Server::DispatchCallResult Subscriber::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1945,6 +2019,12 @@
              ::galenafork::rpc::Subscriber::PushParams,  ::galenafork::rpc::Subscriber::PushResults>(context)),
         false
       };
+    case 1:
+      return {
+        ended(::capnp::Capability::Server::internalGetTypedContext<
+             ::galenafork::rpc::Subscriber::EndedParams,  ::galenafork::rpc::Subscriber::EndedResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1976,6 +2056,22 @@
 constexpr ::capnp::_::RawSchema const* Subscriber::PushResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Subscriber::EndedParams
+constexpr uint16_t Subscriber::EndedParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Subscriber::EndedParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Subscriber::EndedParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Subscriber::EndedParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Subscriber::EndedResults
+constexpr uint16_t Subscriber::EndedResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Subscriber::EndedResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Subscriber::EndedResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Subscriber::EndedResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Digest
 constexpr uint16_t Digest::_capnpPrivate::dataWordSize;
 constexpr uint16_t Digest::_capnpPrivate::pointerCount;
--- a/src/libdaemon/control.capnp.h
+++ b/src/libdaemon/control.capnp.h
@@ -34,6 +34,8 @@
 CAPNP_DECLARE_SCHEMA(d27d5feec7e4c5fa);
 CAPNP_DECLARE_SCHEMA(8c00959395103650);
 CAPNP_DECLARE_SCHEMA(916aacddd2f8e9fa);
+CAPNP_DECLARE_SCHEMA(8e8403558d314484);
+CAPNP_DECLARE_SCHEMA(da1ea371cde92fca);
 CAPNP_DECLARE_SCHEMA(c6ef0b38b125f621);
 CAPNP_DECLARE_SCHEMA(d43c0cebd1eadd93);
 CAPNP_DECLARE_SCHEMA(883a569998a75aa6);
@@ -257,6 +259,8 @@
 
   struct PushParams;
   struct PushResults;
+  struct EndedParams;
+  struct EndedResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -296,6 +300,36 @@
   };
 };
 
+struct Subscriber::EndedParams {
+  EndedParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8e8403558d314484, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Subscriber::EndedResults {
+  EndedResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(da1ea371cde92fca, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Digest {
   Digest() = delete;
 
@@ -1455,6 +1489,8 @@
 
   ::capnp::Request< ::galenafork::rpc::Subscriber::PushParams,  ::galenafork::rpc::Subscriber::PushResults> pushRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::galenafork::rpc::Subscriber::EndedParams,  ::galenafork::rpc::Subscriber::EndedResults> endedRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1475,6 +1511,10 @@
   typedef  ::galenafork::rpc::Subscriber::PushResults PushResults;
   typedef ::capnp::CallContext<PushParams, PushResults> PushContext;
   virtual ::kj::Promise<void> push(PushContext context);
+  typedef  ::galenafork::rpc::Subscriber::EndedParams EndedParams;
+  typedef  ::galenafork::rpc::Subscriber::EndedResults EndedResults;
+  typedef ::capnp::CallContext<EndedParams, EndedResults> EndedContext;
+  virtual ::kj::Promise<void> ended(EndedContext context);
 
   inline  ::galenafork::rpc::Subscriber::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -1639,6 +1679,148 @@
 };
 #endif  // !CAPNP_LITE
 
+class Subscriber::EndedParams::Reader {
+public:
+  typedef EndedParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Subscriber::EndedParams::Builder {
+public:
+  typedef EndedParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Subscriber::EndedParams::Pipeline {
+public:
+  typedef EndedParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Subscriber::EndedResults::Reader {
+public:
+  typedef EndedResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Subscriber::EndedResults::Builder {
+public:
+  typedef EndedResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Subscriber::EndedResults::Pipeline {
+public:
+  typedef EndedResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Digest::Reader {
 public:
   typedef Digest Reads;
--- a/testsuite/standins/spread_driver/main.cpp
+++ b/testsuite/standins/spread_driver/main.cpp
@@ -107,7 +107,8 @@
             rules.push_back({{make_v4(10, 9, high, low), 5683},
                              rule_kind::udp,
                              service_name("service-" + std::to_string(i)),
-                             "driver", 0});
+                             "driver",
+                             0});
         }
         int failures = set_rules(print_rules(rules));
         for (int i = 0; i < services; ++i)
