--- a/src/galenactl/apply_rules.cpp
+++ b/src/galenactl/apply_rules.cpp
@@ -1,5 +1,6 @@
 #include <galenactl/commands.h>
 #include <galenactl/report.h>
+#include <galenafork/platform_setup.h>
 #include <galenafork/program_options.h>
 
 #include <algorithm>
@@ -35,7 +36,7 @@
 tl::expected<std::vector<rule_error>, error>
 find_unannounced(const rule_set& wanted, session& s)
 {
-    const auto rosters = s.wait(s.store().list(roster_object_name("")));
+    const auto rosters = s.wait(s.store().list(roster_object_prefix));
     if (!rosters)
     {
         return tl::unexpected(rosters.error());
@@ -48,7 +49,7 @@
     std::vector<rule_error> faults;
     for (const rule& r : wanted.rules_)
     {
-        if (announced.count(roster_object_name(r.service_.value())) == 0)
+        if (announced.count(roster_object_name(r.service_)) == 0)
         {
             faults.push_back({r.line_, r.service_column_,
                               "no instance of service '" + r.service_.value() +
--- a/src/galenactl/commands.h
+++ b/src/galenactl/commands.h
@@ -45,9 +45,6 @@
 /// Reads the rules in force. Fails with `not_found` if none were ever applied.
 tl::expected<rules_in_force, error> read_rules_in_force(session& s);
 
-/// Name of the object that holds the roster of `service`.
-std::string roster_object_name(const std::string& service);
-
 } // namespace galenafork::ctl
 
 #endif
--- a/src/galenactl/explain.cpp
+++ b/src/galenactl/explain.cpp
@@ -1,6 +1,7 @@
 #include <galenactl/commands.h>
 #include <galenactl/report.h>
 #include <galenafork/flow.h>
+#include <galenafork/platform_setup.h>
 #include <galenafork/roster.h>
 
 namespace galenafork::ctl
@@ -60,8 +61,7 @@
 
 tl::expected<roster, error> read_members(session& s, const rule& r)
 {
-    const auto object =
-        s.wait(s.store().get(roster_object_name(r.service_.value())));
+    const auto object = s.wait(s.store().get(roster_object_name(r.service_)));
     if (!object)
     {
         return tl::unexpected(object.error());
--- a/src/galenactl/roster_commands.cpp
+++ b/src/galenactl/roster_commands.cpp
@@ -1,5 +1,6 @@
 #include <galenactl/commands.h>
 #include <galenactl/report.h>
+#include <galenafork/platform_setup.h>
 #include <galenafork/roster.h>
 
 #include <algorithm>
@@ -10,7 +11,6 @@
 namespace
 {
 
-constexpr const char* roster_prefix = "roster/";
 // Other writers of a busy roster may come first a few times.
 constexpr int max_attempts = 10;
 
@@ -105,9 +105,10 @@
 {
     if (given.words_.size() > 1)
     {
-        return std::vector<std::string>{roster_object_name(given.words_[1])};
+        return std::vector<std::string>{
+            roster_object_name(service_name(given.words_[1]))};
     }
-    const auto entries = s.wait(s.store().list(roster_prefix));
+    const auto entries = s.wait(s.store().list(roster_object_prefix));
     if (!entries)
     {
         return tl::unexpected(entries.error());
@@ -164,7 +165,7 @@
 std::optional<exit_status> try_change(const arguments& given, session& s,
                                       const state_change& wanted)
 {
-    const std::string name = roster_object_name(given.words_[1]);
+    const std::string name = roster_object_name(service_name(given.words_[1]));
     const auto current = read_roster(s, name);
     if (!current)
     {
@@ -223,11 +224,6 @@
 
 } // namespace
 
-std::string roster_object_name(const std::string& service)
-{
-    return roster_prefix + service;
-}
-
 exit_status show_status(const arguments& given, session& s)
 {
     const auto names = roster_names(given, s);
