--- a/src/libplatform/http_exchange.cpp
+++ b/src/libplatform/http_exchange.cpp
@@ -4,6 +4,7 @@
 #include <kj/encoding.h>
 #include <netinet/in.h>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 namespace galenafork::pvt
 {
@@ -65,7 +66,12 @@
 
 object_version version_from(const json& j)
 {
-    return object_version(j.at("version").get<std::uint64_t>());
+    const json& version = j.at("version");
+    if (!version.is_number_unsigned())
+    {
+        throw std::invalid_argument("version is not a natural number");
+    }
+    return object_version(version.get<std::uint64_t>());
 }
 
 } // namespace
@@ -101,7 +107,7 @@
         const json j = json::parse(body);
         return platform_object{name, version_from(j), j.at("value").dump()};
     }
-    catch (const json::exception& e)
+    catch (const std::exception& e)
     {
         return malformed(e.what());
     }
@@ -113,7 +119,7 @@
     {
         return version_from(json::parse(body));
     }
-    catch (const json::exception& e)
+    catch (const std::exception& e)
     {
         return malformed(e.what());
     }
@@ -133,7 +139,7 @@
         }
         return entries;
     }
-    catch (const json::exception& e)
+    catch (const std::exception& e)
     {
         return malformed(e.what());
     }
--- a/src/librules/rules_object.cpp
+++ b/src/librules/rules_object.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 namespace galenafork
 {
@@ -118,10 +119,20 @@
             {"added", entry.edit_.added_}};
 }
 
+rules_version version_from(const json& j)
+{
+    const json& version = j.at("version");
+    if (!version.is_number_unsigned())
+    {
+        throw std::invalid_argument("version is not a natural number");
+    }
+    return rules_version(version.get<std::uint64_t>());
+}
+
 rules_history_entry entry_from_json(const json& j)
 {
     rules_history_entry entry;
-    entry.version_ = rules_version(j.at("version").get<std::uint64_t>());
+    entry.version_ = version_from(j);
     entry.author_ = j.at("author").get<std::string>();
     entry.time_ = j.at("time").get<std::string>();
     entry.write_ = write_id(j.at("write_id").get<std::string>());
@@ -134,7 +145,7 @@
 rules_object object_from_json(const json& j)
 {
     rules_object object;
-    object.version_ = rules_version(j.at("version").get<std::uint64_t>());
+    object.version_ = version_from(j);
     object.text_ = j.at("text").get<std::string>();
     object.author_ = j.at("author").get<std::string>();
     object.time_ = j.at("time").get<std::string>();
@@ -211,7 +222,7 @@
     {
         return object_from_json(json::parse(text));
     }
-    catch (const json::exception& e)
+    catch (const std::exception& e)
     {
         return tl::unexpected(
             error{error_code::bad_message,
--- a/src/librules/rules_test.cpp
+++ b/src/librules/rules_test.cpp
@@ -212,7 +212,10 @@
 
 TEST_CASE("a malformed rules object is refused")
 {
-    for (const char* text : {"", "{}", "[]", R"({"version":"x"})"})
+    for (const char* text :
+         {"", "{}", "[]", R"({"version":"x"})",
+          R"({"version":-1,"text":"","author":"","time":"","write_id":"",
+              "history":[]})"})
     {
         CAPTURE(text);
         const auto read = rules_object_from_json(text);
