--- /dev/null
+++ b/src/libplatform/call_loop.cpp
@@ -0,0 +1,112 @@
+#include <libplatform/client_impl.h>
+
+#include <utility>
+
+namespace galenafork
+{
+
+namespace pvt
+{
+
+error unexpected_status(unsigned status)
+{
+    return {error_code::refused,
+            "the platform answered " + std::to_string(status)};
+}
+
+kj::Duration to_kj(duration d)
+{
+    return d.count() * kj::MICROSECONDS;
+}
+
+} // namespace pvt
+
+pvt::call_ptr
+platform_client::impl::new_call(std::uint64_t platform_counters::*counter,
+                                pvt::api_request request)
+{
+    auto call = std::make_shared<pvt::pending_call>();
+    call->counter_ = counter;
+    call->request_ = std::move(request);
+    call->progress_.deadline_ = clock_() + settings_.call_deadline_;
+    return call;
+}
+
+kj::Promise<pvt::answer_or_error>
+platform_client::impl::read(std::uint64_t platform_counters::*counter,
+                            std::string url, duration wait)
+{
+    pvt::api_request request;
+    request.url_ = std::move(url);
+    auto call = new_call(counter, std::move(request));
+    call->wait_ = wait;
+    call->progress_.deadline_ += wait;
+    return run(std::move(call));
+}
+
+kj::Promise<pvt::answer_or_error> platform_client::impl::run(pvt::call_ptr call)
+{
+    auto decision =
+        pvt::next_step(state_, settings_, call->progress_, clock_());
+    switch (decision.step_)
+    {
+    case pvt::call_step::attempt:
+        return attempt(std::move(call));
+    case pvt::call_step::wait:
+        return timer_.afterDelay(pvt::to_kj(decision.wait_))
+            .then([this, call = std::move(call)] { return run(call); });
+    case pvt::call_step::give_up:
+        break;
+    }
+    count_give_up(decision.reason_);
+    return pvt::answer_or_error(tl::unexpected(std::move(decision.reason_)));
+}
+
+kj::Promise<pvt::answer_or_error>
+platform_client::impl::attempt(pvt::call_ptr call)
+{
+    counters_.*call->counter_ += 1;
+    counters_.retries_ += call->progress_.attempts_ > 1 ? 1 : 0;
+    pvt::api_request request = call->request_;
+    duration timeout = settings_.attempt_timeout_;
+    if (call->wait_ > duration::zero())
+    {
+        // A probe must come back soon, as other calls wait for its outcome.
+        const bool is_probe = state_.breaker_.probing_;
+        const duration wait = is_probe ? duration::zero() : call->wait_;
+        const auto wait_ms =
+            std::chrono::duration_cast<std::chrono::milliseconds>(wait);
+        request.url_ += "&wait_ms=" + std::to_string(wait_ms.count());
+        timeout += wait;
+    }
+    return exchange_.send(request, timeout)
+        .then([this, call = std::move(call)](pvt::api_answer&& answer)
+              { return judge(call, std::move(answer)); });
+}
+
+kj::Promise<pvt::answer_or_error>
+platform_client::impl::judge(pvt::call_ptr call, pvt::api_answer answer)
+{
+    if (pvt::is_proper(answer))
+    {
+        pvt::note_answer(state_.breaker_);
+        return pvt::answer_or_error(std::move(answer));
+    }
+    counters_.timeouts_ += answer.timed_out_ ? 1 : 0;
+    counters_.failures_ += answer.timed_out_ ? 0 : 1;
+    pvt::note_failure(state_.breaker_, settings_, clock_(), random_());
+    call->progress_.must_settle_ |= call->is_write_;
+    const duration pause =
+        pvt::backoff_delay(settings_, call->progress_.attempts_, random_());
+    return timer_.afterDelay(pvt::to_kj(pause))
+        .then([this, call = std::move(call)] { return run(call); });
+}
+
+void platform_client::impl::count_give_up(const error& reason)
+{
+    counters_.refused_by_breaker_ +=
+        reason.code_ == error_code::unavailable ? 1 : 0;
+    counters_.refused_by_budget_ += reason.code_ == error_code::refused ? 1 : 0;
+}
+
+} // namespace galenafork
--- a/testsuite/standins/platform/service.cpp
+++ b/testsuite/standins/platform/service.cpp
@@ -1,34 +1,18 @@
+#include <standins/platform/api_request.h>
 #include <standins/platform/service.h>
 
 #include <algorithm>
-#include <charconv>
-#include <kj/compat/url.h>
 #include <kj/debug.h>
-#include <map>
 #include <nlohmann/json.hpp>
 
 namespace galenafork::standin
 {
 
-/// One call, its body read.
-struct api_request
-{
-    kj::HttpMethod method_ = kj::HttpMethod::GET;
-    /// Path without the leading `/`, percent-decoded.
-    std::string path_;
-    std::map<std::string, std::string> query_;
-    /// Value of `If-Match`, empty if there was none.
-    std::string if_match_;
-    std::string body_;
-};
-
 namespace
 {
 
 using json = nlohmann::json;
 
-constexpr const char* objects_path = "v1/objects";
-constexpr const char* object_prefix = "v1/objects/";
 constexpr const char* standin_prefix = "v1/standin/";
 constexpr std::uint64_t max_wait_ms = 60'000;
 constexpr kj::uint status_ok = 200;
@@ -39,50 +23,6 @@
 constexpr kj::uint status_too_large = 413;
 constexpr kj::uint status_unavailable = 503;
 
-bool starts_with(const std::string& text, const std::string& prefix)
-{
-    return text.compare(0, prefix.size(), prefix) == 0;
-}
-
-bool parse_number(const std::string& text, std::uint64_t& number)
-{
-    const char* end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, number);
-    return result.ec == std::errc() && result.ptr == end && !text.empty();
-}
-
-std::string text_of(kj::StringPtr s)
-{
-    return {s.begin(), s.size()};
-}
-
-api_request parse_request(kj::HttpMethod method, kj::StringPtr url)
-{
-    const auto parsed = kj::Url::parse(url, kj::Url::HTTP_REQUEST);
-    api_request request;
-    request.method_ = method;
-    for (const kj::String& part : parsed.path)
-    {
-        request.path_ += request.path_.empty() ? "" : "/";
-        request.path_ += text_of(part);
-    }
-    for (const auto& param : parsed.query)
-    {
-        request.query_[text_of(param.name)] = text_of(param.value);
-    }
-    return request;
-}
-
-std::string object_name(const api_request& request)
-{
-    return request.path_.substr(std::string(object_prefix).size());
-}
-
-bool is_watch(const api_request& request)
-{
-    return request.query_.count("watch") != 0;
-}
-
 std::string version_json(std::uint64_t version)
 {
     return json{{"version", version}}.dump();
