--- a/src/galena_balancer/balancer_app.cpp
+++ b/src/galena_balancer/balancer_app.cpp
@@ -21,11 +21,6 @@
     return (high << 32U) | device();
 }
 
-std::uint64_t calls_of(const platform_counters& c)
-{
-    return c.gets_ + c.puts_ + c.watches_ + c.lists_;
-}
-
 } // namespace
 
 tl::expected<std::unique_ptr<balancer_app>, error>
@@ -75,9 +70,7 @@
               [this] { return draw(); }, [this] { return random_(); }}),
       ready_(metrics_->add_gauge("galena_balancer_ready",
                                  "1 while it should get traffic.")),
-      platform_calls_(metrics_->add_gauge(
-          "galena_balancer_platform_calls",
-          "Calls to the platform so far, a waiting watch as one.")),
+      platform_metrics_(*metrics_),
       spans_dropped_(metrics_->add_gauge("galena_balancer_spans_dropped",
                                          "Spans dropped so far."))
 {
@@ -225,8 +218,7 @@
 void balancer_app::update_metrics()
 {
     ready_.set(check().ready_ ? 1 : 0);
-    platform_calls_.set(
-        static_cast<std::int64_t>(calls_of(platform_.counters())));
+    platform_metrics_.update(platform_.counters());
     spans_dropped_.set(static_cast<std::int64_t>(spans_.dropped()));
 }
 
--- a/src/galena_balancer/balancer_app.h
+++ b/src/galena_balancer/balancer_app.h
@@ -62,7 +62,7 @@
     subscribers subscribers_;
     relay_role relay_;
     gauge& ready_;
-    gauge& platform_calls_;
+    platform_metrics platform_metrics_;
     gauge& spans_dropped_;
     bool draining_ = false;
 };
--- a/src/galena_balancer/balancer_settings.cpp
+++ b/src/galena_balancer/balancer_settings.cpp
@@ -1,5 +1,7 @@
 #include "balancer_settings.h"
 
+#include <galenafork/platform_setup.h>
+
 #include <algorithm>
 #include <array>
 
@@ -13,9 +15,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr setting_range<duration> call_times{milliseconds(1), seconds(60)};
-constexpr setting_range<double> call_rates{0.1, 10'000};
-
 void read_packets(settings_section section, packet_settings& s)
 {
     section.required("listen", s.listen_)
@@ -42,18 +41,6 @@
     section.finish();
 }
 
-void read_platform(settings_section section, platform_settings& s)
-{
-    section.required("address", s.address_)
-        .optional("call_deadline", s.call_deadline_, call_times)
-        .optional("attempt_timeout", s.attempt_timeout_, call_times)
-        .optional("backoff_first", s.backoff_first_, call_times)
-        .optional("backoff_cap", s.backoff_cap_, call_times)
-        .optional("calls_per_second", s.calls_.per_second_, call_rates)
-        .optional("calls_burst", s.calls_.burst_, call_rates);
-    section.finish();
-}
-
 constexpr std::array<log_level, 4> levels{log_level::debug, log_level::info,
                                           log_level::warning, log_level::error};
 
@@ -79,7 +66,7 @@
     read_packets(top.section("packets"), s.packets_);
     read_control(top.section("control"), s.control_);
     read_spread(top.section("spread"), s.spread_);
-    read_platform(top.section("platform"), s.platform_);
+    read_platform_settings(top.section("platform"), s.platform_);
     auto traces = top.section("traces");
     read_settings(traces, s.traces_);
     traces.finish();
--- a/src/galena_balancer/platform_watch.cpp
+++ b/src/galena_balancer/platform_watch.cpp
@@ -15,11 +15,6 @@
 
 } // namespace
 
-std::string roster_object_name(const service_name& service)
-{
-    return "roster/" + service.value();
-}
-
 platform_watch::platform_watch(control_loop& loop, platform_store& store,
                                knowledge& known, std::function<double()> random)
     : loop_(loop), store_(store), known_(known), random_(std::move(random))
--- a/src/galena_balancer/platform_watch.h
+++ b/src/galena_balancer/platform_watch.h
@@ -8,6 +8,7 @@
 
 #include <galenafork/object_follower.h>
 #include <galenafork/platform.h>
+#include <galenafork/platform_setup.h>
 
 #include <functional>
 #include <map>
@@ -17,9 +18,6 @@
 namespace galenafork
 {
 
-/// Name of the platform object that holds the roster of `service`.
-std::string roster_object_name(const service_name& service);
-
 /// On a relay: keeps one watch open for the rules and one for each roster of
 /// its share.
 class platform_watch
