--- a/src/galena_balancer/traffic_thread.cpp
+++ b/src/galena_balancer/traffic_thread.cpp
@@ -23,6 +23,9 @@
 
 constexpr std::size_t snapshot_mail = 64;
 
+// A notice names a service and at most `max_list_items` lapsed lives.
+constexpr std::size_t max_notice_bytes = 32 * 1024;
+
 /// Calls a function when its descriptor turns readable.
 class input_handler final : public ACE_Event_Handler
 {
@@ -183,7 +186,7 @@
         for (std::size_t at = 0; at < count; ++at)
         {
             const datagram_view in = noticed_.view(at);
-            auto message = in.size_ > max_datagram_bytes
+            auto message = in.size_ > max_notice_bytes
                                ? tl::unexpected(error{})
                                : decode(in.bytes_, in.size_);
             auto* notice =
@@ -215,7 +218,7 @@
     mailbox<stale_notice>& notices_;
     forwarder forwarder_;
     receive_batch received_{max_datagram_bytes};
-    receive_batch noticed_{max_datagram_bytes};
+    receive_batch noticed_{max_notice_bytes};
     send_batch sending_{max_datagram_bytes};
     std::shared_ptr<const routing_snapshot> snapshot_;
     std::uint64_t packets_ = 0;
--- a/tools/capacity_balancer.sh
+++ b/tools/capacity_balancer.sh
@@ -1,12 +1,14 @@
 #!/usr/bin/env bash
 # Prints what a balancer's control part costs, one JSON line a size, for
-# docs/CAPACITY.md: first the pure library, then real processes (a relay and
-# another balancer beside a platform stand-in), idle for a while.
+# docs/CAPACITY.md: first the pure library, then real processes (two relays
+# and another balancer beside a platform stand-in), idle for a while and then
+# through changes of one roster.
 # usage: tools/capacity_balancer.sh [IDLE_SECONDS]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-idle=${1:-10}
+idle=${1:-20}
+changes=50
 bin=build/release/bin
 base=${GALENA_CAPACITY_PORT:-32500}
 platform=127.0.0.1:$base
@@ -28,7 +30,7 @@
 drive() { "$bin/spread_driver" "$platform" "$@"; }
 http_of() { echo "127.0.0.1:$((base + 10 * $1 + 3))"; }
 
-# start NUMBER: a balancer; only one relay is wanted.
+# start NUMBER: a balancer; the first two become relays.
 start() {
     cat >"$work/$1.toml" <<END
 instance = "b-$1"
@@ -40,8 +42,6 @@
 [control]
 http = "$(http_of "$1")"
 rpc = "127.0.0.1:$((base + 10 * $1 + 4))"
-[spread]
-relays = 1
 [platform]
 address = "$platform"
 calls_per_second = 2000.0
@@ -56,28 +56,40 @@
 rss_kib() { awk '/^VmRSS/ {print $2}' "/proc/$1/status"; }
 calls() { drive calls | tr -dc '0-9 {}:,a-z_"' | cut -d' ' -f2-; }
 
+# snapshot NAME: CPU ticks of each balancer and calls so far, as JSON members.
+snapshot() {
+    echo "\"relay_ticks_$1\":$(cpu_ticks "$pid_1"),\"relay2_ticks_$1\":$(cpu_ticks "$pid_2"),\"other_ticks_$1\":$(cpu_ticks "$pid_3"),\"calls_$1\":$(calls)"
+}
+
 # measure SERVICES
 measure() {
     "$bin/platform_standin" --listen "$platform" >/dev/null 2>&1 &
     pids+=($!)
     sleep 0.3
     drive fill "$1" 4 >/dev/null
-    start 1
-    drive wait_epoch "service-$(($1 - 1))" 4 60000 "$(http_of 1)" >/dev/null
-    start 2
-    drive wait_epoch "service-$(($1 - 1))" 4 60000 "$(http_of 2)" >/dev/null
-    sleep 3
-    local relay_before other_before calls_before
-    relay_before=$(cpu_ticks "$pid_1")
-    other_before=$(cpu_ticks "$pid_2")
-    calls_before=$(calls)
+    local all started
+    all="$(http_of 1) $(http_of 2) $(http_of 3)"
+    for i in 1 2 3; do
+        start "$i"
+        drive wait_epoch "service-$(($1 - 1))" 4 60000 "$(http_of "$i")" >/dev/null
+    done
+    sleep 5
+    local before after changed
+    before=$(snapshot start)
     sleep "$idle"
-    echo "{\"measure\":\"processes\",\"services\":$1,\"idle_s\":$idle," \
-        "\"relay_rss_kib\":$(rss_kib "$pid_1"),\"other_rss_kib\":$(rss_kib "$pid_2")," \
-        "\"relay_cpu_ticks\":$(($(cpu_ticks "$pid_1") - relay_before))," \
-        "\"other_cpu_ticks\":$(($(cpu_ticks "$pid_2") - other_before))," \
-        "\"tick_s\":$(awk "BEGIN {print 1 / $(getconf CLK_TCK)}")," \
-        "\"calls_before\":$calls_before,\"calls_after\":$(calls)}"
+    after=$(snapshot idle)
+    started=$(date +%s%N)
+    for i in $(seq "$changes"); do
+        drive join service-0 "$((10 + i))" >/dev/null
+    done
+    # shellcheck disable=SC2086
+    drive wait_epoch service-0 "$((4 + changes))" 10000 $all >/dev/null
+    changed=$(snapshot changed)
+    echo "{\"measure\":\"processes\",\"services\":$1,\"idle_s\":$idle,\"changes\":$changes," \
+        "\"changes_ms\":$((($(date +%s%N) - started) / 1000000))," \
+        "\"tick_ms\":$((1000 / $(getconf CLK_TCK)))," \
+        "\"relay_rss_kib\":$(rss_kib "$pid_1"),\"relay2_rss_kib\":$(rss_kib "$pid_2"),\"other_rss_kib\":$(rss_kib "$pid_3")," \
+        "$before,$after,$changed}"
     stop_all
 }
 
