--- a/src/galena_balancer/platform_watch.cpp
+++ b/src/galena_balancer/platform_watch.cpp
@@ -10,12 +10,10 @@
 
 constexpr const char* source_name = "platform";
 
-} // namespace
+// A relay keeps a watch on every roster: long waits keep the calls few.
+constexpr duration watch_wait = std::chrono::seconds(60);
 
-std::string roster_object_name(const service_name& service)
-{
-    return "roster/" + service.value();
-}
+} // namespace
 
 platform_watch::platform_watch(control_loop& loop, platform_store& store,
                                knowledge& known, std::function<double()> random)
@@ -24,30 +22,31 @@
     known_.add_listener(
         [this](const spread_update& update)
         {
-            if (active_ && std::holds_alternative<rules_in_force>(update))
+            const bool rules = std::holds_alternative<rules_in_force>(update) ||
+                               std::holds_alternative<rules_change>(update);
+            if (active_ && rules)
             {
-                follow_new_services();
+                follow_services();
             }
         });
 }
 
-void platform_watch::start()
+void platform_watch::start(share_function share)
 {
-    if (active_)
+    share_ = std::move(share);
+    if (!active_)
     {
-        return;
+        active_ = true;
+        follow_rules();
     }
-    active_ = true;
-    follow_rules();
-    follow_new_services();
+    follow_services();
 }
 
 void platform_watch::stop()
 {
     active_ = false;
-    rules_ = nullptr;
+    rules_ = watch();
     rosters_.clear();
-    followers_.clear();
 }
 
 void platform_watch::fetch(const service_name& service)
@@ -65,7 +64,11 @@
                     {
                         take_roster(*object);
                     }
-                    else if (object.error().code_ != error_code::not_found)
+                    else if (object.error().code_ == error_code::not_found)
+                    {
+                        known_.mark_looked_up(service);
+                    }
+                    else
                     {
                         note_failure(object.error());
                     }
@@ -103,47 +106,65 @@
                      follow(roster_object_name(service), std::move(events)));
 }
 
-void platform_watch::follow_new_services()
+void platform_watch::follow_services()
 {
     for (const service_name& service : known_.services())
     {
-        if (rosters_.count(service) == 0)
+        follow_service(service);
+    }
+}
+
+void platform_watch::follow_service(const service_name& service)
+{
+    if (!share_(service))
+    {
+        rosters_.erase(service);
+        if (!known_.is_looked_up(service))
         {
-            follow_roster(service);
+            fetch(service);
         }
+        return;
+    }
+    if (rosters_.count(service) == 0)
+    {
+        follow_roster(service);
     }
 }
 
-kj::Promise<void> platform_watch::follow(const std::string& name,
-                                         follow_events events)
+platform_watch::watch platform_watch::follow(const std::string& name,
+                                             follow_events events)
 {
-    followers_.push_back(std::make_unique<object_follower>(
-        store_, loop_.timer(), random_, events));
-    object_follower& follower = *followers_.back();
+    watch result;
+    result.follower_ = std::make_unique<object_follower>(
+        store_, loop_.timer(), random_, events,
+        follow_settings{watch_wait, follow_settings().pause_});
+    object_follower& follower = *result.follower_;
     // Read first: a watch would be silent for long about an absent object.
-    return store_.get(name)
-        .then(
-            [name, events = std::move(events),
-             &follower](tl::expected<platform_object, error>&& object)
-            {
-                const bool answered =
-                    object || object.error().code_ == error_code::not_found;
-                if (answered)
-                {
-                    events.confirmed_();
-                }
-                else
-                {
-                    events.failed_(object.error());
-                }
-                if (object)
+    result.running_ =
+        store_.get(name)
+            .then(
+                [name, events = std::move(events),
+                 &follower](tl::expected<platform_object, error>&& object)
                 {
-                    events.newer_(*object);
-                }
-                return follower.follow(name,
-                                       object ? object->version_ : no_object);
-            })
-        .eagerlyEvaluate(nullptr);
+                    const bool answered =
+                        object || object.error().code_ == error_code::not_found;
+                    if (answered)
+                    {
+                        events.confirmed_();
+                    }
+                    else
+                    {
+                        events.failed_(object.error());
+                    }
+                    if (object)
+                    {
+                        events.newer_(*object);
+                    }
+                    return follower.follow(name, object ? object->version_
+                                                        : no_object);
+                })
+            .eagerlyEvaluate(nullptr);
+    return result;
 }
 
 void platform_watch::take_rules(const platform_object& object)
--- a/src/galena_balancer_capacity/main.cpp
+++ b/src/galena_balancer_capacity/main.cpp
@@ -97,6 +97,10 @@
 
     const spread_update step(change);
     const spread_update whole(before);
+    const rules_change rule_step{rules_version(2),
+                                 {0,
+                                  {print_rules({state.rules_->rules_[0]})},
+                                  {print_rules({state.rules_->rules_[1]})}}};
     const lapsed_update lapse{before.service_,
                               {{instance_id("m-0"), incarnation(1)}}};
     std::cout << "{\"measure\":\"services\",\"services\":" << services
@@ -111,6 +115,8 @@
               << ",\"roster_bytes\":" << encoded_bytes<rpc::Update>(whole)
               << ",\"rules_bytes\":"
               << encoded_bytes<rpc::Update>(spread_update(*state.rules_))
+              << ",\"rules_change_bytes\":"
+              << encoded_bytes<rpc::Update>(spread_update(rule_step))
               << ",\"full_pull_bytes\":"
               << encoded_bytes(
                      updates_beyond(state, all_versions(spread_state())))
--- a/src/libdaemon/control.capnp.c++
+++ b/src/libdaemon/control.capnp.c++
@@ -604,7 +604,7 @@
   0, 0, nullptr, nullptr, nullptr, { &s_8ac95ffb0e6a7f30, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<29> b_d27d5feec7e4c5fa = {
+static const ::capnp::_::AlignedData<39> b_d27d5feec7e4c5fa = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     250, 197, 228, 199, 238,  95, 125, 210,
      14,   0,   0,   0,   3,   0,   0,   0,
@@ -614,37 +614,49 @@
      21,   0,   0,   0, 202,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  71,   0,   0,   0,
-     69,   0,   0,   0,   7,   0,   0,   0,
+     29,   0,   0,   0, 135,   0,   0,   0,
+    109,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  83, 117,
      98, 115,  99, 114, 105,  98, 101, 114,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      4,   0,   0,   0,   3,   0,   5,   0,
+      8,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      80,  54,  16, 149, 147, 149,   0, 140,
     250, 233, 248, 210, 221, 172, 106, 145,
-     17,   0,   0,   0,  42,   0,   0,   0,
+     49,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,   7,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+    132,  68,  49, 141,  85,   3, 132, 142,
+    202,  47, 233, 205, 113, 163,  30, 218,
+     25,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      5,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   7,   0,   0,   0,
     112, 117, 115, 104,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    101, 110, 100, 101, 100,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_d27d5feec7e4c5fa = b_d27d5feec7e4c5fa.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_d27d5feec7e4c5fa[] = {
   &s_8c00959395103650,
+  &s_8e8403558d314484,
   &s_916aacddd2f8e9fa,
+  &s_da1ea371cde92fca,
 };
-static const uint16_t m_d27d5feec7e4c5fa[] = {0};
+static const uint16_t m_d27d5feec7e4c5fa[] = {1, 0};
 const ::capnp::_::RawSchema s_d27d5feec7e4c5fa = {
-  0xd27d5feec7e4c5fa, b_d27d5feec7e4c5fa.words, 29, d_d27d5feec7e4c5fa, m_d27d5feec7e4c5fa,
-  2, 1, nullptr, nullptr, nullptr, { &s_d27d5feec7e4c5fa, nullptr, nullptr, 0, 0, nullptr }
+  0xd27d5feec7e4c5fa, b_d27d5feec7e4c5fa.words, 39, d_d27d5feec7e4c5fa, m_d27d5feec7e4c5fa,
+  4, 2, nullptr, nullptr, nullptr, { &s_d27d5feec7e4c5fa, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<37> b_8c00959395103650 = {
@@ -724,6 +736,58 @@
   0, 0, nullptr, nullptr, nullptr, { &s_916aacddd2f8e9fa, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_8e8403558d314484 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    132,  68,  49, 141,  85,   3, 132, 142,
+     25,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  50,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  83, 117,
+     98, 115,  99, 114, 105,  98, 101, 114,
+     46, 101, 110, 100, 101, 100,  36,  80,
+     97, 114,  97, 109, 115,   0,   0,   0, }
+};
+::capnp::word const* const bp_8e8403558d314484 = b_8e8403558d314484.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_8e8403558d314484 = {
+  0x8e8403558d314484, b_8e8403558d314484.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_8e8403558d314484, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_da1ea371cde92fca = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    202,  47, 233, 205, 113, 163,  30, 218,
+     25,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  58,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  83, 117,
+     98, 115,  99, 114, 105,  98, 101, 114,
+     46, 101, 110, 100, 101, 100,  36,  82,
+    101, 115, 117, 108, 116, 115,   0,   0, }
+};
+::capnp::word const* const bp_da1ea371cde92fca = b_da1ea371cde92fca.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_da1ea371cde92fca = {
+  0xda1ea371cde92fca, b_da1ea371cde92fca.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_da1ea371cde92fca, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<52> b_c6ef0b38b125f621 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      33, 246,  37, 177,  56,  11, 239, 198,
@@ -1007,52 +1071,59 @@
   0, 2, i_e5cb9f4f495c5da0, nullptr, nullptr, { &s_e5cb9f4f495c5da0, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<77> b_fc7cc891920d780e = {
+static const ::capnp::_::AlignedData<93> b_fc7cc891920d780e = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      14, 120,  13, 146, 145, 200, 124, 252,
      14,   0,   0,   0,   1,   0,   1,   0,
       8, 183,  50, 159,  48,  34, 158, 244,
-      1,   0,   7,   0,   0,   0,   4,   0,
+      1,   0,   7,   0,   0,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 170,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 231,   0,   0,   0,
+     25,   0,   0,   0,  31,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  85, 112,
     100,  97, 116, 101,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   4,   0,
+     20,   0,   0,   0,   3,   0,   4,   0,
       0,   0, 255, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0,  50,   0,   0,   0,
+    125,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     92,   0,   0,   0,   3,   0,   1,   0,
-    104,   0,   0,   0,   2,   0,   1,   0,
+    120,   0,   0,   0,   3,   0,   1,   0,
+    132,   0,   0,   0,   2,   0,   1,   0,
       1,   0, 254, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,  58,   0,   0,   0,
+    129,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     96,   0,   0,   0,   3,   0,   1,   0,
-    108,   0,   0,   0,   2,   0,   1,   0,
+    124,   0,   0,   0,   3,   0,   1,   0,
+    136,   0,   0,   0,   2,   0,   1,   0,
       2,   0, 253, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105,   0,   0,   0,  58,   0,   0,   0,
+    133,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    100,   0,   0,   0,   3,   0,   1,   0,
-    112,   0,   0,   0,   2,   0,   1,   0,
+    128,   0,   0,   0,   3,   0,   1,   0,
+    140,   0,   0,   0,   2,   0,   1,   0,
       3,   0, 252, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    109,   0,   0,   0,  58,   0,   0,   0,
+    137,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    104,   0,   0,   0,   3,   0,   1,   0,
-    116,   0,   0,   0,   2,   0,   1,   0,
+    132,   0,   0,   0,   3,   0,   1,   0,
+    144,   0,   0,   0,   2,   0,   1,   0,
+      4,   0, 251, 255,   0,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    141,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    140,   0,   0,   0,   3,   0,   1,   0,
+    152,   0,   0,   0,   2,   0,   1,   0,
     114, 117, 108, 101, 115,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
     127, 248, 235, 248, 188,  78,  26, 147,
@@ -1082,6 +1153,15 @@
       1, 112, 200,   0, 254,  39,  64, 223,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 117, 108, 101, 115,  67, 104,  97,
+    110, 103, 101,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     58, 160, 148, 129, 185, 244,  63, 186,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
@@ -1092,13 +1172,14 @@
   &s_90effdced0cee264,
   &s_931a4ebcf8ebf87f,
   &s_a93176fa06115a0e,
+  &s_ba3ff4b98194a03a,
   &s_df4027fe00c87001,
 };
-static const uint16_t m_fc7cc891920d780e[] = {2, 3, 1, 0};
-static const uint16_t i_fc7cc891920d780e[] = {0, 1, 2, 3};
+static const uint16_t m_fc7cc891920d780e[] = {2, 3, 1, 0, 4};
+static const uint16_t i_fc7cc891920d780e[] = {0, 1, 2, 3, 4};
 const ::capnp::_::RawSchema s_fc7cc891920d780e = {
-  0xfc7cc891920d780e, b_fc7cc891920d780e.words, 77, d_fc7cc891920d780e, m_fc7cc891920d780e,
-  4, 4, i_fc7cc891920d780e, nullptr, nullptr, { &s_fc7cc891920d780e, nullptr, nullptr, 0, 0, nullptr }
+  0xfc7cc891920d780e, b_fc7cc891920d780e.words, 93, d_fc7cc891920d780e, m_fc7cc891920d780e,
+  5, 5, i_fc7cc891920d780e, nullptr, nullptr, { &s_fc7cc891920d780e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<62> b_931a4ebcf8ebf87f = {
@@ -1174,6 +1255,104 @@
   0, 3, i_931a4ebcf8ebf87f, nullptr, nullptr, { &s_931a4ebcf8ebf87f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<87> b_ba3ff4b98194a03a = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     58, 160, 148, 129, 185, 244,  63, 186,
+     14,   0,   0,   0,   1,   0,   2,   0,
+      8, 183,  50, 159,  48,  34, 158, 244,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 210,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  82, 117,
+    108, 101, 115,  67, 104,  97, 110, 103,
+    101,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    132,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    129,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    124,   0,   0,   0,   3,   0,   1,   0,
+    152,   0,   0,   0,   2,   0,   1,   0,
+    118, 101, 114, 115, 105, 111, 110,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102, 105, 114, 115, 116,  76, 105, 110,
+    101,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 109, 111, 118, 101, 100,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 100, 100, 101, 100,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ba3ff4b98194a03a = b_ba3ff4b98194a03a.words;
+#if !CAPNP_LITE
+static const uint16_t m_ba3ff4b98194a03a[] = {3, 1, 2, 0};
+static const uint16_t i_ba3ff4b98194a03a[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_ba3ff4b98194a03a = {
+  0xba3ff4b98194a03a, b_ba3ff4b98194a03a.words, 87, nullptr, m_ba3ff4b98194a03a,
+  0, 4, i_ba3ff4b98194a03a, nullptr, nullptr, { &s_ba3ff4b98194a03a, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<32> b_90effdced0cee264 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     100, 226, 206, 208, 206, 253, 239, 144,
@@ -1810,6 +1989,16 @@
       "control.capnp:Subscriber", "push",
       0xd27d5feec7e4c5faull, 0);
 }
+::capnp::Request< ::galenafork::rpc::Subscriber::EndedParams,  ::galenafork::rpc::Subscriber::EndedResults>
+Subscriber::Client::endedRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::galenafork::rpc::Subscriber::EndedParams,  ::galenafork::rpc::Subscriber::EndedResults>(
+      0xd27d5feec7e4c5faull, 1, sizeHint);
+}
+::kj::Promise<void> Subscriber::Server::ended(EndedContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "control.capnp:Subscriber", "ended",
+      0xd27d5feec7e4c5faull, 1);
+}
 ::capnp::Capability::Server::DispatchCallResult Subscriber::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1830,6 +2019,12 @@
              ::galenafork::rpc::Subscriber::PushParams,  ::galenafork::rpc::Subscriber::PushResults>(context)),
         false
       };
+    case 1:
+      return {
+        ended(::capnp::Capability::Server::internalGetTypedContext<
+             ::galenafork::rpc::Subscriber::EndedParams,  ::galenafork::rpc::Subscriber::EndedResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1861,6 +2056,22 @@
 constexpr ::capnp::_::RawSchema const* Subscriber::PushResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Subscriber::EndedParams
+constexpr uint16_t Subscriber::EndedParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Subscriber::EndedParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Subscriber::EndedParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Subscriber::EndedParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Subscriber::EndedResults
+constexpr uint16_t Subscriber::EndedResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Subscriber::EndedResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Subscriber::EndedResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Subscriber::EndedResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Digest
 constexpr uint16_t Digest::_capnpPrivate::dataWordSize;
 constexpr uint16_t Digest::_capnpPrivate::pointerCount;
@@ -1909,6 +2120,14 @@
 constexpr ::capnp::_::RawSchema const* Rules::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// RulesChange
+constexpr uint16_t RulesChange::_capnpPrivate::dataWordSize;
+constexpr uint16_t RulesChange::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind RulesChange::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* RulesChange::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Roster
 constexpr uint16_t Roster::_capnpPrivate::dataWordSize;
 constexpr uint16_t Roster::_capnpPrivate::pointerCount;
