--- a/testsuite/lib/system.py
+++ b/testsuite/lib/system.py
@@ -131,10 +131,11 @@
         """Waits until it is ready."""
         wait_ready(balancer.process, balancer.http, READY_SECONDS)
 
-    def list_balancers(self):
-        """Tells the fabric which balancers to spray over."""
-        replace_file(self._fabric_list, "".join(
-            f"{b.packets}\n" for b in self.balancers))
+    def list_balancers(self, chosen=None):
+        """Tells the fabric which balancers to spray over; all if not said."""
+        listed = self.balancers if chosen is None else chosen
+        replace_file(self._fabric_list,
+                     "".join(f"{b.packets}\n" for b in listed))
 
     def kill_balancer(self, balancer):
         """Ends a balancer without warning; the fabric still lists it."""
--- a/testsuite/promises/cases.py
+++ b/testsuite/promises/cases.py
@@ -11,6 +11,8 @@
 TAKEOVER_SECONDS = {"up": 2.0, "down": 5.0}
 # A leaving upstream gets no new work after so long.
 DRAIN_BOUND_SECONDS = 3.0
+# How long the fabric goes on sending to a balancer that stands still.
+FABRIC_NOTICES_SECONDS = 0.5
 
 
 def never_wrong(totals):
@@ -131,13 +133,16 @@
 
 
 def pause_balancer(case):
-    """A balancer sleeps while an upstream is replaced, then sends on with
-    what it knew."""
+    """A balancer sleeps while an upstream is replaced; the fabric passes it
+    over after a while. It wakes and sends on with what it knew."""
     case.start(balancers=3)
     case.call(12, "--photo-life-ms", 4000, "--life-ms", 3000)
     sleeper = case.system.balancers[0]
     sleeper.process.signal(signal.SIGSTOP)
+    time.sleep(FABRIC_NOTICES_SECONDS)
+    case.system.list_balancers(case.system.balancers[1:])
     case.replace(case.of(ORDERS)[0])
+    case.system.list_balancers()
     sleeper.process.signal(signal.SIGCONT)
     totals = case.totals()
     return never_wrong(totals) + [
