Packets that lay in a socket while the process stood still are dropped

The kernel's receive stamp now tells a packet's age; over 1 s it is dropped and counted as deadline_passed, at balancers and agents. A stop exactly between reading and sending (microseconds) is not covered.

--- a/src/galena_agent/agent_worker.cpp
+++ b/src/galena_agent/agent_worker.cpp
@@ -154,6 +154,11 @@
         metrics_.count_refused(refusal::no_home, false);
         return;
     }
+    if (in.age_ > max_datagram_age)
+    {
+        metrics_.count_refused(refusal::deadline_passed, false);
+        return;
+    }
     if (auto* packet = std::get_if<forwarded_packet>(&*message))
     {
         metrics_.packets_.add();
--- a/src/galena_balancer/traffic_thread.cpp
+++ b/src/galena_balancer/traffic_thread.cpp
@@ -137,6 +137,11 @@
             metrics_.count_refused(refusal::malformed);
             return;
         }
+        if (in.age_ > max_datagram_age)
+        {
+            metrics_.count_refused(refusal::deadline_passed);
+            return;
+        }
         const bool timed = ++packets_ % timed_one_in == 0;
         const auto start = timed ? std::chrono::steady_clock::now()
                                  : std::chrono::steady_clock::time_point();
--- a/src/include/galenafork/udp_socket.h
+++ b/src/include/galenafork/udp_socket.h
@@ -6,6 +6,7 @@
 
 #include <galenafork/endpoint.h>
 #include <galenafork/error.h>
+#include <galenafork/time.h>
 #include <galenafork/unique_fd.h>
 
 #include <cstddef>
@@ -19,12 +20,19 @@
 /// Datagrams that go through one system call at most.
 inline constexpr std::size_t udp_batch = 32;
 
+/// A packet that lay longer than this in a socket's buffer is dropped: its
+/// process stood still meanwhile, and a caller's repeat has long been served.
+/// Far below the time that the journal keeps a request.
+inline constexpr duration max_datagram_age = std::chrono::seconds(1);
+
 /// A datagram in a batch's buffer; valid until the batch's next use.
 struct datagram_view
 {
     endpoint from_;
     const std::uint8_t* bytes_ = nullptr;
     std::size_t size_ = 0;
+    /// Time since the kernel received it.
+    duration age_{0};
 };
 
 /// Opens a non-blocking UDP socket that is bound to `at`; `shared` lets
--- a/src/libdaemon/udp_socket.cpp
+++ b/src/libdaemon/udp_socket.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cerrno>
+#include <chrono>
 #include <cstring>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -80,6 +81,46 @@
     std::array<sockaddr_in6, udp_batch> addresses_{};
 };
 
+constexpr std::size_t stamp_space = CMSG_SPACE(sizeof(timespec));
+
+/// Room for the kernel's time stamp of each datagram of a batch.
+struct stamp_batch
+{
+    explicit stamp_batch(message_batch& messages) : messages_(messages) {}
+
+    // The kernel changes the lengths with each call.
+    void prepare()
+    {
+        for (std::size_t i = 0; i < udp_batch; ++i)
+        {
+            msghdr& header = messages_.headers_[i].msg_hdr;
+            header.msg_control = &buffers_[i * stamp_space];
+            header.msg_controllen = stamp_space;
+            header.msg_namelen = sizeof(sockaddr_in6);
+        }
+    }
+
+    duration age_of(std::size_t index) const
+    {
+        msghdr& header = messages_.headers_[index].msg_hdr;
+        const cmsghdr* part = CMSG_FIRSTHDR(&header);
+        if (part == nullptr || part->cmsg_type != SCM_TIMESTAMPNS)
+        {
+            return duration(0);
+        }
+        timespec stamp{};
+        std::memcpy(&stamp, CMSG_DATA(part), sizeof stamp);
+        const auto received = std::chrono::seconds(stamp.tv_sec) +
+                              std::chrono::nanoseconds(stamp.tv_nsec);
+        const auto age =
+            std::chrono::system_clock::now().time_since_epoch() - received;
+        return std::max(duration(0), std::chrono::duration_cast<duration>(age));
+    }
+
+    message_batch& messages_;
+    alignas(cmsghdr) std::array<char, stamp_space * udp_batch> buffers_{};
+};
+
 } // namespace
 
 tl::expected<unique_fd, error> open_udp(const endpoint& at, bool shared)
@@ -89,6 +130,7 @@
     set_option(fd.get(), IPPROTO_IPV6, IPV6_V6ONLY, 0);
     set_option(fd.get(), SOL_SOCKET, SO_RCVBUF, socket_buffer_bytes);
     set_option(fd.get(), SOL_SOCKET, SO_SNDBUF, socket_buffer_bytes);
+    set_option(fd.get(), SOL_SOCKET, SO_TIMESTAMPNS, 1);
     if (shared)
     {
         set_option(fd.get(), SOL_SOCKET, SO_REUSEPORT, 1);
@@ -136,9 +178,13 @@
 
 struct receive_batch::state
 {
-    explicit state(std::size_t max_bytes) : messages_(max_bytes) {}
+    explicit state(std::size_t max_bytes)
+        : messages_(max_bytes), stamps_(messages_)
+    {
+    }
 
     message_batch messages_;
+    stamp_batch stamps_;
 };
 
 receive_batch::receive_batch(std::size_t max_bytes)
@@ -151,6 +197,7 @@
 std::size_t receive_batch::receive(const unique_fd& fd)
 {
     auto& headers = state_->messages_.headers_;
+    state_->stamps_.prepare();
     const int count = ::recvmmsg(fd.get(), headers.data(), headers.size(),
                                  MSG_DONTWAIT | MSG_TRUNC, nullptr);
     return count < 0 ? 0 : static_cast<std::size_t>(count);
@@ -160,7 +207,7 @@
 {
     auto& messages = state_->messages_;
     return {to_endpoint(messages.addresses_[index]), messages.buffer(index),
-            messages.headers_[index].msg_len};
+            messages.headers_[index].msg_len, state_->stamps_.age_of(index)};
 }
 
 struct send_batch::state
