--- /dev/null
+++ b/src/bench/allocations.h
@@ -0,0 +1,17 @@
+/// \file
+/// Counts allocations of this program.
+
+#ifndef GALENAFORK_BENCH_ALLOCATIONS_H
+#define GALENAFORK_BENCH_ALLOCATIONS_H
+
+#include <cstdint>
+
+namespace galenafork::bench
+{
+
+/// Calls of `operator new` so far, in all threads.
+std::uint64_t allocations();
+
+} // namespace galenafork::bench
+
+#endif
--- a/src/galena_balancer/balancer_app.cpp
+++ b/src/galena_balancer/balancer_app.cpp
@@ -49,9 +49,9 @@
 balancer_app::balancer_app(const balancer_settings& settings,
                            std::unique_ptr<metrics_registry> metrics,
                            std::unique_ptr<control_loop> loop)
-    : settings_(settings), metrics_(std::move(metrics)),
-      random_(random_seed()), spans_(span_queue_size),
-      notices_(notice_mailbox_size), loop_(std::move(loop)),
+    : settings_(settings), metrics_(std::move(metrics)), random_(random_seed()),
+      spans_(span_queue_size), notices_(notice_mailbox_size),
+      loop_(std::move(loop)),
       platform_(settings.platform_,
                 {loop_->timer(), loop_->io().provider->getNetwork(),
                  read_monotonic_clock, [this] { return draw(); }}),
--- a/src/galena_balancer/balancer_server.cpp
+++ b/src/galena_balancer/balancer_server.cpp
@@ -24,8 +24,8 @@
     const auto caller = parse_endpoint(in.getCaller().cStr());
     const auto service = parse_endpoint(in.getService().cStr());
     KJ_REQUIRE(caller && service, "caller and service are 'IP:PORT'");
-    const std::string json = explain_flow(
-        dependencies_.known_.snapshot().get(), {*caller, *service});
+    const std::string json = explain_flow(dependencies_.known_.snapshot().get(),
+                                          {*caller, *service});
     context.getResults().setJson(json.c_str());
     return kj::READY_NOW;
 }
@@ -53,8 +53,8 @@
     const auto have = read(context.getParams().getHave());
     KJ_REQUIRE(have.has_value(), "bad versions");
     const auto updates = updates_beyond(dependencies_.known_.state(), *have);
-    auto out = context.getResults().initUpdates(
-        static_cast<unsigned>(updates.size()));
+    auto out =
+        context.getResults().initUpdates(static_cast<unsigned>(updates.size()));
     for (unsigned i = 0; i < out.size(); ++i)
     {
         write(out[i], updates[i]);
@@ -68,12 +68,11 @@
     return kj::READY_NOW;
 }
 
-std::string explain_flow(const routing_snapshot* snapshot,
-                         const flow_key& flow)
+std::string explain_flow(const routing_snapshot* snapshot, const flow_key& flow)
 {
-    nlohmann::json json = {{"caller", to_string(flow.caller_)},
-                           {"service_address",
-                            to_string(flow.service_address_)}};
+    nlohmann::json json = {
+        {"caller", to_string(flow.caller_)},
+        {"service_address", to_string(flow.service_address_)}};
     if (snapshot == nullptr)
     {
         json["refused"] = to_string(refusal::unknown_service);
--- a/src/galena_balancer/balancer_settings.cpp
+++ b/src/galena_balancer/balancer_settings.cpp
@@ -58,7 +58,8 @@
 
 bool is_level(const std::string& name)
 {
-    return std::any_of(levels.begin(), levels.end(), [&](log_level level)
+    return std::any_of(levels.begin(), levels.end(),
+                       [&](log_level level)
                        { return name == to_string(level); });
 }
 
@@ -85,7 +86,8 @@
 
 log_level level_of(const balancer_settings& s)
 {
-    return *std::find_if(levels.begin(), levels.end(), [&](log_level level)
+    return *std::find_if(levels.begin(), levels.end(),
+                         [&](log_level level)
                          { return s.log_level_ == to_string(level); });
 }
 
--- a/src/galena_balancer/knowledge.cpp
+++ b/src/galena_balancer/knowledge.cpp
@@ -129,8 +129,8 @@
     }
     if (missing != 0)
     {
-        return {false, "rosters not yet looked up: " +
-                           std::to_string(missing) + ", such as " + example};
+        return {false, "rosters not yet looked up: " + std::to_string(missing) +
+                           ", such as " + example};
     }
     return {true, ""};
 }
@@ -172,8 +172,7 @@
     {
         return;
     }
-    rules_version_.set(
-        static_cast<std::int64_t>(next->rules_version_.value()));
+    rules_version_.set(static_cast<std::int64_t>(next->rules_version_.value()));
     snapshot_ = std::move(next);
     publish_(snapshot_);
 }
@@ -182,9 +181,9 @@
                           const std::string& source)
 {
     const bool rules = std::holds_alternative<rules_in_force>(update);
-    log_event(rules ? log_level::info : log_level::debug, "update_taken",
-              {{"update", std::visit(update_text{}, update)},
-               {"source", source}});
+    log_event(
+        rules ? log_level::info : log_level::debug, "update_taken",
+        {{"update", std::visit(update_text{}, update)}, {"source", source}});
 }
 
 } // namespace galenafork
--- a/src/galena_balancer/peers.cpp
+++ b/src/galena_balancer/peers.cpp
@@ -92,16 +92,13 @@
         return kj::READY_NOW;
     }
     exchanges_.add();
-    auto done =
-        loop_.connect(peer)
-            .then(
-                [this, peer](std::unique_ptr<rpc_connection>&& connection)
-                {
-                    auto client =
-                        connection->bootstrap().castAs<rpc::Balancer>();
-                    return exchange_with(kj::mv(client), to_string(peer))
-                        .attach(kj::mv(connection));
-                });
+    auto done = loop_.connect(peer).then(
+        [this, peer](std::unique_ptr<rpc_connection>&& connection)
+        {
+            auto client = connection->bootstrap().castAs<rpc::Balancer>();
+            return exchange_with(kj::mv(client), to_string(peer))
+                .attach(kj::mv(connection));
+        });
     return loop_.timer()
         .timeoutAfter(exchange_timeout, kj::mv(done))
         .then([this, peer] { note_success(peer); },
@@ -115,8 +112,8 @@
     auto request = peer.digestRequest();
     write(request.initCaller(), self_);
     return request.send().then(
-        [this, peer, source](
-            capnp::Response<rpc::Balancer::DigestResults>&& answer) mutable
+        [this, peer,
+         source](capnp::Response<rpc::Balancer::DigestResults>&& answer) mutable
         -> kj::Promise<void>
         {
             take_peers(answer.getPeers());
@@ -147,8 +144,8 @@
     auto request = peer.pullRequest();
     write(request.initHave(), have);
     return request.send().then(
-        [this, source, peer_is_ready](
-            capnp::Response<rpc::Balancer::PullResults>&& answer)
+        [this, source,
+         peer_is_ready](capnp::Response<rpc::Balancer::PullResults>&& answer)
         {
             for (const auto in : answer.getUpdates())
             {
--- a/src/galena_balancer/platform_watch.cpp
+++ b/src/galena_balancer/platform_watch.cpp
@@ -95,8 +95,8 @@
     { take_roster(object); };
     events.failed_ = [this](const error& why) { note_failure(why); };
     events.confirmed_ = [this, service] { known_.mark_looked_up(service); };
-    rosters_.emplace(service, follow(roster_object_name(service),
-                                     std::move(events)));
+    rosters_.emplace(service,
+                     follow(roster_object_name(service), std::move(events)));
 }
 
 void platform_watch::follow_new_services()
@@ -122,8 +122,7 @@
 void platform_watch::take_rules(const platform_object& object)
 {
     const auto read = rules_object_from_json(object.value_);
-    const auto rules =
-        read ? rules_from(*read) : tl::unexpected(read.error());
+    const auto rules = read ? rules_from(*read) : tl::unexpected(read.error());
     if (!rules)
     {
         log_event(log_level::error, "bad_rules_object",
@@ -139,9 +138,9 @@
     const auto read = roster_from_json(object.value_);
     if (!read || roster_object_name(read->service_) != object.name_)
     {
-        log_event(log_level::error, "bad_roster_object",
-                  {{"object", object.name_},
-                   {"version", object.version_.value()}});
+        log_event(
+            log_level::error, "bad_roster_object",
+            {{"object", object.name_}, {"version", object.version_.value()}});
         return;
     }
     known_.mark_looked_up(read->service_);
--- a/src/galena_balancer/platform_watch.h
+++ b/src/galena_balancer/platform_watch.h
@@ -25,8 +25,8 @@
 {
 public:
     /// All outlive this; `random` is uniform in [0, 1).
-    platform_watch(control_loop& loop, platform_store& store,
-                   knowledge& known, std::function<double()> random);
+    platform_watch(control_loop& loop, platform_store& store, knowledge& known,
+                   std::function<double()> random);
 
     /// Begins to follow; follows the rosters of services as rules name them.
     void start();
--- a/src/galena_balancer/subscribers.cpp
+++ b/src/galena_balancer/subscribers.cpp
@@ -40,9 +40,9 @@
         return;
     }
     scheduled_ = true;
-    loop_.add_task("push", loop_.timer()
-                               .afterDelay(push_delay)
-                               .then([this] { push_pending(); }));
+    loop_.add_task(
+        "push",
+        loop_.timer().afterDelay(push_delay).then([this] { push_pending(); }));
 }
 
 void subscribers::push_pending()
@@ -63,8 +63,7 @@
 kj::Promise<void> subscribers::push(std::uint64_t id)
 {
     auto request = clients_.at(id).pushRequest();
-    auto updates =
-        request.initUpdates(static_cast<unsigned>(pending_.size()));
+    auto updates = request.initUpdates(static_cast<unsigned>(pending_.size()));
     for (unsigned i = 0; i < updates.size(); ++i)
     {
         write(updates[i], pending_[i]);
@@ -89,9 +88,9 @@
         const auto update = read(in);
         if (!update)
         {
-            log_event(log_level::warning, "bad_update",
-                      {{"source", source_},
-                       {"reason", update.error().message_}});
+            log_event(
+                log_level::warning, "bad_update",
+                {{"source", source_}, {"reason", update.error().message_}});
             continue;
         }
         gap = known_.take(*update, source_) == merge_result::gap || gap;
--- a/src/galena_balancer/traffic_thread.cpp
+++ b/src/galena_balancer/traffic_thread.cpp
@@ -55,11 +55,9 @@
            traffic_dependencies dependencies, unique_fd fabric,
            unique_fd agents)
         : answers_(settings.answers_), fabric_(std::move(fabric)),
-          agents_(std::move(agents)),
-          metrics_(dependencies.metrics_, number), spans_(dependencies.spans_),
-          notices_(dependencies.notices_),
-          forwarder_(local_endpoint(agents_),
-                     dependencies.traces_),
+          agents_(std::move(agents)), metrics_(dependencies.metrics_, number),
+          spans_(dependencies.spans_), notices_(dependencies.notices_),
+          forwarder_(local_endpoint(agents_), dependencies.traces_),
           reactor_(new ACE_Dev_Poll_Reactor, true)
     {
         watch(fabric_.get(), on_fabric_);
--- a/src/libbalancer/forwarder.cpp
+++ b/src/libbalancer/forwarder.cpp
@@ -36,8 +36,8 @@
         return result;
     }
     result.parent_ = header.trace_;
-    result.trace_ = header.trace_.sampled_ ? traces_.next(header.trace_)
-                                           : traces_.start();
+    result.trace_ =
+        header.trace_.sampled_ ? traces_.next(header.trace_) : traces_.start();
     fill(snapshot, decision, flow, result.trace_);
     packet_.fabric_ = in.answers_;
     packet_.payload_.assign(in.bytes_ + parsed->payload_offset_,
--- a/src/libbalancer/spread_codec.cpp
+++ b/src/libbalancer/spread_codec.cpp
@@ -101,8 +101,7 @@
     {
         auto out = out_.initLapsed();
         out.setService(value.service_.value().c_str());
-        auto lives =
-            out.initLives(static_cast<unsigned>(value.lives_.size()));
+        auto lives = out.initLives(static_cast<unsigned>(value.lives_.size()));
         for (unsigned i = 0; i < lives.size(); ++i)
         {
             write(lives[i], value.lives_[i]);
@@ -131,7 +130,8 @@
         return bad("bad roster change");
     }
     return service_change{
-        service, epoch(in.getEpoch()),
+        service,
+        epoch(in.getEpoch()),
         {kind, std::move(*changed), write_id(text_of(in.getWrite()))}};
 }
 
@@ -236,9 +236,9 @@
     }
     for (const auto version : in.getServices())
     {
-        result.services_.push_back(
-            {service_name(text_of(version.getService())),
-             epoch(version.getEpoch()), version.getLapsed()});
+        result.services_.push_back({service_name(text_of(version.getService())),
+                                    epoch(version.getEpoch()),
+                                    version.getLapsed()});
     }
     return result;
 }
--- a/src/libdaemon/udp_socket.cpp
+++ b/src/libdaemon/udp_socket.cpp
@@ -97,10 +97,9 @@
     const auto* generic = reinterpret_cast<const sockaddr*>(&address);
     if (::bind(fd.get(), generic, sizeof address) != 0)
     {
-        return tl::unexpected(
-            error{error_code::unavailable,
-                  to_string(at) + ": " +
-                      std::generic_category().message(errno)});
+        return tl::unexpected(error{
+            error_code::unavailable,
+            to_string(at) + ": " + std::generic_category().message(errno)});
     }
     return fd;
 }
