--- a/src/galena_balancer/balancer_server.cpp
+++ b/src/galena_balancer/balancer_server.cpp
@@ -2,6 +2,8 @@
 
 #include <galenafork/spread_codec.h>
 
+#include <kj/debug.h>
+
 #include <nlohmann/json.hpp>
 
 namespace galenafork
@@ -23,7 +25,8 @@
     const auto in = context.getParams();
     const auto caller = parse_endpoint(in.getCaller().cStr());
     const auto service = parse_endpoint(in.getService().cStr());
-    KJ_REQUIRE(caller && service, "caller and service are 'IP:PORT'");
+    KJ_REQUIRE(caller.has_value() && service.has_value(),
+               "caller and service are 'IP:PORT'");
     const std::string json = explain_flow(dependencies_.known_.snapshot().get(),
                                           {*caller, *service});
     context.getResults().setJson(json.c_str());
