--- a/src/bench/blast/main.cpp
+++ b/src/bench/blast/main.cpp
@@ -67,6 +67,7 @@
     join.member_.packets_ = endpoint_of(a.sink_);
     join.member_.control_ = endpoint_of(a.sink_);
     join.member_.slots_ = slot_count(1);
+    join.member_.state_ = member_state::serving;
     join.write_ = write_id("blast");
     roster empty;
     empty.service_ = service_name(a.service_);
--- a/src/bench/forward_bench.cpp
+++ b/src/bench/forward_bench.cpp
@@ -41,6 +41,7 @@
     m.packets_ = {make_v4(10, 2, 0, static_cast<std::uint8_t>(1 + number)),
                   7000};
     m.slots_ = slot_count(4);
+    m.state_ = member_state::serving;
     return m;
 }
 
@@ -99,6 +100,10 @@
     const routing_snapshot& s = snapshot();
     const std::vector<flow_key> flows = make_flows();
     std::size_t next = 0;
+    if (decide(s, flows[next]).refused_ != refusal::none)
+    {
+        state.SkipWithError("refused");
+    }
     bench::run_counted(state,
                        [&]
                        {
