--- a/testsuite/lib/system.py
+++ b/testsuite/lib/system.py
@@ -109,7 +109,7 @@
         settings = self._settings(name, f"""
 instance = "{name}"
 data_centre = "{self._data_centre('balancer')}"
-drain_time = "500ms"
+drain_time = "500 ms"
 [packets]
 listen = "{packets}"
 agents = "{agents}"
@@ -164,12 +164,12 @@
 slots = 3
 upstream = "{upstream}"
 packets = "{packets}"
-drain_time = "40s"
+drain_time = "40 s"
 [control]
 http = "{http}"
 rpc = "{rpc}"
 [flows]
-idle_timeout = "4s"
+idle_timeout = "4 s"
 [platform]
 address = "{self.platform}"
 """)
