--- a/testsuite/demo/demo.py
+++ b/testsuite/demo/demo.py
@@ -25,6 +25,7 @@
 ECHO_INSTANCES = 2
 # How long the fabric goes on sending to a balancer that died.
 FABRIC_NOTICES_SECONDS = 0.5
+LONGEST_PAUSE_SECONDS = 1.0
 CALLERS_END_SECONDS = 60
 FIELDS = ("sent", "answered", "refused", "broken", "misdelivered")
 
@@ -75,12 +76,13 @@
         """Does the next fault."""
         if not self._queue:
             self._queue = [self.kill_balancer, self.roll_balancer,
-                           self.roll_instance, self.roll_both]
+                           self.roll_instance, self.roll_instance,
+                           self.roll_instance_and_kill_balancer]
             self._random.shuffle(self._queue)
         action = self._queue.pop()
-        print(f"demo: {action.__name__}", flush=True)
-        action()
-        self.done[action.__name__] += 1
+        if action():
+            self.done[action.__name__] += 1
+        time.sleep(self._random.uniform(0, LONGEST_PAUSE_SECONDS))
 
     def kill_balancer(self):
         """A balancer dies; the fabric notices later; a new one joins."""
@@ -88,27 +90,29 @@
         time.sleep(FABRIC_NOTICES_SECONDS)
         self._system.list_balancers()
         self._join_balancer()
+        return True
 
     def roll_balancer(self):
         """A balancer is replaced in good order."""
         old = self._pick(self._system.balancers)
         self._join_balancer()
         self._system.stop_balancer(old)
+        return True
 
     def roll_instance(self):
-        """An upstream and its agent are replaced in good order."""
+        """An upstream and its agent are replaced in good order. False if the
+        service's last replacement is still under way."""
         old = self._pick(self._system.instances)
-        self._join_instance(old.service)
-        if not self._system.drain_instance(old):
-            raise Failed(f"{old.name} did not drain in time")
+        if self._system.draining(old.service):
+            return False
+        self._system.wait_for_instance(
+            self._system.start_instance(old.service))
+        self._system.begin_drain(old)
+        return True
 
-    def roll_both(self):
-        """A balancer is killed in the middle of an instance's change."""
-        old = self._pick(self._system.instances)
-        self._join_instance(old.service)
-        self.kill_balancer()
-        if not self._system.drain_instance(old):
-            raise Failed(f"{old.name} did not drain in time")
+    def roll_instance_and_kill_balancer(self):
+        """A balancer dies in the middle of an instance's replacement."""
+        return self.roll_instance() and self.kill_balancer()
 
     def _pick(self, parts):
         return parts[self._random.randrange(len(parts))]
@@ -118,9 +122,6 @@
         self._system.wait_for_balancer(balancer)
         self._system.list_balancers()
 
-    def _join_instance(self, service):
-        self._system.wait_for_instance(self._system.start_instance(service))
-
 
 def run_callers(system, arguments):
     """Lets callers send for the duration; returns the callers' totals."""
@@ -136,6 +137,7 @@
     faults = Faults(system, arguments.seed)
     while arguments.faults and time.monotonic() < end:
         faults.step()
+    system.wait_for_drains()
     if faults.done:
         print("demo: faults " + " ".join(
             f"{name}={count}" for name, count in sorted(faults.done.items())))
--- a/testsuite/lib/system.py
+++ b/testsuite/lib/system.py
@@ -4,6 +4,7 @@
 import collections
 import pathlib
 import signal
+import time
 
 from processes import Failed, Ports, http_ok, replace_file, tail, wait_ready
 from processes import wait_until
@@ -60,6 +61,7 @@
         self.fabric = None
         self.balancers = []
         self.instances = []
+        self._draining = []
 
     def ledgers(self):
         """The run ledgers of all upstreams that there ever were."""
@@ -183,16 +185,37 @@
         """Waits until the agent is ready."""
         wait_ready(instance.agent, instance.http, READY_SECONDS)
 
-    def drain_instance(self, instance):
-        """Stops an agent in good order, then its upstream. Returns False if
-        the agent had to be killed because it did not end in time."""
+    def begin_drain(self, instance):
+        """Tells an agent to end once its flows have; see `drained`."""
         self.instances.remove(instance)
         instance.agent.signal(signal.SIGTERM)
-        ended = instance.agent.wait(DRAIN_SECONDS) is not None
-        if not ended:
-            instance.agent.kill()
-        self._stop(instance.upstream)
-        return ended
+        self._draining.append((instance, time.monotonic() + DRAIN_SECONDS))
+
+    def draining(self, service):
+        """True while an instance of the service drains."""
+        self._reap_drained()
+        return any(i.service == service for i, _ in self._draining)
+
+    def wait_for_drains(self):
+        """Waits until every drain is over."""
+        wait_until(lambda: not self._reap_drained(), DRAIN_SECONDS + 1,
+                   "drains")
+
+    def _reap_drained(self):
+        """Stops upstreams whose agents have ended; returns what still
+        drains. Raises Failed if an agent failed or takes too long."""
+        still = []
+        for instance, deadline in self._draining:
+            status = instance.agent.status()
+            if status is None and time.monotonic() < deadline:
+                still.append((instance, deadline))
+            elif status == 0:
+                self._stop(instance.upstream)
+            else:
+                raise Failed(f"{instance.name} did not drain: status {status}:"
+                             f" {tail(instance.agent.log)}")
+        self._draining = still
+        return still
 
     def kill_instance(self, instance):
         """Ends agent and upstream without warning."""
