--- a/testsuite/lib/system.py
+++ b/testsuite/lib/system.py
@@ -7,7 +7,7 @@
 import time
 
 from processes import Failed, Ports, http_ok, replace_file, tail, wait_ready
-from processes import wait_until
+from processes import get_json, post_json, wait_until
 
 READY_SECONDS = 20
 DRAIN_SECONDS = 60
@@ -222,6 +222,29 @@
         self._draining = still
         return still
 
+    def drain_instance(self, instance):
+        """Stops an agent in good order, then its upstream. Returns False if
+        the agent did not end well in time."""
+        self.instances.remove(instance)
+        instance.agent.signal(signal.SIGTERM)
+        status = instance.agent.wait(DRAIN_SECONDS)
+        if status is None:
+            instance.agent.kill()
+        self._stop(instance.upstream)
+        return status == 0
+
+    def set_platform_faults(self, **faults):
+        """Puts faults of the platform stand-in in force; none ends all."""
+        post_json(self.platform, "/v1/standin/faults", faults)
+
+    def platform_calls(self):
+        """Calls that the platform stand-in has counted."""
+        return get_json(self.platform, "/v1/standin/calls")
+
+    def status(self, daemon):
+        """The daemon's /status."""
+        return get_json(daemon.http, "/status")
+
     def kill_instance(self, instance):
         """Ends agent and upstream without warning."""
         self.instances.remove(instance)
