rules apply: a stale read is no proof that nothing changed

Cause: applying an earlier file on a stale read said 'unchanged' though a later version was in force. Ruled out: a second read (stale as well); a new version each time (fills the history). Conclusion: mended for rules.

--- a/src/galenactl/apply_rules.cpp
+++ b/src/galenactl/apply_rules.cpp
@@ -176,16 +176,40 @@
     return tl::unexpected(std::move(current.error()));
 }
 
-exit_status write_rules(const arguments& given, pending_apply& a, session& s)
+write_result put_next(const pending_apply& a, session& s)
 {
-    a.next_ = next_rules_object(a.before_, {a.wanted_.text_, given.author_,
-                                            utc_now(), s.new_write_id()});
     object_write write;
     write.name_ = rules_object_name;
     write.expected_ = a.before_version_;
     write.value_ = to_json(a.next_);
     write.write_ = a.next_.write_;
-    return report(given, a, s.wait(s.store().put_if(std::move(write))));
+    return s.wait(s.store().put_if(std::move(write)));
+}
+
+exit_status write_rules(const arguments& given, pending_apply& a, session& s)
+{
+    a.next_ = next_rules_object(a.before_, {a.wanted_.text_, given.author_,
+                                            utc_now(), s.new_write_id()});
+    return report(given, a, put_next(a, s));
+}
+
+// A read may be stale. Only a conditional update shows that what was read is
+// still in force: it writes the same version of the rules once more.
+exit_status confirm_unchanged(const arguments& given, pending_apply& a,
+                              session& s)
+{
+    a.next_ = *a.before_;
+    a.next_.write_ = s.new_write_id();
+    const write_result result = put_next(a, s);
+    if (result.outcome_ == write_outcome::accepted)
+    {
+        return report_unchanged(given, a.next_);
+    }
+    if (result.outcome_ == write_outcome::unknown)
+    {
+        return report_unknown(given, a, result.reason_);
+    }
+    return report(given, a, result);
 }
 
 exit_status apply_wanted(const arguments& given, pending_apply& a, session& s)
@@ -208,7 +232,7 @@
     }
     if (a.before_ && a.before_->text_ == a.wanted_.text_)
     {
-        return report_unchanged(given, *a.before_);
+        return confirm_unchanged(given, a, s);
     }
     const std::uint64_t version =
         a.before_ ? a.before_->version_.value() : std::uint64_t{0};
--- a/testsuite/operators/operators.py
+++ b/testsuite/operators/operators.py
@@ -126,6 +126,21 @@
     equal(out["history"][-1]["write_id"], write_id, "history tells")
 
 
+def stale_read_is_not_believed(case):
+    apply(case, rule_line(1), "--new-services")
+    apply(case, rule_line(2), "--new-services", author="piotr")
+    case.standin.set_faults(stale_read=1)
+    code, out = apply(case, rule_line(1), "--new-services")
+    equal((code, out["outcome"]), (NOT_ACCEPTED, "not_accepted"),
+          "file that was in force before")
+    case.standin.set_faults(lose_answer_next_writes=1)
+    code, out = apply(case, rule_line(2), "--new-services")
+    equal((code, out["outcome"], out["version"]), (OK, "unchanged", 2),
+          "file in force, answer lost")
+    _, out = case.operator().run("rules", "history")
+    equal(len(out["history"]), 2, "versions")
+
+
 def outage_changes_nothing(case):
     apply(case, rule_line(1), "--new-services")
     case.standin.set_faults(outage=True)
@@ -192,7 +207,8 @@
 
 CASES = [check_finds_faults, command_line_is_checked,
          rules_are_applied_and_kept, loser_sees_the_winner,
-         lost_answers_are_settled, outage_changes_nothing,
+         lost_answers_are_settled, stale_read_is_not_believed,
+         outage_changes_nothing,
          instances_are_drained, flows_are_explained]
 
 
