Experiment: who takes over a lost member's buckets

Cause: the related paper (multi-partition RAID) spreads a failed disk's load over the survivors and protects popular data more. Tried for deputies: all at the next member, as many buckets at each member, as much popularity at each.

--- a/src/galena_experiment/model/buckets.cpp
+++ b/src/galena_experiment/model/buckets.cpp
@@ -1,5 +1,6 @@
 #include "buckets.h"
 
+#include <algorithm>
 #include <numeric>
 
 namespace galenafork::pvt
@@ -46,6 +47,50 @@
     return quota;
 }
 
+std::size_t next_holder(const std::vector<upstream>& members,
+                        std::size_t member)
+{
+    std::size_t next = (member + 1) % members.size();
+    while (!may_hold(members[next]) && next != member)
+    {
+        next = (next + 1) % members.size();
+    }
+    return next;
+}
+
+// Gives each bucket without a home, heaviest first, to the member whose
+// buckets weigh least.
+bucket_homes spread_by_weight(const bucket_homes& homes,
+                              const std::vector<upstream>& members,
+                              const bucket_weights& weights)
+{
+    bucket_homes next = homes;
+    std::vector<double> held(members.size(), 0);
+    std::vector<std::size_t> loose;
+    for (std::size_t bucket = 0; bucket < next.size(); ++bucket)
+    {
+        held[next[bucket]] += weights[bucket];
+        if (!may_hold(members[next[bucket]]))
+        {
+            loose.push_back(bucket);
+        }
+    }
+    std::stable_sort(loose.begin(), loose.end(),
+                     [&](std::size_t a, std::size_t b)
+                     { return weights[a] > weights[b]; });
+    for (const std::size_t bucket : loose)
+    {
+        std::size_t taker = next_holder(members, next[bucket]);
+        for (std::size_t i = 0; i < members.size(); ++i)
+        {
+            taker = may_hold(members[i]) && held[i] < held[taker] ? i : taker;
+        }
+        next[bucket] = taker;
+        held[taker] += weights[bucket];
+    }
+    return next;
+}
+
 } // namespace
 
 bucket_homes spread_buckets(const bucket_homes& homes,
@@ -82,4 +127,24 @@
     return next;
 }
 
+bucket_homes take_over(const bucket_homes& homes,
+                       const std::vector<upstream>& members, deputy_rule rule,
+                       const bucket_weights& weights)
+{
+    if (rule == deputy_rule::spread)
+    {
+        return spread_buckets(homes, members);
+    }
+    if (rule == deputy_rule::by_popularity)
+    {
+        return spread_by_weight(homes, members, weights);
+    }
+    bucket_homes next = homes;
+    for (std::size_t& home : next)
+    {
+        home = may_hold(members[home]) ? home : next_holder(members, home);
+    }
+    return next;
+}
+
 } // namespace galenafork::pvt
--- a/src/galena_experiment/model/measures.cpp
+++ b/src/galena_experiment/model/measures.cpp
@@ -37,6 +37,20 @@
     return whole > 0 ? part / whole : 0;
 }
 
+// Highest over mean if the requests in flight were dealt out evenly.
+double integer_bound(const std::vector<double>& loads, double slots)
+{
+    double requests = 0;
+    double members = 0;
+    for (const double load : loads)
+    {
+        requests += std::max(load, 0.0) * slots;
+        members += is_open(load) ? 1 : 0;
+    }
+    const double mean = ratio(std::round(requests), members);
+    return mean > 0 ? std::ceil(mean) / mean : 1;
+}
+
 } // namespace
 
 evenness evenness_of(const std::vector<double>& loads)
@@ -102,6 +116,7 @@
     const evenness moment = evenness_of(load_);
     moment_sum_.max_over_mean_ += moment.max_over_mean_ * seconds(span);
     moment_sum_.variation_ += moment.variation_ * seconds(span);
+    integer_bound_sum_ += integer_bound(load_, slots_.front()) * seconds(span);
     moment_time_ += seconds(span);
 }
 
@@ -252,6 +267,7 @@
     const double length = seconds(to_ - from_);
     f.now_ = {ratio(moment_sum_.max_over_mean_, moment_time_),
               ratio(moment_sum_.variation_, moment_time_)};
+    f.integer_bound_ = ratio(integer_bound_sum_, moment_time_);
     f.per_second_ = mean_of_windows(from_, to_);
     f.whole_ = whole_run();
     f.after_change_ = mean_of_windows(fault_at_ + settling_time,
--- a/src/galena_experiment/model/measures.h
+++ b/src/galena_experiment/model/measures.h
@@ -44,6 +44,10 @@
     evenness per_second_;
     /// Of the averages over the run.
     evenness whole_;
+    /// The lowest that `now_.max_over_mean_` could be with as many requests in
+    /// flight, were each moved freely at any moment: requests are whole.
+    /// Holds for members with equal slots.
+    double integer_bound_ = 0;
     /// As `per_second_`, from 5 s to 10 s after the fault.
     evenness after_change_;
     /// Of requests for each slot of a data centre.
@@ -133,6 +137,7 @@
     std::vector<load_window> windows_;
     double moment_time_ = 0;
     evenness moment_sum_{0, 0};
+    double integer_bound_sum_ = 0;
     std::vector<std::uint64_t> admitted_by_;
     std::vector<std::uint64_t> admitted_after_fault_;
     time_statistics times_;
--- a/src/galena_experiment/model/results.cpp
+++ b/src/galena_experiment/model/results.cpp
@@ -31,6 +31,7 @@
 {
     return {
         {"max_over_mean_now", f.now_.max_over_mean_},
+        {"integer_bound_now", f.integer_bound_},
         {"variation_now", f.now_.variation_},
         {"max_over_mean_1s", f.per_second_.max_over_mean_},
         {"variation_1s", f.per_second_.variation_},
--- a/src/galena_experiment/model/setup.cpp
+++ b/src/galena_experiment/model/setup.cpp
@@ -20,7 +20,7 @@
 constexpr double most_requests = 1e5;
 constexpr double most_factor = 100;
 
-constexpr std::array<std::pair<const char*, fault_kind>, 9> fault_names{{
+constexpr std::array<std::pair<const char*, fault_kind>, 10> fault_names{{
     {"none", fault_kind::none},
     {"cold_start", fault_kind::cold_start},
     {"drain", fault_kind::drain},
@@ -29,9 +29,16 @@
     {"report_zero", fault_kind::report_zero},
     {"report_inverted", fault_kind::report_inverted},
     {"report_full", fault_kind::report_full},
+    {"member_lost", fault_kind::member_lost},
     {"data_centre_leaves", fault_kind::data_centre_leaves},
 }};
 
+constexpr std::array<std::pair<const char*, deputy_rule>, 3> deputy_names{{
+    {"spread", deputy_rule::spread},
+    {"neighbour", deputy_rule::neighbour},
+    {"by_popularity", deputy_rule::by_popularity},
+}};
+
 void read_name(table_reader& reader, std::string& name)
 {
     reader.require("name");
@@ -67,6 +74,7 @@
     reader.read("flow_min_requests", s.flow_min_requests_, 1, most_requests);
     reader.read("flow_max_requests", s.flow_max_requests_, 1, most_requests);
     reader.read("flow_tail", s.flow_tail_, 0.1, 10);
+    reader.read("bucket_skew", s.bucket_skew_, 0, 10);
     reader.read("think_time_ms", s.think_time_);
     reader.require("deadline_ms");
     reader.read("deadline_ms", s.deadline_);
@@ -82,18 +90,25 @@
     setup.services_.push_back(std::move(s));
 }
 
-void read_fault(table_reader& reader, fault_kind& fault)
+// Reads one of the `names`; absent, `value` stays.
+template <class Value, std::size_t Count>
+void read_choice(table_reader& reader, const char* key,
+                 const std::array<std::pair<const char*, Value>, Count>& names,
+                 Value& value)
 {
-    std::string name = "none";
-    reader.read("fault", name);
-    const auto* found =
-        std::find_if(fault_names.begin(), fault_names.end(),
+    std::string name;
+    reader.read(key, name);
+    const auto found =
+        std::find_if(names.begin(), names.end(),
                      [&](const auto& entry) { return name == entry.first; });
-    if (found == fault_names.end())
+    if (found != names.end())
+    {
+        value = found->second;
+    }
+    else if (!name.empty())
     {
-        return reader.fault("fault", "names no known fault: " + name);
+        reader.fault(key, "knows no '" + name + "'");
     }
-    fault = found->second;
 }
 
 void read_scenario(table_reader reader, experiment_setup& setup)
@@ -102,7 +117,7 @@
     read_name(reader, s.name_);
     reader.require("load");
     reader.read("load", s.load_, 0.001, most_load);
-    read_fault(reader, s.fault_);
+    read_choice(reader, "fault", fault_names, s.fault_);
     reader.read("fault_at_ms", s.fault_at_);
     reader.read("caller_retries", s.caller_retries_, 0, most_retries);
     reader.read("callers_ignore_hint", s.callers_ignore_hint_);
@@ -126,6 +141,7 @@
     reader.read("smoothing_ms", run.smoothing_);
     reader.read("roster_delay_ms", run.roster_delay_);
     reader.read("takeover_delay_ms", run.takeover_delay_);
+    read_choice(reader, "deputies", deputy_names, run.deputies_);
     reader.read("retransmit_timeout_ms", run.retransmit_timeout_);
     reader.read("hint_unit_ms", run.hint_unit_);
     expect_above_zero(reader, "heartbeat_interval_ms", run.heartbeat_interval_);
--- a/src/galena_experiment/model/setup.h
+++ b/src/galena_experiment/model/setup.h
@@ -29,6 +29,8 @@
     double flow_min_requests_ = 1;
     double flow_max_requests_ = 1;
     double flow_tail_ = 1.5;
+    /// Exponent of the Zipf distribution of flows over buckets; zero: even.
+    double bucket_skew_ = 0;
     /// Mean pause of a caller between an answer and the next request.
     duration think_time_{0};
     /// Time after which an answer is worthless to its caller.
@@ -43,6 +45,17 @@
     duration caller_{3000};
 };
 
+/// How the deputies of one member's buckets are chosen.
+enum class deputy_rule
+{
+    /// The same number of buckets to each other member.
+    spread,
+    /// All buckets to the next member.
+    neighbour,
+    /// The same share of the flows to each other member.
+    by_popularity,
+};
+
 /// How long a run is and how news travels in it.
 struct run_setup
 {
@@ -56,6 +69,8 @@
     duration roster_delay_ = std::chrono::milliseconds(500);
     /// From the loss of a member until its buckets have another home.
     duration takeover_delay_ = std::chrono::seconds(2);
+    /// Who takes over the buckets of lost members.
+    deputy_rule deputies_ = deputy_rule::spread;
     /// After which a caller repeats a request that got no answer.
     duration retransmit_timeout_ = std::chrono::seconds(2);
     /// Retry hints reach callers rounded up to a multiple of this: CoAP's
@@ -91,6 +106,8 @@
     report_inverted,
     /// The first member's upstream reports a full queue.
     report_full,
+    /// The first member is gone without notice.
+    member_lost,
     /// The members of the first data centre are gone without notice.
     data_centre_leaves,
 };
--- a/src/galena_experiment/model/simulation.cpp
+++ b/src/galena_experiment/model/simulation.cpp
@@ -145,7 +145,7 @@
     recorder_.request_sent(at, f.attempt_ > 0);
     const auto balancer_at = static_cast<std::size_t>(
         random_.uniform() * service_.servers_per_data_centre_.size());
-    const std::size_t home = homes_[trace_[flow].hash_ % bucket_count];
+    const std::size_t home = homes_[trace_[flow].bucket_];
     const duration inner = balancer_at == members_[home].data_centre_
                                ? network_.within_data_centre_
                                : network_.between_data_centres_;
@@ -192,7 +192,7 @@
 void simulation::at_home(std::uint32_t flow)
 {
     live_flow& f = flows_[flow];
-    const std::size_t home = homes_[trace_[flow].hash_ % bucket_count];
+    const std::size_t home = homes_[trace_[flow].bucket_];
     const instant timeout = f.sent_ + timing_.retransmit_timeout_;
     if (!members_[home].alive_)
     {
--- a/src/galena_experiment/model/simulation_faults.cpp
+++ b/src/galena_experiment/model/simulation_faults.cpp
@@ -34,6 +34,10 @@
     case fault_kind::drain:
         first.draining_ = true;
         break;
+    case fault_kind::member_lost:
+        until_known = timing_.takeover_delay_;
+        lose(0);
+        break;
     case fault_kind::data_centre_leaves:
         until_known = timing_.takeover_delay_;
         for (std::size_t i = 0; i < members_.size(); ++i)
@@ -84,7 +88,8 @@
         }
         u.may_open_ = u.alive_ && !u.draining_;
     }
-    homes_ = spread_buckets(homes_, members_);
+    homes_ =
+        take_over(homes_, members_, timing_.deputies_, popularity(service_));
 }
 
 } // namespace galenafork::pvt
--- a/src/galena_experiment/model/targets.cpp
+++ b/src/galena_experiment/model/targets.cpp
@@ -20,13 +20,21 @@
 constexpr double most_moved_by_report = 0.1;
 constexpr double drain_limit_ms = 3000;
 
+// A figure counts as at its limit only if it is no further above it.
+constexpr double most_above_limit = 1.15;
+
 using checks = std::vector<target_check>;
 
 // A figure that must stay at or below `bound`.
 void add_check(checks& out, const result& r, const char* target, double value,
                double bound)
 {
-    target_check c{r.service_, r.scenario_.name_, target, value, bound};
+    target_check c;
+    c.service_ = r.service_;
+    c.scenario_ = r.scenario_.name_;
+    c.target_ = target;
+    c.value_ = value;
+    c.bound_ = bound;
     c.outcome_ = value <= bound ? target_outcome::met : target_outcome::missed;
     out.push_back(c);
 }
@@ -37,7 +45,7 @@
 {
     add_check(out, r, target, value, bound);
     out.back().limit_ = limit;
-    if (value > bound && limit > bound)
+    if (value > bound && limit > bound && value <= limit * most_above_limit)
     {
         out.back().outcome_ = target_outcome::limit;
     }
@@ -47,6 +55,7 @@
 {
     return fault == fault_kind::cold_start || fault == fault_kind::drain ||
            fault == fault_kind::slow_upstream ||
+           fault == fault_kind::member_lost ||
            fault == fault_kind::data_centre_leaves;
 }
 
@@ -69,6 +78,7 @@
                 steady_max_over_mean, limit.per_second_.max_over_mean_);
     add_limited(out, r, "max_over_mean_now", own.now_.max_over_mean_,
                 steady_max_over_mean, limit.now_.max_over_mean_);
+    out.back().integer_bound_ = own.integer_bound_;
     const result* unloaded =
         find_result(all, r.service_, unloaded_scenario, r.strategy_);
     if (unloaded != nullptr)
@@ -185,6 +195,10 @@
         line["omniscient"] = rounded(check.limit_);
         line["ratio_to_omniscient"] = rounded(check.value_ / check.limit_);
     }
+    if (check.integer_bound_ > 0)
+    {
+        line["integer_bound"] = rounded(check.integer_bound_);
+    }
     line["outcome"] = to_string(check.outcome_);
     return line.dump();
 }
--- a/src/galena_experiment/model/targets.h
+++ b/src/galena_experiment/model/targets.h
@@ -16,7 +16,8 @@
 enum class target_outcome
 {
     met,
-    /// Missed, but the omniscient strategy misses it in the same run too.
+    /// Missed, but the omniscient strategy misses it in the same run too, and
+    /// the figure is close to that strategy's.
     limit,
     missed,
 };
@@ -35,6 +36,8 @@
     double bound_ = 0;
     /// The same figure under the omniscient strategy, where it marks a limit.
     double limit_ = 0;
+    /// What whole requests allow at best, see `figures::integer_bound_`.
+    double integer_bound_ = 0;
     target_outcome outcome_ = target_outcome::missed;
 };
 
--- a/src/galena_experiment/model/trace.cpp
+++ b/src/galena_experiment/model/trace.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace galenafork::pvt
 {
@@ -30,6 +31,14 @@
     return static_cast<std::uint32_t>(std::pow(-inner, -1 / tail));
 }
 
+std::size_t draw_bucket(const bucket_weights& cumulative, double uniform)
+{
+    const auto* found =
+        std::upper_bound(cumulative.begin(), cumulative.end(), uniform);
+    const auto index = static_cast<std::size_t>(found - cumulative.begin());
+    return std::min(index, cumulative.size() - 1);
+}
+
 } // namespace
 
 std::uint64_t random_source::bits()
@@ -61,12 +70,35 @@
     return exponential(service.think_time_, source.uniform());
 }
 
+// Ranks are dealt over the buckets by a step that is prime to their number,
+// so that popular buckets do not all have the same home.
+bucket_weights popularity(const service_setup& service)
+{
+    constexpr std::size_t step = 89;
+    bucket_weights weights{};
+    double sum = 0;
+    for (std::size_t rank = 0; rank < weights.size(); ++rank)
+    {
+        const double weight =
+            std::pow(static_cast<double>(rank + 1), -service.bucket_skew_);
+        weights[rank * step % bucket_count] = weight;
+        sum += weight;
+    }
+    for (double& weight : weights)
+    {
+        weight /= sum;
+    }
+    return weights;
+}
+
 std::vector<traced_flow> make_trace(const service_setup& service, double load,
                                     duration length, std::uint64_t seed)
 {
     random_source source(seed);
     const double requests =
         load * capacity(service) * static_cast<double>(length.count()) / 1e6;
+    bucket_weights cumulative = popularity(service);
+    std::partial_sum(cumulative.begin(), cumulative.end(), cumulative.begin());
     std::vector<traced_flow> trace;
     std::vector<double> starts;
     double sum = 0;
@@ -76,7 +108,7 @@
         at += -std::log1p(-source.uniform());
         starts.push_back(at);
         traced_flow flow;
-        flow.hash_ = source.bits();
+        flow.bucket_ = draw_bucket(cumulative, source.uniform());
         flow.requests_ = flow_length(service, source.uniform());
         flow.seed_ = source.bits();
         sum += flow.requests_;
--- a/src/galena_experiment/model/trace.h
+++ b/src/galena_experiment/model/trace.h
@@ -4,7 +4,7 @@
 #ifndef GALENAFORK_EXPERIMENT_TRACE_H
 #define GALENAFORK_EXPERIMENT_TRACE_H
 
-#include "setup.h"
+#include "buckets.h"
 
 #include <cstdint>
 #include <vector>
@@ -32,8 +32,7 @@
 struct traced_flow
 {
     instant start_;
-    /// Stands for the hash of the flow key.
-    std::uint64_t hash_ = 0;
+    std::size_t bucket_ = 0;
     std::uint32_t requests_ = 1;
     std::uint64_t seed_ = 0;
 };
@@ -46,6 +45,9 @@
 duration pause_before(const traced_flow& flow, std::uint32_t number,
                       const service_setup& service);
 
+/// Share of the flows that each bucket of `service` brings.
+bucket_weights popularity(const service_setup& service);
+
 /// Flows that offer `load` to `service` for `length`: Poisson arrivals, scaled
 /// so that the requests of all flows come to exactly that load.
 std::vector<traced_flow> make_trace(const service_setup& service, double load,
