--- a/src/galena_experiment/model/buckets.cpp
+++ b/src/galena_experiment/model/buckets.cpp
@@ -1,6 +1,5 @@
 #include "buckets.h"
 
-#include <algorithm>
 #include <numeric>
 
 namespace galenafork::pvt
@@ -29,9 +28,9 @@
     }
     for (std::size_t i = 0; i < members.size(); ++i)
     {
-        quota[i] = may_hold(members[i])
-                       ? bucket_count * members[i].slots_.value() / slots
-                       : 0;
+        quota[i] = may_hold(members[i]) ? std::size_t{bucket_count} *
+                                              members[i].slots_.value() / slots
+                                        : 0;
     }
     std::size_t rest =
         bucket_count -
@@ -58,39 +57,6 @@
     return next;
 }
 
-// Gives each bucket without a home, heaviest first, to the member whose
-// buckets weigh least.
-bucket_homes spread_by_weight(const bucket_homes& homes,
-                              const std::vector<upstream>& members,
-                              const bucket_weights& weights)
-{
-    bucket_homes next = homes;
-    std::vector<double> held(members.size(), 0);
-    std::vector<std::size_t> loose;
-    for (std::size_t bucket = 0; bucket < next.size(); ++bucket)
-    {
-        held[next[bucket]] += weights[bucket];
-        if (!may_hold(members[next[bucket]]))
-        {
-            loose.push_back(bucket);
-        }
-    }
-    std::stable_sort(loose.begin(), loose.end(),
-                     [&](std::size_t a, std::size_t b)
-                     { return weights[a] > weights[b]; });
-    for (const std::size_t bucket : loose)
-    {
-        std::size_t taker = next_holder(members, next[bucket]);
-        for (std::size_t i = 0; i < members.size(); ++i)
-        {
-            taker = may_hold(members[i]) && held[i] < held[taker] ? i : taker;
-        }
-        next[bucket] = taker;
-        held[taker] += weights[bucket];
-    }
-    return next;
-}
-
 } // namespace
 
 bucket_homes spread_buckets(const bucket_homes& homes,
@@ -128,17 +94,12 @@
 }
 
 bucket_homes take_over(const bucket_homes& homes,
-                       const std::vector<upstream>& members, deputy_rule rule,
-                       const bucket_weights& weights)
+                       const std::vector<upstream>& members, deputy_rule rule)
 {
     if (rule == deputy_rule::spread)
     {
         return spread_buckets(homes, members);
     }
-    if (rule == deputy_rule::by_popularity)
-    {
-        return spread_by_weight(homes, members, weights);
-    }
     bucket_homes next = homes;
     for (std::size_t& home : next)
     {
--- a/src/galena_experiment/model/buckets.h
+++ b/src/galena_experiment/model/buckets.h
@@ -21,15 +21,11 @@
 bucket_homes spread_buckets(const bucket_homes& homes,
                             const std::vector<upstream>& members);
 
-/// Share of the flows that each bucket brings.
-using bucket_weights = std::array<double, bucket_count>;
-
 /// `homes` after members were lost, before an even spread is restored: each of
 /// their buckets goes to its deputy, chosen beforehand by `rule`. Under
 /// `deputy_rule::spread` this is `spread_buckets`.
 bucket_homes take_over(const bucket_homes& homes,
-                       const std::vector<upstream>& members, deputy_rule rule,
-                       const bucket_weights& weights);
+                       const std::vector<upstream>& members, deputy_rule rule);
 
 } // namespace galenafork::pvt
 
--- /dev/null
+++ b/src/galena_experiment/model/experiment_test.cpp
@@ -0,0 +1,208 @@
+#include "results.h"
+#include "simulation.h"
+#include "targets.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <doctest/doctest.h>
+#include <fstream>
+
+using namespace galenafork;
+using namespace galenafork::pvt;
+
+namespace
+{
+
+constexpr std::uint64_t seed = 7;
+
+service_setup make_service()
+{
+    service_setup s;
+    s.name_ = "orders";
+    s.servers_per_data_centre_ = {2, 1, 1};
+    s.slots_ = slot_count(3);
+    s.request_cost_ = std::chrono::milliseconds(5);
+    s.flow_max_requests_ = 20;
+    s.think_time_ = std::chrono::milliseconds(50);
+    s.deadline_ = std::chrono::seconds(3);
+    return s;
+}
+
+experiment_setup make_setup(const scenario& sc)
+{
+    experiment_setup setup;
+    setup.services_ = {make_service()};
+    setup.scenarios_ = {sc};
+    setup.run_.warm_up_ = std::chrono::seconds(1);
+    setup.run_.length_ = std::chrono::seconds(9);
+    setup.policy_.retry_.retry_burst_ = 10;
+    return setup;
+}
+
+figures run_policy(fault_kind fault, double load = 0.5)
+{
+    scenario sc;
+    sc.name_ = "test";
+    sc.load_ = load;
+    sc.fault_ = fault;
+    sc.fault_at_ = std::chrono::seconds(3);
+    return run_all(make_setup(sc), seed, {strategy::policy}).front().figures_;
+}
+
+// A setup file that is removed with its owner.
+class temporary_file
+{
+public:
+    explicit temporary_file(const std::string& text)
+    {
+        std::ofstream(path_) << text;
+    }
+    ~temporary_file()
+    {
+        std::remove(path_.c_str());
+    }
+    temporary_file(const temporary_file&) = delete;
+    temporary_file& operator=(const temporary_file&) = delete;
+
+    const std::string path_ = "experiment_test.toml";
+};
+
+} // namespace
+
+TEST_CASE("a trace offers exactly the load asked for")
+{
+    const service_setup service = make_service();
+    const duration length = std::chrono::seconds(10);
+    double requests = 0;
+    for (const traced_flow& flow : make_trace(service, 0.5, length, seed))
+    {
+        requests += flow.requests_;
+    }
+    CHECK(requests ==
+          doctest::Approx(0.5 * capacity(service) * 10).epsilon(0.01));
+}
+
+TEST_CASE("the same seed gives the same results")
+{
+    scenario sc;
+    sc.name_ = "steady";
+    const auto setup = make_setup(sc);
+    const results first = run_all(setup, seed, {strategy::policy});
+    const results second = run_all(setup, seed, {strategy::policy});
+    CHECK(to_json_line(first.front(), first) ==
+          to_json_line(second.front(), second));
+}
+
+TEST_CASE("every request of a calm run is answered")
+{
+    const figures f = run_policy(fault_kind::none);
+    CHECK(f.failed_share_ == 0);
+    CHECK(f.broken_flows_ == 0);
+    CHECK(f.goodput_ == doctest::Approx(0.5).epsilon(0.05));
+    CHECK(f.p50_ms_ > 6);
+}
+
+TEST_CASE("a drain breaks no flow and ends new work once the roster is known")
+{
+    const figures f = run_policy(fault_kind::drain);
+    CHECK(f.broken_flows_ == 0);
+    CHECK(f.failed_share_ == 0);
+    CHECK(f.last_open_after_drain_ms_ <= 500);
+}
+
+TEST_CASE("a lost member's flows are counted as broken")
+{
+    CHECK(run_policy(fault_kind::member_lost).broken_flows_ > 0);
+}
+
+TEST_CASE("admitted retries stay within the budget under overload")
+{
+    const figures f = run_policy(fault_kind::none, 2);
+    CHECK(f.retries_sent_ > 0.1);
+    CHECK(f.retries_admitted_ <= 0.1);
+}
+
+TEST_CASE("buckets are spread by slots, and few of them move")
+{
+    std::vector<upstream> members(4);
+    members[0].slots_ = slot_count(5);
+    bucket_homes homes = spread_buckets({}, members);
+    const auto held = [&](std::size_t member)
+    { return std::count(homes.begin(), homes.end(), member); };
+    CHECK(held(0) == 160);
+    CHECK(held(1) == 32);
+    members[1].draining_ = true;
+    const bucket_homes before = homes;
+    homes = spread_buckets(homes, members);
+    CHECK(held(1) == 0);
+    std::size_t moved = 0;
+    for (std::size_t i = 0; i < homes.size(); ++i)
+    {
+        moved += homes[i] != before[i] ? 1 : 0;
+    }
+    CHECK(moved == 32);
+}
+
+TEST_CASE("evenness leaves out members that take no flows")
+{
+    const evenness e = evenness_of({1, 3, -1});
+    CHECK(e.max_over_mean_ == doctest::Approx(1.5));
+    CHECK(e.variation_ == doctest::Approx(0.5));
+    CHECK(evenness_of({}).max_over_mean_ == 1);
+}
+
+TEST_CASE("a missed target counts as a limit only near the omniscient figure")
+{
+    result policy;
+    policy.service_ = "orders";
+    policy.scenario_.name_ = steady_scenario;
+    policy.figures_.whole_.max_over_mean_ = 1.2;
+    result best = policy;
+    best.strategy_ = strategy::omniscient;
+    const auto outcome = [&](double limit)
+    {
+        best.figures_.whole_.max_over_mean_ = limit;
+        return check_targets({policy, best}).front().outcome_;
+    };
+    CHECK(outcome(1.15) == target_outcome::limit);
+    CHECK(outcome(1.04) == target_outcome::missed);
+    CHECK(outcome(1.051) == target_outcome::limit);
+    policy.figures_.whole_.max_over_mean_ = 1.3;
+    CHECK(outcome(1.06) == target_outcome::missed);
+}
+
+TEST_CASE("every fault of a setup file is told with its line")
+{
+    const temporary_file file("[[service]]\n"
+                              "name = \"Orders\"\n"
+                              "slots = 0\n"
+                              "servers_per_data_centre = [1, 1]\n"
+                              "request_cost_ms = 5\n"
+                              "deadline_ms = 100\n"
+                              "colour = 1\n"
+                              "[[scenario]]\n"
+                              "name = \"steady\"\n"
+                              "load = 0.7\n"
+                              "fault = \"flood\"\n"
+                              "[policy]\n"
+                              "home_margin = -1\n");
+    const auto setup = read_setup(file.path_);
+    REQUIRE_FALSE(setup.has_value());
+    const std::vector<std::string> expected{
+        "experiment_test.toml:2: name may hold a-z, 0-9 and - only",
+        "experiment_test.toml:3: slots must be a whole number between 1 and "
+        "1024",
+        "experiment_test.toml:7: colour is not a setting",
+        "experiment_test.toml:11: fault knows no 'flood'",
+        "experiment_test.toml:13: home_margin must be a number between 0 and "
+        "1000000"};
+    CHECK(setup.error() == expected);
+}
+
+TEST_CASE("a setup file that is not TOML is refused with its line")
+{
+    const temporary_file file("[run]\nlength_ms = \n");
+    const auto setup = read_setup(file.path_);
+    REQUIRE_FALSE(setup.has_value());
+    CHECK(setup.error().front().find("experiment_test.toml:2: ") == 0);
+}
--- a/src/galena_experiment/model/setup.cpp
+++ b/src/galena_experiment/model/setup.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <numeric>
+#include <set>
 #include <utility>
 
 namespace galenafork::pvt
@@ -33,10 +34,9 @@
     {"data_centre_leaves", fault_kind::data_centre_leaves},
 }};
 
-constexpr std::array<std::pair<const char*, deputy_rule>, 3> deputy_names{{
+constexpr std::array<std::pair<const char*, deputy_rule>, 2> deputy_names{{
     {"spread", deputy_rule::spread},
     {"neighbour", deputy_rule::neighbour},
-    {"by_popularity", deputy_rule::by_popularity},
 }};
 
 void read_name(table_reader& reader, std::string& name)
@@ -185,6 +185,22 @@
     reader.finish();
 }
 
+// Notes each name that stands twice in `list`.
+template <class Item>
+void expect_distinct_names(const std::vector<Item>& list, const char* kind,
+                           fault_list& faults)
+{
+    std::set<std::string> seen;
+    for (const Item& item : list)
+    {
+        if (!seen.insert(item.name_).second)
+        {
+            faults.add(1,
+                       std::string(kind) + " " + item.name_ + " stands twice");
+        }
+    }
+}
+
 // Calls `read` with the table `key`, if there is one.
 template <class Read>
 void with_table(const toml::table& root, const char* key, fault_list& faults,
@@ -240,6 +256,8 @@
     with_table(root, "policy", faults,
                [&](table_reader r)
                { read_policy(std::move(r), setup.policy_); });
+    expect_distinct_names(setup.services_, "service", faults);
+    expect_distinct_names(setup.scenarios_, "scenario", faults);
     table_reader top(root, faults);
     for (const char* key :
          {"service", "scenario", "network", "run", "faults", "policy"})
--- a/src/galena_experiment/model/setup.h
+++ b/src/galena_experiment/model/setup.h
@@ -52,8 +52,6 @@
     spread,
     /// All buckets to the next member.
     neighbour,
-    /// The same share of the flows to each other member.
-    by_popularity,
 };
 
 /// How long a run is and how news travels in it.
--- a/src/galena_experiment/model/simulation_faults.cpp
+++ b/src/galena_experiment/model/simulation_faults.cpp
@@ -88,8 +88,7 @@
         }
         u.may_open_ = u.alive_ && !u.draining_;
     }
-    homes_ =
-        take_over(homes_, members_, timing_.deputies_, popularity(service_));
+    homes_ = take_over(homes_, members_, timing_.deputies_);
 }
 
 } // namespace galenafork::pvt
--- a/src/galena_experiment/model/trace.cpp
+++ b/src/galena_experiment/model/trace.cpp
@@ -1,6 +1,7 @@
 #include "trace.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <numeric>
 
@@ -14,6 +15,8 @@
 constexpr std::uint64_t cost_stream = 0x1000000000000000U;
 constexpr std::uint64_t pause_stream = 0x2000000000000000U;
 
+using bucket_weights = std::array<double, bucket_count>;
+
 duration exponential(duration mean, double uniform)
 {
     const double drawn =
@@ -31,6 +34,28 @@
     return static_cast<std::uint32_t>(std::pow(-inner, -1 / tail));
 }
 
+// Share of the flows that each bucket brings. Ranks are dealt over the buckets
+// by a step that is prime to their number, so that popular buckets do not all
+// have the same home.
+bucket_weights popularity(const service_setup& service)
+{
+    constexpr std::size_t step = 89;
+    bucket_weights weights{};
+    double sum = 0;
+    for (std::size_t rank = 0; rank < weights.size(); ++rank)
+    {
+        const double weight =
+            std::pow(static_cast<double>(rank + 1), -service.bucket_skew_);
+        weights[rank * step % bucket_count] = weight;
+        sum += weight;
+    }
+    for (double& weight : weights)
+    {
+        weight /= sum;
+    }
+    return weights;
+}
+
 std::size_t draw_bucket(const bucket_weights& cumulative, double uniform)
 {
     const auto* found =
@@ -70,27 +95,6 @@
     return exponential(service.think_time_, source.uniform());
 }
 
-// Ranks are dealt over the buckets by a step that is prime to their number,
-// so that popular buckets do not all have the same home.
-bucket_weights popularity(const service_setup& service)
-{
-    constexpr std::size_t step = 89;
-    bucket_weights weights{};
-    double sum = 0;
-    for (std::size_t rank = 0; rank < weights.size(); ++rank)
-    {
-        const double weight =
-            std::pow(static_cast<double>(rank + 1), -service.bucket_skew_);
-        weights[rank * step % bucket_count] = weight;
-        sum += weight;
-    }
-    for (double& weight : weights)
-    {
-        weight /= sum;
-    }
-    return weights;
-}
-
 std::vector<traced_flow> make_trace(const service_setup& service, double load,
                                     duration length, std::uint64_t seed)
 {
--- a/src/galena_experiment/model/trace.h
+++ b/src/galena_experiment/model/trace.h
@@ -4,7 +4,7 @@
 #ifndef GALENAFORK_EXPERIMENT_TRACE_H
 #define GALENAFORK_EXPERIMENT_TRACE_H
 
-#include "buckets.h"
+#include "setup.h"
 
 #include <cstdint>
 #include <vector>
@@ -45,9 +45,6 @@
 duration pause_before(const traced_flow& flow, std::uint32_t number,
                       const service_setup& service);
 
-/// Share of the flows that each bucket of `service` brings.
-bucket_weights popularity(const service_setup& service);
-
 /// Flows that offer `load` to `service` for `length`: Poisson arrivals, scaled
 /// so that the requests of all flows come to exactly that load.
 std::vector<traced_flow> make_trace(const service_setup& service, double load,
--- a/src/include/galenafork/load_settings.h
+++ b/src/include/galenafork/load_settings.h
@@ -59,7 +59,7 @@
     /// Retries for each first request.
     double retry_ratio_ = 0.1;
     /// Most tokens that the budget holds.
-    double retry_burst_ = 100;
+    double retry_burst_ = 20;
 };
 
 /// Which deadline travels with a request.
--- /dev/null
+++ b/src/libpolicy/placement_test.cpp
@@ -0,0 +1,187 @@
+#include <galenafork/load_policy.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace galenafork;
+
+namespace
+{
+
+// The same cases in every run, unless the environment asks for others.
+[[maybe_unused]] const int seeded = setenv("RC_PARAMS", "seed=20261204", 0);
+
+load_candidate make_candidate(double in_flight, bool may_open = true)
+{
+    load_candidate c;
+    c.slots_ = slot_count(3);
+    c.in_flight_ = in_flight;
+    c.may_open_ = may_open;
+    return c;
+}
+
+double draw_share()
+{
+    constexpr int steps = 1000;
+    return *rc::gen::inRange(0, steps) / static_cast<double>(steps);
+}
+
+placement_draws draw_placement()
+{
+    const double first = draw_share();
+    return {first, draw_share()};
+}
+
+load_candidate draw_candidate()
+{
+    load_candidate c = make_candidate(*rc::gen::inRange(0, 40));
+    c.may_open_ = *rc::gen::arbitrary<bool>();
+    c.same_data_centre_ = *rc::gen::arbitrary<bool>();
+    c.slots_ = slot_count(*rc::gen::inRange<std::uint32_t>(0, 9));
+    c.assigned_since_report_ = *rc::gen::inRange(0, 5);
+    c.service_time_ = duration(*rc::gen::inRange(0, 100000));
+    c.serving_for_ = std::chrono::milliseconds(*rc::gen::inRange(0, 9000));
+    if (*rc::gen::arbitrary<bool>())
+    {
+        c.upstream_report_ = *rc::gen::inRange(-10, 1000);
+    }
+    return c;
+}
+
+std::vector<load_candidate> draw_candidates()
+{
+    const auto count = *rc::gen::inRange<std::size_t>(1, 8);
+    std::vector<load_candidate> all;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        all.push_back(draw_candidate());
+    }
+    return all;
+}
+
+// Share of `draws` placements that go to `index`.
+double share_of(const std::vector<load_candidate>& all, std::size_t home,
+                std::size_t index)
+{
+    constexpr int grid = 100;
+    int hits = 0;
+    for (int i = 0; i < grid * grid; ++i)
+    {
+        const placement_draws draws{(i / grid + 0.5) / grid,
+                                    (i % grid + 0.5) / grid};
+        hits += choose_owner(all, home, {}, draws)->index_ == index ? 1 : 0;
+    }
+    return hits / static_cast<double>(grid * grid);
+}
+
+} // namespace
+
+TEST_CASE("a flow goes to an open member, and to nobody only if all are closed")
+{
+    CHECK(rc::check(
+        []
+        {
+            const auto all = draw_candidates();
+            const auto home = *rc::gen::inRange<std::size_t>(0, all.size());
+            const auto chosen = choose_owner(all, home, {}, draw_placement());
+            const bool any = std::any_of(all.begin(), all.end(),
+                                         [](const load_candidate& c)
+                                         { return c.may_open_; });
+            RC_ASSERT(chosen.has_value() == any);
+            RC_ASSERT(!any || all[chosen->index_].may_open_);
+        }));
+}
+
+TEST_CASE("a report never raises a member's standing, and bounds the lowering")
+{
+    CHECK(rc::check(
+        []
+        {
+            load_candidate c = draw_candidate();
+            const duration usual(*rc::gen::inRange(0, 100000));
+            const load_settings settings;
+            const double reported = standing(c, usual, settings);
+            c.upstream_report_.reset();
+            const double own = standing(c, usual, settings);
+            const double most = 1 + settings.placement_.report_influence_;
+            RC_ASSERT(reported >= own);
+            RC_ASSERT(reported <= own * most * (1 + 1e-12));
+        }));
+}
+
+TEST_CASE("the home keeps the flow unless its load is clearly higher")
+{
+    std::vector<load_candidate> all{make_candidate(2), make_candidate(2),
+                                    make_candidate(2)};
+    CHECK(choose_owner(all, 0, {}, {})->reason_ == placement_reason::home);
+    all[0].in_flight_ = 4;
+    CHECK(choose_owner(all, 0, {}, {})->reason_ ==
+          placement_reason::less_loaded);
+}
+
+TEST_CASE("another data centre must be better by the locality margin too")
+{
+    const load_settings settings;
+    std::vector<load_candidate> all{make_candidate(0), make_candidate(0)};
+    all[1].same_data_centre_ = false;
+    const double home_margin = settings.placement_.home_margin_ * 3;
+    const double margin = settings.placement_.locality_margin_ * 3;
+    all[0].in_flight_ = home_margin + (margin / 2);
+    CHECK(choose_owner(all, 0, settings, {})->index_ == 0);
+    all[0].in_flight_ = home_margin + margin + 0.01;
+    const auto chosen = choose_owner(all, 0, settings, {});
+    CHECK(chosen->reason_ == placement_reason::less_loaded_remote);
+}
+
+TEST_CASE("candidates are drawn by slots")
+{
+    std::vector<load_candidate> all{make_candidate(0, false), make_candidate(0),
+                                    make_candidate(0)};
+    all[2].slots_ = slot_count(9);
+    // One request weighs less on nine slots, so the larger one always wins.
+    CHECK(share_of(all, 0, 2) == doctest::Approx(1));
+    // At equal load per slot the first draw decides: 3 to 9.
+    all[1].in_flight_ = 2;
+    all[2].in_flight_ = 8;
+    CHECK(share_of(all, 0, 2) == doctest::Approx(0.75).epsilon(0.02));
+}
+
+TEST_CASE("a member that just started counts with few of its slots")
+{
+    const slow_start_settings settings;
+    CHECK(warm_share(duration(0), settings) == settings.floor_);
+    CHECK(warm_share(settings.length_, settings) == 1);
+    CHECK(warm_share(settings.length_ / 2, settings) ==
+          doctest::Approx((1 + settings.floor_) / 2));
+    CHECK(warm_share(duration(0), {0.1, duration(0)}) == 1);
+}
+
+TEST_CASE("a slow member's load counts for more, within the limit")
+{
+    const placement_settings settings;
+    const duration usual(1000);
+    CHECK(slowness(usual, usual, settings) == 1);
+    CHECK(slowness(duration(0), usual, settings) == 1);
+    CHECK(slowness(usual, duration(0), settings) == 1);
+    CHECK(slowness(usual * 100, usual, settings) == settings.slowness_limit_);
+    std::vector<load_candidate> all(3);
+    all[0].service_time_ = duration(100);
+    all[1].service_time_ = duration(900);
+    all[2].service_time_ = duration(200);
+    CHECK(usual_service_time(all) == duration(200));
+    all[2].may_open_ = false;
+    CHECK(usual_service_time(all) == duration(100));
+}
+
+TEST_CASE("flows given away count less as their requests end")
+{
+    const duration service_time(1000);
+    assigned_flows flows = add_flow({}, service_time, instant(duration(5000)));
+    CHECK(flows.count_ == doctest::Approx(1));
+    flows = add_flow(flows, service_time, instant(duration(6000)));
+    CHECK(flows.count_ == doctest::Approx(1 + std::exp(-1)));
+    CHECK(decay(flows, service_time, instant(duration(60000))).count_ < 1e-9);
+}
