--- a/src/galena_experiment/model/measures.h
+++ b/src/galena_experiment/model/measures.h
@@ -44,6 +44,10 @@
     evenness per_second_;
     /// Of the averages over the run.
     evenness whole_;
+    /// The lowest that `now_.max_over_mean_` could be with as many requests in
+    /// flight, were each moved freely at any moment: requests are whole.
+    /// Holds for members with equal slots.
+    double integer_bound_ = 0;
     /// As `per_second_`, from 5 s to 10 s after the fault.
     evenness after_change_;
     /// Of requests for each slot of a data centre.
@@ -53,6 +57,9 @@
     double p999_ms_ = 0;
     /// Answers in time, as a share of what all slots can do.
     double goodput_ = 0;
+    /// Requests that callers sent, without retries, as a share of what all
+    /// slots can do: less than the load asked for if answers hold flows up.
+    double offered_ = 0;
     /// Refusals for each request sent.
     double refused_share_ = 0;
     /// Requests that got no answer in time, after all retries.
@@ -133,6 +140,7 @@
     std::vector<load_window> windows_;
     double moment_time_ = 0;
     evenness moment_sum_{0, 0};
+    double integer_bound_sum_ = 0;
     std::vector<std::uint64_t> admitted_by_;
     std::vector<std::uint64_t> admitted_after_fault_;
     time_statistics times_;
