--- a/src/include/galenafork/lease.h
+++ b/src/include/galenafork/lease.h
@@ -118,6 +118,9 @@
               const instance_life& peer, epoch peer_epoch,
               const heartbeat_ack& ack);
 
+/// True if this member, a watcher, has promised the lapse of `life`.
+bool has_promised_lapse(const watch_state& watch, const instance_life& life);
+
 /// True if a heartbeat of `sender` may be acked at `now`; records the ack.
 /// Never again true once the sender's lapse was promised or is known.
 bool may_ack(watch_state& watch, const member_view& view,
@@ -135,6 +138,11 @@
 void hear_promise(watch_state& watch, const instance_life& lapsed,
                   const instance_id& watcher, epoch promise_epoch);
 
+/// True if this incarnation can hold no lease any more: every watcher that
+/// counted has promised its lapse, or is a member no more.
+bool is_out(const lease_state& lease, const watch_state& watch,
+            const member_view& view);
+
 /// Members that by all promises heard have lapsed and are not yet in the
 /// view's lapsed set.
 std::vector<instance_life> find_lapsed(const watch_state& watch,
--- a/src/libflow/agent_core.cpp
+++ b/src/libflow/agent_core.cpp
@@ -215,6 +215,10 @@
     take_load(state, from, beat.load_, now);
     const bool grants =
         holds_lease(state.lease_, state.view_, state.settings_.lease_, now);
+    if (has_promised_lapse(state.watch_, from.sender_))
+    {
+        send_to(state, *sender, lapse_promise{from.sender_}, out);
+    }
     if (may_ack(state.watch_, state.view_, from.sender_, now))
     {
         send_to(state, *sender,
@@ -332,6 +336,7 @@
     {
         part.complete_ = false;
         part.mark_home_.reset();
+        part.last_home_.reset();
     }
 }
 
@@ -355,6 +360,7 @@
     const instance_life old = state.self_;
     state.self_ = life_of(*self);
     state.lease_.self_ = state.self_;
+    state.lease_.active_watchers_.clear();
     rename_own_entries(state, old);
     return true;
 }
@@ -473,6 +479,11 @@
         return out;
     }
     const lease_settings& lease = state.settings_.lease_;
+    if (is_out(state.lease_, state.watch_, state.view_))
+    {
+        pvt::fence(state, out);
+        return out;
+    }
     note_lease(state.lease_, state.watch_, state.view_, lease, now);
     pvt::send_heartbeats(state, now, out);
     pvt::send_promises(state, now, out);
--- a/src/libflow/agent_test.cpp
+++ b/src/libflow/agent_test.cpp
@@ -228,6 +228,25 @@
     CHECK(packets_served(service) == flow_count);
 }
 
+TEST_CASE("the survivor of two takes a newcomer and goes on with its flows")
+{
+    service_fixture service(2);
+    send_round(service);
+    service.run_for(milliseconds(100));
+    service.kill(instance_id("orders-1"));
+    service.run_for(seconds(2));
+    send_round(service);
+    service.run_for(milliseconds(300));
+    service.join(3);
+    service.run_for(seconds(2));
+    service.served_.clear();
+    send_round(service);
+    service.run_for(milliseconds(300));
+    CHECK(packets_served(service) == flow_count);
+    CHECK_FALSE(service.agents_.at(instance_id("orders-2")).fenced_);
+    check_single_owners(service);
+}
+
 TEST_CASE("two of three lost at once: the third goes on with the platform")
 {
     service_fixture service(3);
--- a/src/libflow/directory.cpp
+++ b/src/libflow/directory.cpp
@@ -140,14 +140,34 @@
                        });
 }
 
+// A member was lost so lately that repeats of its requests may still come.
+bool lost_lately(const agent_state& state, instant now)
+{
+    const auto& learned = state.watch_.lapse_learned_;
+    return std::any_of(
+        learned.begin(), learned.end(),
+        [&](const auto& loss)
+        { return now < loss.second + state.settings_.journal_.quarantine_; });
+}
+
+// True if a home before this one may have been lost with entries that nobody
+// else holds. With the home before unknown any late loss counts.
+bool may_lack_entries(const agent_state& state, bucket_id bucket, instant now)
+{
+    const auto& before = state.buckets_[bucket.value()].predecessor_;
+    if (!before)
+    {
+        return lost_lately(state, now);
+    }
+    return was_lost(state, *before) && !is_marked(state, bucket, *before);
+}
+
 void open_buckets(agent_state& state, instant now)
 {
     for (const bucket_id bucket : state.query_->buckets_)
     {
         bucket_state& part = state.buckets_[bucket.value()];
-        const auto& before = part.predecessor_;
-        if (before && was_lost(state, *before) &&
-            !is_marked(state, bucket, *before))
+        if (may_lack_entries(state, bucket, now))
         {
             part.gap_until_ = now + state.settings_.journal_.quarantine_;
         }
--- a/src/libflow/lease.cpp
+++ b/src/libflow/lease.cpp
@@ -110,6 +110,17 @@
     return duties;
 }
 
+// A watcher that counted may have promised this incarnation's lapse and left:
+// with none of them there to ask, no new watcher may count.
+bool lost_all_watchers(const lease_state& lease, const member_view& view)
+{
+    const auto& active = lease.active_watchers_;
+    return !active.empty() &&
+           std::none_of(active.begin(), active.end(),
+                        [&](const instance_id& id)
+                        { return find_member(view.roster_, id) != nullptr; });
+}
+
 // The new watchers count once each old one that is still a member is known
 // to have a roster as new: whoever counts promises then waits for the new
 // ones too.
@@ -120,6 +131,10 @@
     {
         return;
     }
+    if (lost_all_watchers(lease, view))
+    {
+        return;
+    }
     const bool all_know = std::all_of(
         lease.active_watchers_.begin(), lease.active_watchers_.end(),
         [&](const instance_id& id)
@@ -284,6 +299,27 @@
     activate_watchers(lease, view);
 }
 
+bool is_out(const lease_state& lease, const watch_state& watch,
+            const member_view& view)
+{
+    const auto& active = lease.active_watchers_;
+    if (active.empty() || view.roster_.members_.size() == 1)
+    {
+        return false;
+    }
+    return lost_all_watchers(lease, view) ||
+           std::all_of(
+               active.begin(), active.end(),
+               [&](const instance_id& id)
+               { return has_promised(watch, lease.self_, id, epoch(0)); });
+}
+
+bool has_promised_lapse(const watch_state& watch, const instance_life& life)
+{
+    const watch_duty* duty = find_duty(watch, life);
+    return duty != nullptr && duty->promised_;
+}
+
 bool may_ack(watch_state& watch, const member_view& view,
              const instance_life& sender, instant now)
 {
--- a/src/libflow/service_fixture.cpp
+++ b/src/libflow/service_fixture.cpp
@@ -138,6 +138,11 @@
     packet.target_ = life_of(*home);
     packet.epoch_ = as_of.epoch_;
     packet.flow_ = flow;
+    if (request)
+    {
+        packet.payload_ = {
+            static_cast<std::uint8_t>(request->key_.message_id_)};
+    }
     packet.balancer_ = *parse_endpoint("127.0.0.1:1");
     packet.fabric_ = *parse_endpoint("127.0.0.1:2");
     post(balancer_id, home->packets_, packet, std::move(request));
