--- a/src/libflow/agent_core.cpp
+++ b/src/libflow/agent_core.cpp
@@ -11,10 +11,10 @@
 namespace
 {
 
-// Peers that get every heartbeat; with more members only the watchers do and,
-// in turn, as many others.
-constexpr std::size_t all_pairs_limit = 8;
-constexpr std::size_t others_per_round = 4;
+// Up to so many peers all get every heartbeat; with more only the watchers do
+// and, in turn, so many others. Keeps a node's control traffic within 17 KB/s.
+constexpr std::size_t all_pairs_limit = 6;
+constexpr std::size_t others_per_round = 2;
 
 constexpr duration sweep_interval = std::chrono::seconds(1);
 constexpr duration removal_interval = std::chrono::seconds(1);
@@ -46,7 +46,8 @@
 std::vector<const member*> heartbeat_targets(const agent_state& state)
 {
     auto peers = live_peers(state.view_, state.self_);
-    if (peers.size() <= all_pairs_limit)
+    // Without a lease only the acks of all bring it back.
+    if (peers.size() <= all_pairs_limit || state.lease_.missing_since_)
     {
         return peers;
     }
--- a/src/libflow/agent_property_test.cpp
+++ b/src/libflow/agent_property_test.cpp
@@ -1,4 +1,4 @@
-#include "service_fixture.h"
+#include <libvirtual/service_fixture.h>
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/src/libflow/agent_test.cpp
+++ b/src/libflow/agent_test.cpp
@@ -1,4 +1,4 @@
-#include "service_fixture.h"
+#include <libvirtual/service_fixture.h>
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/src/libflow/directory.cpp
+++ b/src/libflow/directory.cpp
@@ -384,8 +384,10 @@
     for (std::uint16_t i = 0; i < bucket_count; ++i)
     {
         const bucket_state& part = state.buckets_[i];
+        // A home that may lack entries itself leaves no mark.
+        const bool whole = part.complete_ && !has_gap(state, bucket_id(i), now);
         const member* partner =
-            part.complete_ && !part.synced_
+            whole && !part.synced_
                 ? journal_partner(state.view_, state.self_, bucket_id(i))
                 : nullptr;
         if (partner != nullptr && state.syncs_.count(life_of(*partner)) == 0)
--- a/src/libflow/roster_test.cpp
+++ b/src/libflow/roster_test.cpp
@@ -1,4 +1,4 @@
-#include "testing.h"
+#include <libvirtual/testing.h>
 
 #include <algorithm>
 #include <cmath>
--- a/src/libflow/service_fixture.h
+++ b/src/libvirtual/service_fixture.h
@@ -2,8 +2,8 @@
 /// Several agents of one service on a network of virtual time, for unit tests
 /// and trace replay.
 
-#ifndef GALENAFORK_LIBFLOW_SERVICE_FIXTURE_H
-#define GALENAFORK_LIBFLOW_SERVICE_FIXTURE_H
+#ifndef GALENAFORK_LIBVIRTUAL_SERVICE_FIXTURE_H
+#define GALENAFORK_LIBVIRTUAL_SERVICE_FIXTURE_H
 
 #include "testing.h"
 
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 
 # rapidcheck draws its cases from this seed, so that every run is the same.
-export RC_PARAMS="seed=20261204"
+export RC_PARAMS="seed=20261204 max_success=500"
 
 passed=0
 failed=0
