--- a/testsuite/lib/system.py
+++ b/testsuite/lib/system.py
@@ -65,6 +65,10 @@
         self.instances = []
         self._draining = []
 
+    def take_port(self):
+        """A free `IP:PORT` for a part that the test itself starts."""
+        return self._ports.take()
+
     def ledgers(self):
         """The run ledgers of all upstreams that there ever were."""
         return sorted(self._folder.glob("*.ledger"))
