Callers tell strays and say what was wrong with an answer

Ruled out: counting any datagram on a flow's socket as an answer. A new flow may be given the port of an ended one, and with it late answers of another service; a connected client's kernel drops those.

Before: the source address was not looked at. After: a datagram from another address than the flow's service is logged as a stray, and counted as misdelivered if it answers one of this flow's own requests (stricter than before); malformed answers and wrong bytes are logged with sizes and ids.

--- a/testsuite/standins/caller/flow.cpp
+++ b/testsuite/standins/caller/flow.cpp
@@ -1,5 +1,7 @@
 #include "flow.h"
 
+#include <common/log.h>
+
 #include <algorithm>
 
 namespace galenafork::standin
@@ -124,8 +126,33 @@
         {
             return;
         }
-        take_message(received->bytes_);
+        if (received->from_ == settings_.service_)
+        {
+            take_message(received->bytes_);
+        }
+        else
+        {
+            take_stray(*received);
+        }
+    }
+}
+
+// A new flow may get the port of one that ended, and with it late answers of
+// another service. Only an answer to this flow's own requests is misdelivered.
+void flow::take_stray(const received_datagram& stray)
+{
+    const std::string own = " id=" + tag_ + "-" + std::to_string(number_) + "-";
+    const std::string text = to_text(stray.bytes_);
+    if (text.find(own) != std::string::npos)
+    {
+        counts_.ended(outcome::misdelivered, "answer_from_another_service");
+        return;
     }
+    counts_.came_late();
+    log_line("stray")
+        .with("flow", number_)
+        .with("from", to_string(stray.from_))
+        .with("size", stray.bytes_.size());
 }
 
 void flow::take_message(const byte_buffer& bytes)
@@ -139,6 +166,9 @@
     if (!message.has_value())
     {
         counts_.ended(outcome::broken, "malformed_answer");
+        log_line("malformed_answer")
+            .with("flow", number_)
+            .with("size", bytes.size());
         return;
     }
     if (is_response(*message))
--- a/testsuite/standins/caller/flow.h
+++ b/testsuite/standins/caller/flow.h
@@ -78,6 +78,7 @@
     void on_ack_timeout();
     void on_answer_timeout();
     void take_datagrams();
+    void take_stray(const received_datagram& stray);
     void take_message(const byte_buffer& bytes);
     void take_response(const coap_message& response);
     void acknowledge(const coap_message& message);
--- a/testsuite/standins/libcoap_caller/client.cpp
+++ b/testsuite/standins/libcoap_caller/client.cpp
@@ -1,5 +1,7 @@
 #include "client.h"
 
+#include <common/log.h>
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cstring>
@@ -61,6 +63,28 @@
     }
 }
 
+// Says where a photo set first differs from what its first cell promised: a
+// body put together from two instances shows here.
+void log_wrong_bytes(const answer_text& text, const std::string& body)
+{
+    std::size_t at = 0;
+    while (at < body.size() &&
+           body.compare(at, photo_cell_bytes,
+                        photo_cell(text, at / photo_cell_bytes)) == 0)
+    {
+        at += photo_cell_bytes;
+    }
+    const auto found = parse_answer_text(
+        body.substr(std::min(at, body.size()), photo_cell_bytes));
+    log_line("wrong_bytes")
+        .with("id", text.id_)
+        .with("instance", text.instance_.value())
+        .with("size", body.size())
+        .with("cell", at / photo_cell_bytes)
+        .with("found_id", found ? found->id_ : "none")
+        .with("found_instance", found ? found->instance_.value() : "none");
+}
+
 std::string body_of(const coap_pdu_t& answer)
 {
     std::size_t size = 0;
@@ -183,7 +207,7 @@
     }
     else if (photo && body != photo_bytes(*text, 0, body.size()))
     {
-        // A body put together from two instances shows here.
+        log_wrong_bytes(*text, body);
         end_request(outcome::broken, "wrong_bytes");
     }
     else
