--- a/src/galena_balancer/balancer_app.cpp
+++ b/src/galena_balancer/balancer_app.cpp
@@ -130,7 +130,8 @@
                                  { take_notice(notice); });
     loop_->serve_rpc(kj::heap<balancer_server>(server_dependencies{
         known_, peers_, subscribers_, [this] { return status(); },
-        [this] { return check(); }}));
+        [this] { return check(); }, [this] { return relay_.is_relay_now(); },
+        [this] { loop_->add_task("exchange", peers_.exchange()); }}));
     loop_->every(settings_.spread_.exchange_interval_,
                  [this] { loop_->add_task("exchange", peers_.exchange()); });
     loop_->every(metrics_interval, [this] { update_metrics(); });
--- a/src/galena_balancer/balancer_server.cpp
+++ b/src/galena_balancer/balancer_server.cpp
@@ -67,10 +67,26 @@
 
 kj::Promise<void> balancer_server::subscribe(SubscribeContext context)
 {
+    KJ_REQUIRE(dependencies_.is_relay_(), "not a relay");
     dependencies_.subscribers_.add(context.getParams().getSubscriber());
     return kj::READY_NOW;
 }
 
+kj::Promise<void> balancer_server::push(PushContext context)
+{
+    if (take_pushed(dependencies_.known_, context.getParams().getUpdates(),
+                    "peer"))
+    {
+        dependencies_.on_gap_();
+    }
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> balancer_server::ended(EndedContext /*context*/)
+{
+    return kj::READY_NOW;
+}
+
 std::string explain_flow(const routing_snapshot* snapshot, const flow_key& flow)
 {
     nlohmann::json json = {
--- a/src/galena_balancer/balancer_server.h
+++ b/src/galena_balancer/balancer_server.h
@@ -23,6 +23,9 @@
     /// JSON for operators.
     std::function<std::string()> status_;
     std::function<readiness()> readiness_;
+    std::function<bool()> is_relay_;
+    /// Called when pushed news builds on something that is not known here.
+    std::function<void()> on_gap_;
 };
 
 /// Answers operators and other balancers.
@@ -36,6 +39,8 @@
     kj::Promise<void> digest(DigestContext context) override;
     kj::Promise<void> pull(PullContext context) override;
     kj::Promise<void> subscribe(SubscribeContext context) override;
+    kj::Promise<void> push(PushContext context) override;
+    kj::Promise<void> ended(EndedContext context) override;
 
 private:
     server_dependencies dependencies_;
--- a/src/galena_balancer/peers.cpp
+++ b/src/galena_balancer/peers.cpp
@@ -3,6 +3,9 @@
 #include <galenafork/log.h>
 #include <galenafork/spread_codec.h>
 
+#include <algorithm>
+#include <set>
+
 namespace galenafork
 {
 
@@ -14,6 +17,16 @@
 constexpr unsigned failures_to_forget = 3;
 constexpr auto exchange_timeout = 3 * kj::SECONDS;
 
+// Whoever hears news first tells this many others: everybody has it after a
+// few rounds with high probability.
+constexpr std::size_t rumour_fan_out = 3;
+
+// Longer news is a start or a catch-up, of which others need no copy.
+constexpr std::size_t max_rumour = 16;
+
+// News that comes together travels together.
+constexpr auto rumour_delay = 5 * kj::MILLISECONDS;
+
 } // namespace
 
 peers::peers(control_loop& loop, knowledge& known, metrics_registry& metrics,
@@ -27,6 +40,66 @@
                                  "Pulls of missing updates from a peer.")),
       self_(self), random_(std::move(random))
 {
+    known_.add_listener([this](const spread_update& news)
+                        { schedule_rumour(news); });
+}
+
+void peers::schedule_rumour(const spread_update& news)
+{
+    if (peers_.empty() || rumour_.size() > max_rumour)
+    {
+        return;
+    }
+    rumour_.push_back(news);
+    if (rumour_scheduled_)
+    {
+        return;
+    }
+    rumour_scheduled_ = true;
+    loop_.add_task(
+        "rumour",
+        loop_.timer().afterDelay(rumour_delay).then([this] { send_rumour(); }));
+}
+
+void peers::send_rumour()
+{
+    rumour_scheduled_ = false;
+    const auto news = std::move(rumour_);
+    rumour_.clear();
+    if (news.size() > max_rumour)
+    {
+        return;
+    }
+    std::set<endpoint> told;
+    for (std::size_t i = 0; i < rumour_fan_out; ++i)
+    {
+        endpoint peer;
+        if (pick(peer) && told.insert(peer).second)
+        {
+            loop_.add_task("rumour", tell(peer, news));
+        }
+    }
+}
+
+kj::Promise<void> peers::tell(const endpoint& peer,
+                              const std::vector<spread_update>& news)
+{
+    auto told = loop_.connect(peer).then(
+        [news](std::unique_ptr<rpc_connection>&& connection)
+        {
+            auto request =
+                connection->bootstrap().castAs<rpc::Balancer>().pushRequest();
+            auto out = request.initUpdates(static_cast<unsigned>(news.size()));
+            for (unsigned i = 0; i < out.size(); ++i)
+            {
+                write(out[i], news[i]);
+            }
+            return request.send().ignoreResult().attach(kj::mv(connection));
+        });
+    return loop_.timer()
+        .timeoutAfter(exchange_timeout, kj::mv(told))
+        .then([] {}, [this, peer](kj::Exception&& failure)
+              { note_failure(peer, failure.getDescription().cStr()); });
 }
 
 void peers::add_seed(const endpoint& peer)
--- a/src/galena_balancer/peers.h
+++ b/src/galena_balancer/peers.h
@@ -17,6 +17,11 @@
 namespace galenafork
 {
 
+/// Takes updates that `source` pushed. True if one of them builds on something
+/// that is not known here.
+bool take_pushed(knowledge& known, capnp::List<rpc::Update>::Reader updates,
+                 const std::string& source);
+
 /// Sends news to those who subscribed.
 class subscribers
 {
@@ -73,7 +78,8 @@
     events on_;
 };
 
-/// Other balancers and the periodic exchange with a random one.
+/// Other balancers: news goes to a few random ones at once, and a periodic
+/// exchange with a random one heals what that missed.
 class peers
 {
 public:
@@ -113,6 +119,10 @@
         unsigned failures_ = 0;
     };
 
+    void schedule_rumour(const spread_update& news);
+    void send_rumour();
+    kj::Promise<void> tell(const endpoint& peer,
+                           const std::vector<spread_update>& news);
     bool pick(endpoint& picked);
     void note_success(const endpoint& peer);
     void note_failure(const endpoint& peer, const std::string& why);
@@ -129,6 +139,8 @@
     endpoint self_;
     std::function<double()> random_;
     std::map<endpoint, peer_record> peers_;
+    std::vector<spread_update> rumour_;
+    bool rumour_scheduled_ = false;
     std::string last_failure_ = "no peer is known";
 };
 
--- a/src/galena_balancer/platform_watch.cpp
+++ b/src/galena_balancer/platform_watch.cpp
@@ -10,14 +10,18 @@
 
 constexpr const char* source_name = "platform";
 
-// A relay keeps a watch on every roster: long waits keep the calls few.
+// Each read under way takes a connection.
+constexpr std::size_t reads_at_once = 16;
+
+// A relay keeps a watch on many rosters: long waits keep the calls few.
 constexpr duration watch_wait = std::chrono::seconds(60);
 
 } // namespace
 
 platform_watch::platform_watch(control_loop& loop, platform_store& store,
                                knowledge& known, std::function<double()> random)
-    : loop_(loop), store_(store), known_(known), random_(std::move(random))
+    : loop_(loop), store_(store), known_(known), random_(std::move(random)),
+      gate_(reads_at_once)
 {
     known_.add_listener(
         [this](const spread_update& update)
@@ -55,8 +59,8 @@
     {
         return;
     }
-    auto read =
-        store_.get(roster_object_name(service))
+    auto reading =
+        read(roster_object_name(service))
             .then(
                 [this, service](tl::expected<platform_object, error>&& object)
                 {
@@ -78,7 +82,15 @@
                                                  { fetches_.erase(service); }));
                 })
             .eagerlyEvaluate(nullptr);
-    fetches_.emplace(service, kj::mv(read));
+    fetches_.emplace(service, kj::mv(reading));
+}
+
+kj::Promise<tl::expected<platform_object, error>>
+platform_watch::read(const std::string& name)
+{
+    return gate_.enter().then(
+        [this, name](kj::Own<read_gate::permit>&& permit)
+        { return store_.get(name).attach(kj::mv(permit)); });
 }
 
 void platform_watch::follow_rules()
@@ -141,7 +153,7 @@
     object_follower& follower = *result.follower_;
     // Read first: a watch would be silent for long about an absent object.
     result.running_ =
-        store_.get(name)
+        read(name)
             .then(
                 [name, events = std::move(events),
                  &follower](tl::expected<platform_object, error>&& object)
--- a/src/galena_balancer/platform_watch.h
+++ b/src/galena_balancer/platform_watch.h
@@ -5,6 +5,7 @@
 #define GALENAFORK_GALENA_BALANCER_PLATFORM_WATCH_H
 
 #include "knowledge.h"
+#include "read_gate.h"
 
 #include <galenafork/object_follower.h>
 #include <galenafork/platform.h>
@@ -61,6 +62,8 @@
         kj::Promise<void> running_ = nullptr;
     };
 
+    kj::Promise<tl::expected<platform_object, error>>
+    read(const std::string& name);
     void follow_rules();
     void follow_roster(const service_name& service);
     void follow_services();
@@ -77,6 +80,7 @@
     bool active_ = false;
     std::string last_failure_ = "platform not asked yet";
     share_function share_;
+    read_gate gate_;
     std::map<service_name, watch> rosters_;
     std::map<service_name, kj::Promise<void>> fetches_;
     watch rules_;
--- /dev/null
+++ b/src/galena_balancer/read_gate.h
@@ -0,0 +1,73 @@
+/// \file
+/// Bounds how many reads of the platform are under way.
+
+#ifndef GALENAFORK_GALENA_BALANCER_READ_GATE_H
+#define GALENAFORK_GALENA_BALANCER_READ_GATE_H
+
+#include <deque>
+#include <kj/async.h>
+#include <kj/memory.h>
+
+namespace galenafork
+{
+
+/// Lets a limited number of holders in at a time, in the order they came. For
+/// one event loop; outlives its permits.
+class read_gate
+{
+public:
+    /// Held while inside; leaves when it goes.
+    class permit
+    {
+    public:
+        explicit permit(read_gate& gate) : gate_(gate) {}
+        ~permit()
+        {
+            gate_.leave();
+        }
+        permit(const permit&) = delete;
+        permit& operator=(const permit&) = delete;
+
+    private:
+        read_gate& gate_;
+    };
+
+    /// Lets `limit` in at a time.
+    explicit read_gate(std::size_t limit) : free_(limit) {}
+
+    /// Resolves when the caller may go in.
+    kj::Promise<kj::Own<permit>> enter()
+    {
+        if (free_ > 0)
+        {
+            --free_;
+            return kj::heap<permit>(*this);
+        }
+        auto pair = kj::newPromiseAndFulfiller<kj::Own<permit>>();
+        waiting_.push_back(kj::mv(pair.fulfiller));
+        return kj::mv(pair.promise);
+    }
+
+private:
+    void leave()
+    {
+        while (!waiting_.empty())
+        {
+            auto next = kj::mv(waiting_.front());
+            waiting_.pop_front();
+            if (next->isWaiting())
+            {
+                next->fulfill(kj::heap<permit>(*this));
+                return;
+            }
+        }
+        ++free_;
+    }
+
+    std::size_t free_;
+    std::deque<kj::Own<kj::PromiseFulfiller<kj::Own<permit>>>> waiting_;
+};
+
+} // namespace galenafork
+
+#endif
--- a/src/galena_balancer/relay_role.cpp
+++ b/src/galena_balancer/relay_role.cpp
@@ -134,6 +134,7 @@
     {
         dependencies_.watch_.stop();
         dependencies_.subscribers_.end();
+        sharing_.clear();
         return;
     }
     const bool same_relays =
--- a/src/galena_balancer/subscribers.cpp
+++ b/src/galena_balancer/subscribers.cpp
@@ -16,6 +16,25 @@
 
 } // namespace
 
+bool take_pushed(knowledge& known, capnp::List<rpc::Update>::Reader updates,
+                 const std::string& source)
+{
+    bool gap = false;
+    for (const auto in : updates)
+    {
+        const auto update = read(in);
+        if (!update)
+        {
+            log_event(
+                log_level::warning, "bad_update",
+                {{"source", source}, {"reason", update.error().message_}});
+            continue;
+        }
+        gap = known.take(*update, source) == merge_result::gap || gap;
+    }
+    return gap;
+}
+
 subscribers::subscribers(control_loop& loop, knowledge& known) : loop_(loop)
 {
     known.add_listener([this](const spread_update& update)
@@ -93,20 +112,7 @@
 
 kj::Promise<void> subscriber_server::push(PushContext context)
 {
-    bool gap = false;
-    for (const auto in : context.getParams().getUpdates())
-    {
-        const auto update = read(in);
-        if (!update)
-        {
-            log_event(
-                log_level::warning, "bad_update",
-                {{"source", source_}, {"reason", update.error().message_}});
-            continue;
-        }
-        gap = known_.take(*update, source_) == merge_result::gap || gap;
-    }
-    if (gap)
+    if (take_pushed(known_, context.getParams().getUpdates(), source_))
     {
         on_.gap_();
     }
--- a/src/libdaemon/control.capnp
+++ b/src/libdaemon/control.capnp
@@ -16,8 +16,16 @@
   # Where a packet from `caller` to the service address goes, and why.
 }
 
-interface Balancer extends(Control) {
-  # Spread of rules and rosters among balancers.
+interface Subscriber {
+  push @0 (updates :List(Update)) -> ();
+  # Old and repeated updates do no harm.
+
+  ended @1 () -> ();
+  # The sender is no relay any more and will push nothing.
+}
+
+interface Balancer extends(Control, Subscriber) {
+  # Spread of rules and rosters among balancers. Any balancer may push news.
 
   digest @0 (caller :Endpoint) -> (digest :Digest, ready :Bool,
                                    peers :List(Endpoint));
@@ -28,15 +36,8 @@
   # What this balancer knows beyond `have`.
 
   subscribe @2 (subscriber :Subscriber) -> ();
-  # Sends `subscriber` what is news here, until the connection breaks.
-}
-
-interface Subscriber {
-  push @0 (updates :List(Update)) -> ();
-  # Old and repeated updates do no harm.
-
-  ended @1 () -> ();
-  # The sender is no relay any more and will push nothing.
+  # Sends `subscriber` what is news here, until the connection breaks. Fails
+  # if this balancer is no relay.
 }
 
 struct Digest {
--- a/src/libdaemon/control.capnp.c++
+++ b/src/libdaemon/control.capnp.c++
@@ -232,7 +232,191 @@
   0, 1, i_d07bb8bab740f8e1, nullptr, nullptr, { &s_d07bb8bab740f8e1, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<51> b_d6c6ba89fced5fc4 = {
+static const ::capnp::_::AlignedData<39> b_d27d5feec7e4c5fa = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    250, 197, 228, 199, 238,  95, 125, 210,
+     14,   0,   0,   0,   3,   0,   0,   0,
+      8, 183,  50, 159,  48,  34, 158, 244,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 202,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 135,   0,   0,   0,
+    109,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  83, 117,
+     98, 115,  99, 114, 105,  98, 101, 114,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   5,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80,  54,  16, 149, 147, 149,   0, 140,
+    250, 233, 248, 210, 221, 172, 106, 145,
+     49,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,   7,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+    132,  68,  49, 141,  85,   3, 132, 142,
+    202,  47, 233, 205, 113, 163,  30, 218,
+     25,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   7,   0,   0,   0,
+    112, 117, 115, 104,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
+    101, 110, 100, 101, 100,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
+      0,   0,   0,   0,   1,   0,   1,   0, }
+};
+::capnp::word const* const bp_d27d5feec7e4c5fa = b_d27d5feec7e4c5fa.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_d27d5feec7e4c5fa[] = {
+  &s_8c00959395103650,
+  &s_8e8403558d314484,
+  &s_916aacddd2f8e9fa,
+  &s_da1ea371cde92fca,
+};
+static const uint16_t m_d27d5feec7e4c5fa[] = {1, 0};
+const ::capnp::_::RawSchema s_d27d5feec7e4c5fa = {
+  0xd27d5feec7e4c5fa, b_d27d5feec7e4c5fa.words, 39, d_d27d5feec7e4c5fa, m_d27d5feec7e4c5fa,
+  4, 2, nullptr, nullptr, nullptr, { &s_d27d5feec7e4c5fa, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<37> b_8c00959395103650 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     80,  54,  16, 149, 147, 149,   0, 140,
+     25,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  42,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  83, 117,
+     98, 115,  99, 114, 105,  98, 101, 114,
+     46, 112, 117, 115, 104,  36,  80,  97,
+    114,  97, 109, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    117, 112, 100,  97, 116, 101, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     14, 120,  13, 146, 145, 200, 124, 252,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8c00959395103650 = b_8c00959395103650.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_8c00959395103650[] = {
+  &s_fc7cc891920d780e,
+};
+static const uint16_t m_8c00959395103650[] = {0};
+static const uint16_t i_8c00959395103650[] = {0};
+const ::capnp::_::RawSchema s_8c00959395103650 = {
+  0x8c00959395103650, b_8c00959395103650.words, 37, d_8c00959395103650, m_8c00959395103650,
+  1, 1, i_8c00959395103650, nullptr, nullptr, { &s_8c00959395103650, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_916aacddd2f8e9fa = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    250, 233, 248, 210, 221, 172, 106, 145,
+     25,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  50,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  83, 117,
+     98, 115,  99, 114, 105,  98, 101, 114,
+     46, 112, 117, 115, 104,  36,  82, 101,
+    115, 117, 108, 116, 115,   0,   0,   0, }
+};
+::capnp::word const* const bp_916aacddd2f8e9fa = b_916aacddd2f8e9fa.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_916aacddd2f8e9fa = {
+  0x916aacddd2f8e9fa, b_916aacddd2f8e9fa.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_916aacddd2f8e9fa, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_8e8403558d314484 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    132,  68,  49, 141,  85,   3, 132, 142,
+     25,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  50,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  83, 117,
+     98, 115,  99, 114, 105,  98, 101, 114,
+     46, 101, 110, 100, 101, 100,  36,  80,
+     97, 114,  97, 109, 115,   0,   0,   0, }
+};
+::capnp::word const* const bp_8e8403558d314484 = b_8e8403558d314484.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_8e8403558d314484 = {
+  0x8e8403558d314484, b_8e8403558d314484.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_8e8403558d314484, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_da1ea371cde92fca = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    202,  47, 233, 205, 113, 163,  30, 218,
+     25,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  58,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  83, 117,
+     98, 115,  99, 114, 105,  98, 101, 114,
+     46, 101, 110, 100, 101, 100,  36,  82,
+    101, 115, 117, 108, 116, 115,   0,   0, }
+};
+::capnp::word const* const bp_da1ea371cde92fca = b_da1ea371cde92fca.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_da1ea371cde92fca = {
+  0xda1ea371cde92fca, b_da1ea371cde92fca.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_da1ea371cde92fca, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<53> b_d6c6ba89fced5fc4 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     196,  95, 237, 252, 137, 186, 198, 214,
      14,   0,   0,   0,   3,   0,   0,   0,
@@ -243,7 +427,7 @@
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      25,   0,   0,   0, 199,   0,   0,   0,
-    149,   0,   0,   0,  23,   0,   0,   0,
+    149,   0,   0,   0,  39,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  66,  97,
@@ -281,8 +465,10 @@
     115, 117,  98, 115,  99, 114, 105,  98,
     101,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
-      4,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   1,   0,   1,   0,
      29, 160, 178, 114,  84, 208, 177, 228,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    250, 197, 228, 199, 238,  95, 125, 210,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_d6c6ba89fced5fc4 = b_d6c6ba89fced5fc4.words;
@@ -294,12 +480,13 @@
   &s_9df4ffd09b5d6514,
   &s_a242b91f5077d6cb,
   &s_c464c5ad3d508588,
+  &s_d27d5feec7e4c5fa,
   &s_e4b1d05472b2a01d,
 };
 static const uint16_t m_d6c6ba89fced5fc4[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_d6c6ba89fced5fc4 = {
-  0xd6c6ba89fced5fc4, b_d6c6ba89fced5fc4.words, 51, d_d6c6ba89fced5fc4, m_d6c6ba89fced5fc4,
-  7, 3, nullptr, nullptr, nullptr, { &s_d6c6ba89fced5fc4, nullptr, nullptr, 0, 0, nullptr }
+  0xd6c6ba89fced5fc4, b_d6c6ba89fced5fc4.words, 53, d_d6c6ba89fced5fc4, m_d6c6ba89fced5fc4,
+  8, 3, nullptr, nullptr, nullptr, { &s_d6c6ba89fced5fc4, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_8a36670478193ce6 = {
@@ -534,258 +721,74 @@
     203, 214, 119,  80,  31, 185,  66, 162,
      23,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  66,   1,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  63,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     99, 111, 110, 116, 114, 111, 108,  46,
-     99,  97, 112, 110, 112,  58,  66,  97,
-    108,  97, 110,  99, 101, 114,  46, 115,
-    117,  98, 115,  99, 114, 105,  98, 101,
-     36,  80,  97, 114,  97, 109, 115,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  90,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   3,   0,   1,   0,
-     24,   0,   0,   0,   2,   0,   1,   0,
-    115, 117,  98, 115,  99, 114, 105,  98,
-    101, 114,   0,   0,   0,   0,   0,   0,
-     17,   0,   0,   0,   0,   0,   0,   0,
-    250, 197, 228, 199, 238,  95, 125, 210,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     17,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_a242b91f5077d6cb = b_a242b91f5077d6cb.words;
-#if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_a242b91f5077d6cb[] = {
-  &s_d27d5feec7e4c5fa,
-};
-static const uint16_t m_a242b91f5077d6cb[] = {0};
-static const uint16_t i_a242b91f5077d6cb[] = {0};
-const ::capnp::_::RawSchema s_a242b91f5077d6cb = {
-  0xa242b91f5077d6cb, b_a242b91f5077d6cb.words, 34, d_a242b91f5077d6cb, m_a242b91f5077d6cb,
-  1, 1, i_a242b91f5077d6cb, nullptr, nullptr, { &s_a242b91f5077d6cb, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<18> b_8ac95ffb0e6a7f30 = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-     48, 127, 106,  14, 251,  95, 201, 138,
-     23,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  74,   1,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     99, 111, 110, 116, 114, 111, 108,  46,
-     99,  97, 112, 110, 112,  58,  66,  97,
-    108,  97, 110,  99, 101, 114,  46, 115,
-    117,  98, 115,  99, 114, 105,  98, 101,
-     36,  82, 101, 115, 117, 108, 116, 115,
-      0,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_8ac95ffb0e6a7f30 = b_8ac95ffb0e6a7f30.words;
-#if !CAPNP_LITE
-const ::capnp::_::RawSchema s_8ac95ffb0e6a7f30 = {
-  0x8ac95ffb0e6a7f30, b_8ac95ffb0e6a7f30.words, 18, nullptr, nullptr,
-  0, 0, nullptr, nullptr, nullptr, { &s_8ac95ffb0e6a7f30, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<39> b_d27d5feec7e4c5fa = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-    250, 197, 228, 199, 238,  95, 125, 210,
-     14,   0,   0,   0,   3,   0,   0,   0,
-      8, 183,  50, 159,  48,  34, 158, 244,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 202,   0,   0,   0,
-     33,   0,   0,   0,   7,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 135,   0,   0,   0,
-    109,   0,   0,   0,   7,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     99, 111, 110, 116, 114, 111, 108,  46,
-     99,  97, 112, 110, 112,  58,  83, 117,
-     98, 115,  99, 114, 105,  98, 101, 114,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   5,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     80,  54,  16, 149, 147, 149,   0, 140,
-    250, 233, 248, 210, 221, 172, 106, 145,
-     49,   0,   0,   0,  42,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     37,   0,   0,   0,   7,   0,   0,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
-    132,  68,  49, 141,  85,   3, 132, 142,
-    202,  47, 233, 205, 113, 163,  30, 218,
-     25,   0,   0,   0,  50,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,   7,   0,   0,   0,
-    112, 117, 115, 104,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   1,   0,
-    101, 110, 100, 101, 100,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   1,   0,
-      0,   0,   0,   0,   1,   0,   1,   0, }
-};
-::capnp::word const* const bp_d27d5feec7e4c5fa = b_d27d5feec7e4c5fa.words;
-#if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_d27d5feec7e4c5fa[] = {
-  &s_8c00959395103650,
-  &s_8e8403558d314484,
-  &s_916aacddd2f8e9fa,
-  &s_da1ea371cde92fca,
-};
-static const uint16_t m_d27d5feec7e4c5fa[] = {1, 0};
-const ::capnp::_::RawSchema s_d27d5feec7e4c5fa = {
-  0xd27d5feec7e4c5fa, b_d27d5feec7e4c5fa.words, 39, d_d27d5feec7e4c5fa, m_d27d5feec7e4c5fa,
-  4, 2, nullptr, nullptr, nullptr, { &s_d27d5feec7e4c5fa, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<37> b_8c00959395103650 = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-     80,  54,  16, 149, 147, 149,   0, 140,
-     25,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  42,   1,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  63,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     99, 111, 110, 116, 114, 111, 108,  46,
-     99,  97, 112, 110, 112,  58,  83, 117,
-     98, 115,  99, 114, 105,  98, 101, 114,
-     46, 112, 117, 115, 104,  36,  80,  97,
-    114,  97, 109, 115,   0,   0,   0,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  66,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   1,   0,
-     36,   0,   0,   0,   2,   0,   1,   0,
-    117, 112, 100,  97, 116, 101, 115,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   3,   0,   1,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-     14, 120,  13, 146, 145, 200, 124, 252,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_8c00959395103650 = b_8c00959395103650.words;
-#if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_8c00959395103650[] = {
-  &s_fc7cc891920d780e,
-};
-static const uint16_t m_8c00959395103650[] = {0};
-static const uint16_t i_8c00959395103650[] = {0};
-const ::capnp::_::RawSchema s_8c00959395103650 = {
-  0x8c00959395103650, b_8c00959395103650.words, 37, d_8c00959395103650, m_8c00959395103650,
-  1, 1, i_8c00959395103650, nullptr, nullptr, { &s_8c00959395103650, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<17> b_916aacddd2f8e9fa = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-    250, 233, 248, 210, 221, 172, 106, 145,
-     25,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  50,   1,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     99, 111, 110, 116, 114, 111, 108,  46,
-     99,  97, 112, 110, 112,  58,  83, 117,
-     98, 115,  99, 114, 105,  98, 101, 114,
-     46, 112, 117, 115, 104,  36,  82, 101,
-    115, 117, 108, 116, 115,   0,   0,   0, }
-};
-::capnp::word const* const bp_916aacddd2f8e9fa = b_916aacddd2f8e9fa.words;
-#if !CAPNP_LITE
-const ::capnp::_::RawSchema s_916aacddd2f8e9fa = {
-  0x916aacddd2f8e9fa, b_916aacddd2f8e9fa.words, 17, nullptr, nullptr,
-  0, 0, nullptr, nullptr, nullptr, { &s_916aacddd2f8e9fa, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<17> b_8e8403558d314484 = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-    132,  68,  49, 141,  85,   3, 132, 142,
-     25,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  50,   1,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  66,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
-     99,  97, 112, 110, 112,  58,  83, 117,
-     98, 115,  99, 114, 105,  98, 101, 114,
-     46, 101, 110, 100, 101, 100,  36,  80,
-     97, 114,  97, 109, 115,   0,   0,   0, }
+     99,  97, 112, 110, 112,  58,  66,  97,
+    108,  97, 110,  99, 101, 114,  46, 115,
+    117,  98, 115,  99, 114, 105,  98, 101,
+     36,  80,  97, 114,  97, 109, 115,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   1,   0,
+     24,   0,   0,   0,   2,   0,   1,   0,
+    115, 117,  98, 115,  99, 114, 105,  98,
+    101, 114,   0,   0,   0,   0,   0,   0,
+     17,   0,   0,   0,   0,   0,   0,   0,
+    250, 197, 228, 199, 238,  95, 125, 210,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     17,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_8e8403558d314484 = b_8e8403558d314484.words;
+::capnp::word const* const bp_a242b91f5077d6cb = b_a242b91f5077d6cb.words;
 #if !CAPNP_LITE
-const ::capnp::_::RawSchema s_8e8403558d314484 = {
-  0x8e8403558d314484, b_8e8403558d314484.words, 17, nullptr, nullptr,
-  0, 0, nullptr, nullptr, nullptr, { &s_8e8403558d314484, nullptr, nullptr, 0, 0, nullptr }
+static const ::capnp::_::RawSchema* const d_a242b91f5077d6cb[] = {
+  &s_d27d5feec7e4c5fa,
+};
+static const uint16_t m_a242b91f5077d6cb[] = {0};
+static const uint16_t i_a242b91f5077d6cb[] = {0};
+const ::capnp::_::RawSchema s_a242b91f5077d6cb = {
+  0xa242b91f5077d6cb, b_a242b91f5077d6cb.words, 34, d_a242b91f5077d6cb, m_a242b91f5077d6cb,
+  1, 1, i_a242b91f5077d6cb, nullptr, nullptr, { &s_a242b91f5077d6cb, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<17> b_da1ea371cde92fca = {
+static const ::capnp::_::AlignedData<18> b_8ac95ffb0e6a7f30 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    202,  47, 233, 205, 113, 163,  30, 218,
-     25,   0,   0,   0,   1,   0,   0,   0,
+     48, 127, 106,  14, 251,  95, 201, 138,
+     23,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  58,   1,   0,   0,
+     21,   0,   0,   0,  74,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
-     99,  97, 112, 110, 112,  58,  83, 117,
-     98, 115,  99, 114, 105,  98, 101, 114,
-     46, 101, 110, 100, 101, 100,  36,  82,
-    101, 115, 117, 108, 116, 115,   0,   0, }
+     99,  97, 112, 110, 112,  58,  66,  97,
+    108,  97, 110,  99, 101, 114,  46, 115,
+    117,  98, 115,  99, 114, 105,  98, 101,
+     36,  82, 101, 115, 117, 108, 116, 115,
+      0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_da1ea371cde92fca = b_da1ea371cde92fca.words;
+::capnp::word const* const bp_8ac95ffb0e6a7f30 = b_8ac95ffb0e6a7f30.words;
 #if !CAPNP_LITE
-const ::capnp::_::RawSchema s_da1ea371cde92fca = {
-  0xda1ea371cde92fca, b_da1ea371cde92fca.words, 17, nullptr, nullptr,
-  0, 0, nullptr, nullptr, nullptr, { &s_da1ea371cde92fca, nullptr, nullptr, 0, 0, nullptr }
+const ::capnp::_::RawSchema s_8ac95ffb0e6a7f30 = {
+  0x8ac95ffb0e6a7f30, b_8ac95ffb0e6a7f30.words, 18, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_8ac95ffb0e6a7f30, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<52> b_c6ef0b38b125f621 = {
@@ -1850,6 +1853,100 @@
 constexpr ::capnp::_::RawSchema const* Control::ExplainResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+#if !CAPNP_LITE
+::capnp::Request< ::galenafork::rpc::Subscriber::PushParams,  ::galenafork::rpc::Subscriber::PushResults>
+Subscriber::Client::pushRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::galenafork::rpc::Subscriber::PushParams,  ::galenafork::rpc::Subscriber::PushResults>(
+      0xd27d5feec7e4c5faull, 0, sizeHint);
+}
+::kj::Promise<void> Subscriber::Server::push(PushContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "control.capnp:Subscriber", "push",
+      0xd27d5feec7e4c5faull, 0);
+}
+::capnp::Request< ::galenafork::rpc::Subscriber::EndedParams,  ::galenafork::rpc::Subscriber::EndedResults>
+Subscriber::Client::endedRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::galenafork::rpc::Subscriber::EndedParams,  ::galenafork::rpc::Subscriber::EndedResults>(
+      0xd27d5feec7e4c5faull, 1, sizeHint);
+}
+::kj::Promise<void> Subscriber::Server::ended(EndedContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "control.capnp:Subscriber", "ended",
+      0xd27d5feec7e4c5faull, 1);
+}
+::capnp::Capability::Server::DispatchCallResult Subscriber::Server::dispatchCall(
+    uint64_t interfaceId, uint16_t methodId,
+    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
+  switch (interfaceId) {
+    case 0xd27d5feec7e4c5faull:
+      return dispatchCallInternal(methodId, context);
+    default:
+      return internalUnimplemented("control.capnp:Subscriber", interfaceId);
+  }
+}
+::capnp::Capability::Server::DispatchCallResult Subscriber::Server::dispatchCallInternal(
+    uint16_t methodId,
+    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
+  switch (methodId) {
+    case 0:
+      return {
+        push(::capnp::Capability::Server::internalGetTypedContext<
+             ::galenafork::rpc::Subscriber::PushParams,  ::galenafork::rpc::Subscriber::PushResults>(context)),
+        false
+      };
+    case 1:
+      return {
+        ended(::capnp::Capability::Server::internalGetTypedContext<
+             ::galenafork::rpc::Subscriber::EndedParams,  ::galenafork::rpc::Subscriber::EndedResults>(context)),
+        false
+      };
+    default:
+      (void)context;
+      return ::capnp::Capability::Server::internalUnimplemented(
+          "control.capnp:Subscriber",
+          0xd27d5feec7e4c5faull, methodId);
+  }
+}
+#endif  // !CAPNP_LITE
+
+// Subscriber
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Subscriber::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Subscriber::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Subscriber::PushParams
+constexpr uint16_t Subscriber::PushParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Subscriber::PushParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Subscriber::PushParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Subscriber::PushParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Subscriber::PushResults
+constexpr uint16_t Subscriber::PushResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Subscriber::PushResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Subscriber::PushResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Subscriber::PushResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Subscriber::EndedParams
+constexpr uint16_t Subscriber::EndedParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Subscriber::EndedParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Subscriber::EndedParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Subscriber::EndedParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Subscriber::EndedResults
+constexpr uint16_t Subscriber::EndedResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Subscriber::EndedResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Subscriber::EndedResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Subscriber::EndedResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::galenafork::rpc::Balancer::DigestParams,  ::galenafork::rpc::Balancer::DigestResults>
 Balancer::Client::digestRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -1887,6 +1984,8 @@
   switch (interfaceId) {
     case 0xd6c6ba89fced5fc4ull:
       return dispatchCallInternal(methodId, context);
+    case 0xd27d5feec7e4c5faull:
+      return  ::galenafork::rpc::Subscriber::Server::dispatchCallInternal(methodId, context);
     case 0xe4b1d05472b2a01dull:
       return  ::galenafork::rpc::Control::Server::dispatchCallInternal(methodId, context);
     default:
@@ -1978,100 +2077,6 @@
 constexpr ::capnp::_::RawSchema const* Balancer::SubscribeResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-::capnp::Request< ::galenafork::rpc::Subscriber::PushParams,  ::galenafork::rpc::Subscriber::PushResults>
-Subscriber::Client::pushRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::galenafork::rpc::Subscriber::PushParams,  ::galenafork::rpc::Subscriber::PushResults>(
-      0xd27d5feec7e4c5faull, 0, sizeHint);
-}
-::kj::Promise<void> Subscriber::Server::push(PushContext) {
-  return ::capnp::Capability::Server::internalUnimplemented(
-      "control.capnp:Subscriber", "push",
-      0xd27d5feec7e4c5faull, 0);
-}
-::capnp::Request< ::galenafork::rpc::Subscriber::EndedParams,  ::galenafork::rpc::Subscriber::EndedResults>
-Subscriber::Client::endedRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::galenafork::rpc::Subscriber::EndedParams,  ::galenafork::rpc::Subscriber::EndedResults>(
-      0xd27d5feec7e4c5faull, 1, sizeHint);
-}
-::kj::Promise<void> Subscriber::Server::ended(EndedContext) {
-  return ::capnp::Capability::Server::internalUnimplemented(
-      "control.capnp:Subscriber", "ended",
-      0xd27d5feec7e4c5faull, 1);
-}
-::capnp::Capability::Server::DispatchCallResult Subscriber::Server::dispatchCall(
-    uint64_t interfaceId, uint16_t methodId,
-    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
-  switch (interfaceId) {
-    case 0xd27d5feec7e4c5faull:
-      return dispatchCallInternal(methodId, context);
-    default:
-      return internalUnimplemented("control.capnp:Subscriber", interfaceId);
-  }
-}
-::capnp::Capability::Server::DispatchCallResult Subscriber::Server::dispatchCallInternal(
-    uint16_t methodId,
-    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
-  switch (methodId) {
-    case 0:
-      return {
-        push(::capnp::Capability::Server::internalGetTypedContext<
-             ::galenafork::rpc::Subscriber::PushParams,  ::galenafork::rpc::Subscriber::PushResults>(context)),
-        false
-      };
-    case 1:
-      return {
-        ended(::capnp::Capability::Server::internalGetTypedContext<
-             ::galenafork::rpc::Subscriber::EndedParams,  ::galenafork::rpc::Subscriber::EndedResults>(context)),
-        false
-      };
-    default:
-      (void)context;
-      return ::capnp::Capability::Server::internalUnimplemented(
-          "control.capnp:Subscriber",
-          0xd27d5feec7e4c5faull, methodId);
-  }
-}
-#endif  // !CAPNP_LITE
-
-// Subscriber
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Subscriber::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Subscriber::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-// Subscriber::PushParams
-constexpr uint16_t Subscriber::PushParams::_capnpPrivate::dataWordSize;
-constexpr uint16_t Subscriber::PushParams::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Subscriber::PushParams::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Subscriber::PushParams::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-// Subscriber::PushResults
-constexpr uint16_t Subscriber::PushResults::_capnpPrivate::dataWordSize;
-constexpr uint16_t Subscriber::PushResults::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Subscriber::PushResults::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Subscriber::PushResults::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-// Subscriber::EndedParams
-constexpr uint16_t Subscriber::EndedParams::_capnpPrivate::dataWordSize;
-constexpr uint16_t Subscriber::EndedParams::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Subscriber::EndedParams::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Subscriber::EndedParams::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-// Subscriber::EndedResults
-constexpr uint16_t Subscriber::EndedResults::_capnpPrivate::dataWordSize;
-constexpr uint16_t Subscriber::EndedResults::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Subscriber::EndedResults::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Subscriber::EndedResults::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
 // Digest
 constexpr uint16_t Digest::_capnpPrivate::dataWordSize;
 constexpr uint16_t Digest::_capnpPrivate::pointerCount;
--- a/src/libdaemon/control.capnp.h
+++ b/src/libdaemon/control.capnp.h
@@ -24,6 +24,11 @@
 CAPNP_DECLARE_SCHEMA(f58515a99718eddd);
 CAPNP_DECLARE_SCHEMA(d7e26edd94ceef32);
 CAPNP_DECLARE_SCHEMA(d07bb8bab740f8e1);
+CAPNP_DECLARE_SCHEMA(d27d5feec7e4c5fa);
+CAPNP_DECLARE_SCHEMA(8c00959395103650);
+CAPNP_DECLARE_SCHEMA(916aacddd2f8e9fa);
+CAPNP_DECLARE_SCHEMA(8e8403558d314484);
+CAPNP_DECLARE_SCHEMA(da1ea371cde92fca);
 CAPNP_DECLARE_SCHEMA(d6c6ba89fced5fc4);
 CAPNP_DECLARE_SCHEMA(8a36670478193ce6);
 CAPNP_DECLARE_SCHEMA(9df4ffd09b5d6514);
@@ -31,11 +36,6 @@
 CAPNP_DECLARE_SCHEMA(8feab7b0d5f8bff8);
 CAPNP_DECLARE_SCHEMA(a242b91f5077d6cb);
 CAPNP_DECLARE_SCHEMA(8ac95ffb0e6a7f30);
-CAPNP_DECLARE_SCHEMA(d27d5feec7e4c5fa);
-CAPNP_DECLARE_SCHEMA(8c00959395103650);
-CAPNP_DECLARE_SCHEMA(916aacddd2f8e9fa);
-CAPNP_DECLARE_SCHEMA(8e8403558d314484);
-CAPNP_DECLARE_SCHEMA(da1ea371cde92fca);
 CAPNP_DECLARE_SCHEMA(c6ef0b38b125f621);
 CAPNP_DECLARE_SCHEMA(d43c0cebd1eadd93);
 CAPNP_DECLARE_SCHEMA(883a569998a75aa6);
@@ -136,194 +136,194 @@
   };
 };
 
-struct Balancer {
-  Balancer() = delete;
+struct Subscriber {
+  Subscriber() = delete;
 
 #if !CAPNP_LITE
   class Client;
   class Server;
 #endif  // !CAPNP_LITE
 
-  struct DigestParams;
-  struct DigestResults;
-  struct PullParams;
-  struct PullResults;
-  struct SubscribeParams;
-  struct SubscribeResults;
+  struct PushParams;
+  struct PushResults;
+  struct EndedParams;
+  struct EndedResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(d6c6ba89fced5fc4)
+    CAPNP_DECLARE_INTERFACE_HEADER(d27d5feec7e4c5fa)
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
   #endif  // !CAPNP_LITE
 };
 
-struct Balancer::DigestParams {
-  DigestParams() = delete;
+struct Subscriber::PushParams {
+  PushParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8a36670478193ce6, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8c00959395103650, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Balancer::DigestResults {
-  DigestResults() = delete;
+struct Subscriber::PushResults {
+  PushResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9df4ffd09b5d6514, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(916aacddd2f8e9fa, 0, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Balancer::PullParams {
-  PullParams() = delete;
+struct Subscriber::EndedParams {
+  EndedParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c464c5ad3d508588, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8e8403558d314484, 0, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Balancer::PullResults {
-  PullResults() = delete;
+struct Subscriber::EndedResults {
+  EndedResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8feab7b0d5f8bff8, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(da1ea371cde92fca, 0, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Balancer::SubscribeParams {
-  SubscribeParams() = delete;
+struct Balancer {
+  Balancer() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+#if !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
 
+  struct DigestParams;
+  struct DigestResults;
+  struct PullParams;
+  struct PullResults;
+  struct SubscribeParams;
+  struct SubscribeResults;
+
+  #if !CAPNP_LITE
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a242b91f5077d6cb, 0, 1)
-    #if !CAPNP_LITE
+    CAPNP_DECLARE_INTERFACE_HEADER(d6c6ba89fced5fc4)
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
   };
+  #endif  // !CAPNP_LITE
 };
 
-struct Balancer::SubscribeResults {
-  SubscribeResults() = delete;
+struct Balancer::DigestParams {
+  DigestParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8ac95ffb0e6a7f30, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8a36670478193ce6, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Subscriber {
-  Subscriber() = delete;
-
-#if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
+struct Balancer::DigestResults {
+  DigestResults() = delete;
 
-  struct PushParams;
-  struct PushResults;
-  struct EndedParams;
-  struct EndedResults;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  #if !CAPNP_LITE
   struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(d27d5feec7e4c5fa)
+    CAPNP_DECLARE_STRUCT_HEADER(9df4ffd09b5d6514, 1, 2)
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
-  #endif  // !CAPNP_LITE
 };
 
-struct Subscriber::PushParams {
-  PushParams() = delete;
+struct Balancer::PullParams {
+  PullParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8c00959395103650, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c464c5ad3d508588, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Subscriber::PushResults {
-  PushResults() = delete;
+struct Balancer::PullResults {
+  PullResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(916aacddd2f8e9fa, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8feab7b0d5f8bff8, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Subscriber::EndedParams {
-  EndedParams() = delete;
+struct Balancer::SubscribeParams {
+  SubscribeParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8e8403558d314484, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(a242b91f5077d6cb, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Subscriber::EndedResults {
-  EndedResults() = delete;
+struct Balancer::SubscribeResults {
+  SubscribeResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da1ea371cde92fca, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8ac95ffb0e6a7f30, 0, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -903,12 +903,11 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Balancer::Client
-    : public virtual ::capnp::Capability::Client,
-      public virtual  ::galenafork::rpc::Control::Client {
+class Subscriber::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef Balancer Calls;
-  typedef Balancer Reads;
+  typedef Subscriber Calls;
+  typedef Subscriber Reads;
 
   Client(decltype(nullptr));
   explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
@@ -922,22 +921,19 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request< ::galenafork::rpc::Balancer::DigestParams,  ::galenafork::rpc::Balancer::DigestResults> digestRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::galenafork::rpc::Balancer::PullParams,  ::galenafork::rpc::Balancer::PullResults> pullRequest(
+  ::capnp::Request< ::galenafork::rpc::Subscriber::PushParams,  ::galenafork::rpc::Subscriber::PushResults> pushRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::galenafork::rpc::Balancer::SubscribeParams,  ::galenafork::rpc::Balancer::SubscribeResults> subscribeRequest(
+  ::capnp::Request< ::galenafork::rpc::Subscriber::EndedParams,  ::galenafork::rpc::Subscriber::EndedResults> endedRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
 };
 
-class Balancer::Server
-    : public virtual ::capnp::Capability::Server,
-      public virtual  ::galenafork::rpc::Control::Server {
+class Subscriber::Server
+    : public virtual ::capnp::Capability::Server {
 public:
-  typedef Balancer Serves;
+  typedef Subscriber Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
       uint64_t interfaceId, uint16_t methodId,
@@ -945,22 +941,18 @@
       override;
 
 protected:
-  typedef  ::galenafork::rpc::Balancer::DigestParams DigestParams;
-  typedef  ::galenafork::rpc::Balancer::DigestResults DigestResults;
-  typedef ::capnp::CallContext<DigestParams, DigestResults> DigestContext;
-  virtual ::kj::Promise<void> digest(DigestContext context);
-  typedef  ::galenafork::rpc::Balancer::PullParams PullParams;
-  typedef  ::galenafork::rpc::Balancer::PullResults PullResults;
-  typedef ::capnp::CallContext<PullParams, PullResults> PullContext;
-  virtual ::kj::Promise<void> pull(PullContext context);
-  typedef  ::galenafork::rpc::Balancer::SubscribeParams SubscribeParams;
-  typedef  ::galenafork::rpc::Balancer::SubscribeResults SubscribeResults;
-  typedef ::capnp::CallContext<SubscribeParams, SubscribeResults> SubscribeContext;
-  virtual ::kj::Promise<void> subscribe(SubscribeContext context);
+  typedef  ::galenafork::rpc::Subscriber::PushParams PushParams;
+  typedef  ::galenafork::rpc::Subscriber::PushResults PushResults;
+  typedef ::capnp::CallContext<PushParams, PushResults> PushContext;
+  virtual ::kj::Promise<void> push(PushContext context);
+  typedef  ::galenafork::rpc::Subscriber::EndedParams EndedParams;
+  typedef  ::galenafork::rpc::Subscriber::EndedResults EndedResults;
+  typedef ::capnp::CallContext<EndedParams, EndedResults> EndedContext;
+  virtual ::kj::Promise<void> ended(EndedContext context);
 
-  inline  ::galenafork::rpc::Balancer::Client thisCap() {
+  inline  ::galenafork::rpc::Subscriber::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::galenafork::rpc::Balancer>();
+        .template castAs< ::galenafork::rpc::Subscriber>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
@@ -969,9 +961,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Balancer::DigestParams::Reader {
+class Subscriber::PushParams::Reader {
 public:
-  typedef DigestParams Reads;
+  typedef PushParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -986,8 +978,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCaller() const;
-  inline  ::galenafork::rpc::Endpoint::Reader getCaller() const;
+  inline bool hasUpdates() const;
+  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1001,9 +993,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Balancer::DigestParams::Builder {
+class Subscriber::PushParams::Builder {
 public:
-  typedef DigestParams Builds;
+  typedef PushParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1017,12 +1009,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCaller();
-  inline  ::galenafork::rpc::Endpoint::Builder getCaller();
-  inline void setCaller( ::galenafork::rpc::Endpoint::Reader value);
-  inline  ::galenafork::rpc::Endpoint::Builder initCaller();
-  inline void adoptCaller(::capnp::Orphan< ::galenafork::rpc::Endpoint>&& value);
-  inline ::capnp::Orphan< ::galenafork::rpc::Endpoint> disownCaller();
+  inline bool hasUpdates();
+  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder getUpdates();
+  inline void setUpdates( ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
+  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>> disownUpdates();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1034,15 +1026,14 @@
 };
 
 #if !CAPNP_LITE
-class Balancer::DigestParams::Pipeline {
+class Subscriber::PushParams::Pipeline {
 public:
-  typedef DigestParams Pipelines;
+  typedef PushParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::galenafork::rpc::Endpoint::Pipeline getCaller();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1051,9 +1042,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Balancer::DigestResults::Reader {
+class Subscriber::PushResults::Reader {
 public:
-  typedef DigestResults Reads;
+  typedef PushResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1068,14 +1059,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDigest() const;
-  inline  ::galenafork::rpc::Digest::Reader getDigest() const;
-
-  inline bool getReady() const;
-
-  inline bool hasPeers() const;
-  inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1088,9 +1071,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Balancer::DigestResults::Builder {
+class Subscriber::PushResults::Builder {
 public:
-  typedef DigestResults Builds;
+  typedef PushResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1104,23 +1087,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDigest();
-  inline  ::galenafork::rpc::Digest::Builder getDigest();
-  inline void setDigest( ::galenafork::rpc::Digest::Reader value);
-  inline  ::galenafork::rpc::Digest::Builder initDigest();
-  inline void adoptDigest(::capnp::Orphan< ::galenafork::rpc::Digest>&& value);
-  inline ::capnp::Orphan< ::galenafork::rpc::Digest> disownDigest();
-
-  inline bool getReady();
-  inline void setReady(bool value);
-
-  inline bool hasPeers();
-  inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Builder getPeers();
-  inline void setPeers( ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Builder initPeers(unsigned int size);
-  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>> disownPeers();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1131,15 +1097,14 @@
 };
 
 #if !CAPNP_LITE
-class Balancer::DigestResults::Pipeline {
+class Subscriber::PushResults::Pipeline {
 public:
-  typedef DigestResults Pipelines;
+  typedef PushResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::galenafork::rpc::Digest::Pipeline getDigest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1148,9 +1113,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Balancer::PullParams::Reader {
+class Subscriber::EndedParams::Reader {
 public:
-  typedef PullParams Reads;
+  typedef EndedParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1165,9 +1130,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHave() const;
-  inline  ::galenafork::rpc::Versions::Reader getHave() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1180,9 +1142,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Balancer::PullParams::Builder {
+class Subscriber::EndedParams::Builder {
 public:
-  typedef PullParams Builds;
+  typedef EndedParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1196,13 +1158,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHave();
-  inline  ::galenafork::rpc::Versions::Builder getHave();
-  inline void setHave( ::galenafork::rpc::Versions::Reader value);
-  inline  ::galenafork::rpc::Versions::Builder initHave();
-  inline void adoptHave(::capnp::Orphan< ::galenafork::rpc::Versions>&& value);
-  inline ::capnp::Orphan< ::galenafork::rpc::Versions> disownHave();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1213,15 +1168,14 @@
 };
 
 #if !CAPNP_LITE
-class Balancer::PullParams::Pipeline {
+class Subscriber::EndedParams::Pipeline {
 public:
-  typedef PullParams Pipelines;
+  typedef EndedParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::galenafork::rpc::Versions::Pipeline getHave();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1230,9 +1184,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Balancer::PullResults::Reader {
+class Subscriber::EndedResults::Reader {
 public:
-  typedef PullResults Reads;
+  typedef EndedResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1247,9 +1201,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasUpdates() const;
-  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1262,9 +1213,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Balancer::PullResults::Builder {
+class Subscriber::EndedResults::Builder {
 public:
-  typedef PullResults Builds;
+  typedef EndedResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1278,13 +1229,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasUpdates();
-  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder getUpdates();
-  inline void setUpdates( ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
-  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>> disownUpdates();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1295,9 +1239,9 @@
 };
 
 #if !CAPNP_LITE
-class Balancer::PullResults::Pipeline {
+class Subscriber::EndedResults::Pipeline {
 public:
-  typedef PullResults Pipelines;
+  typedef EndedResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1311,9 +1255,78 @@
 };
 #endif  // !CAPNP_LITE
 
-class Balancer::SubscribeParams::Reader {
+#if !CAPNP_LITE
+class Balancer::Client
+    : public virtual ::capnp::Capability::Client,
+      public virtual  ::galenafork::rpc::Control::Client,
+      public virtual  ::galenafork::rpc::Subscriber::Client {
 public:
-  typedef SubscribeParams Reads;
+  typedef Balancer Calls;
+  typedef Balancer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::galenafork::rpc::Balancer::DigestParams,  ::galenafork::rpc::Balancer::DigestResults> digestRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::galenafork::rpc::Balancer::PullParams,  ::galenafork::rpc::Balancer::PullResults> pullRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::galenafork::rpc::Balancer::SubscribeParams,  ::galenafork::rpc::Balancer::SubscribeResults> subscribeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Balancer::Server
+    : public virtual ::capnp::Capability::Server,
+      public virtual  ::galenafork::rpc::Control::Server,
+      public virtual  ::galenafork::rpc::Subscriber::Server {
+public:
+  typedef Balancer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::galenafork::rpc::Balancer::DigestParams DigestParams;
+  typedef  ::galenafork::rpc::Balancer::DigestResults DigestResults;
+  typedef ::capnp::CallContext<DigestParams, DigestResults> DigestContext;
+  virtual ::kj::Promise<void> digest(DigestContext context);
+  typedef  ::galenafork::rpc::Balancer::PullParams PullParams;
+  typedef  ::galenafork::rpc::Balancer::PullResults PullResults;
+  typedef ::capnp::CallContext<PullParams, PullResults> PullContext;
+  virtual ::kj::Promise<void> pull(PullContext context);
+  typedef  ::galenafork::rpc::Balancer::SubscribeParams SubscribeParams;
+  typedef  ::galenafork::rpc::Balancer::SubscribeResults SubscribeResults;
+  typedef ::capnp::CallContext<SubscribeParams, SubscribeResults> SubscribeContext;
+  virtual ::kj::Promise<void> subscribe(SubscribeContext context);
+
+  inline  ::galenafork::rpc::Balancer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::galenafork::rpc::Balancer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Balancer::DigestParams::Reader {
+public:
+  typedef DigestParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1328,10 +1341,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSubscriber() const;
-#if !CAPNP_LITE
-  inline  ::galenafork::rpc::Subscriber::Client getSubscriber() const;
-#endif  // !CAPNP_LITE
+  inline bool hasCaller() const;
+  inline  ::galenafork::rpc::Endpoint::Reader getCaller() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1345,9 +1356,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Balancer::SubscribeParams::Builder {
+class Balancer::DigestParams::Builder {
 public:
-  typedef SubscribeParams Builds;
+  typedef DigestParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1361,14 +1372,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSubscriber();
-#if !CAPNP_LITE
-  inline  ::galenafork::rpc::Subscriber::Client getSubscriber();
-  inline void setSubscriber( ::galenafork::rpc::Subscriber::Client&& value);
-  inline void setSubscriber( ::galenafork::rpc::Subscriber::Client& value);
-  inline void adoptSubscriber(::capnp::Orphan< ::galenafork::rpc::Subscriber>&& value);
-  inline ::capnp::Orphan< ::galenafork::rpc::Subscriber> disownSubscriber();
-#endif  // !CAPNP_LITE
+  inline bool hasCaller();
+  inline  ::galenafork::rpc::Endpoint::Builder getCaller();
+  inline void setCaller( ::galenafork::rpc::Endpoint::Reader value);
+  inline  ::galenafork::rpc::Endpoint::Builder initCaller();
+  inline void adoptCaller(::capnp::Orphan< ::galenafork::rpc::Endpoint>&& value);
+  inline ::capnp::Orphan< ::galenafork::rpc::Endpoint> disownCaller();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1380,15 +1389,15 @@
 };
 
 #if !CAPNP_LITE
-class Balancer::SubscribeParams::Pipeline {
+class Balancer::DigestParams::Pipeline {
 public:
-  typedef SubscribeParams Pipelines;
+  typedef DigestParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::galenafork::rpc::Subscriber::Client getSubscriber();
+  inline  ::galenafork::rpc::Endpoint::Pipeline getCaller();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1397,9 +1406,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Balancer::SubscribeResults::Reader {
+class Balancer::DigestResults::Reader {
 public:
-  typedef SubscribeResults Reads;
+  typedef DigestResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1414,6 +1423,14 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasDigest() const;
+  inline  ::galenafork::rpc::Digest::Reader getDigest() const;
+
+  inline bool getReady() const;
+
+  inline bool hasPeers() const;
+  inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1426,9 +1443,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Balancer::SubscribeResults::Builder {
+class Balancer::DigestResults::Builder {
 public:
-  typedef SubscribeResults Builds;
+  typedef DigestResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1442,94 +1459,53 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Balancer::SubscribeResults::Pipeline {
-public:
-  typedef SubscribeResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-#if !CAPNP_LITE
-class Subscriber::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Subscriber Calls;
-  typedef Subscriber Reads;
+  inline bool hasDigest();
+  inline  ::galenafork::rpc::Digest::Builder getDigest();
+  inline void setDigest( ::galenafork::rpc::Digest::Reader value);
+  inline  ::galenafork::rpc::Digest::Builder initDigest();
+  inline void adoptDigest(::capnp::Orphan< ::galenafork::rpc::Digest>&& value);
+  inline ::capnp::Orphan< ::galenafork::rpc::Digest> disownDigest();
 
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
+  inline bool getReady();
+  inline void setReady(bool value);
 
-  ::capnp::Request< ::galenafork::rpc::Subscriber::PushParams,  ::galenafork::rpc::Subscriber::PushResults> pushRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::galenafork::rpc::Subscriber::EndedParams,  ::galenafork::rpc::Subscriber::EndedResults> endedRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  inline bool hasPeers();
+  inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Builder getPeers();
+  inline void setPeers( ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Builder initPeers(unsigned int size);
+  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>> disownPeers();
 
-protected:
-  Client() = default;
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
-class Subscriber::Server
-    : public virtual ::capnp::Capability::Server {
+#if !CAPNP_LITE
+class Balancer::DigestResults::Pipeline {
 public:
-  typedef Subscriber Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::galenafork::rpc::Subscriber::PushParams PushParams;
-  typedef  ::galenafork::rpc::Subscriber::PushResults PushResults;
-  typedef ::capnp::CallContext<PushParams, PushResults> PushContext;
-  virtual ::kj::Promise<void> push(PushContext context);
-  typedef  ::galenafork::rpc::Subscriber::EndedParams EndedParams;
-  typedef  ::galenafork::rpc::Subscriber::EndedResults EndedResults;
-  typedef ::capnp::CallContext<EndedParams, EndedResults> EndedContext;
-  virtual ::kj::Promise<void> ended(EndedContext context);
+  typedef DigestResults Pipelines;
 
-  inline  ::galenafork::rpc::Subscriber::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::galenafork::rpc::Subscriber>();
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+  inline  ::galenafork::rpc::Digest::Pipeline getDigest();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
 #endif  // !CAPNP_LITE
 
-class Subscriber::PushParams::Reader {
+class Balancer::PullParams::Reader {
 public:
-  typedef PushParams Reads;
+  typedef PullParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1544,8 +1520,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasUpdates() const;
-  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
+  inline bool hasHave() const;
+  inline  ::galenafork::rpc::Versions::Reader getHave() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1559,9 +1535,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Subscriber::PushParams::Builder {
+class Balancer::PullParams::Builder {
 public:
-  typedef PushParams Builds;
+  typedef PullParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1575,12 +1551,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasUpdates();
-  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder getUpdates();
-  inline void setUpdates( ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
-  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>> disownUpdates();
+  inline bool hasHave();
+  inline  ::galenafork::rpc::Versions::Builder getHave();
+  inline void setHave( ::galenafork::rpc::Versions::Reader value);
+  inline  ::galenafork::rpc::Versions::Builder initHave();
+  inline void adoptHave(::capnp::Orphan< ::galenafork::rpc::Versions>&& value);
+  inline ::capnp::Orphan< ::galenafork::rpc::Versions> disownHave();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1592,14 +1568,15 @@
 };
 
 #if !CAPNP_LITE
-class Subscriber::PushParams::Pipeline {
+class Balancer::PullParams::Pipeline {
 public:
-  typedef PushParams Pipelines;
+  typedef PullParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::galenafork::rpc::Versions::Pipeline getHave();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1608,9 +1585,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Subscriber::PushResults::Reader {
+class Balancer::PullResults::Reader {
 public:
-  typedef PushResults Reads;
+  typedef PullResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1625,6 +1602,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasUpdates() const;
+  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1637,9 +1617,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Subscriber::PushResults::Builder {
+class Balancer::PullResults::Builder {
 public:
-  typedef PushResults Builds;
+  typedef PullResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1653,6 +1633,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasUpdates();
+  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder getUpdates();
+  inline void setUpdates( ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
+  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>> disownUpdates();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1663,9 +1650,9 @@
 };
 
 #if !CAPNP_LITE
-class Subscriber::PushResults::Pipeline {
+class Balancer::PullResults::Pipeline {
 public:
-  typedef PushResults Pipelines;
+  typedef PullResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1679,9 +1666,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Subscriber::EndedParams::Reader {
+class Balancer::SubscribeParams::Reader {
 public:
-  typedef EndedParams Reads;
+  typedef SubscribeParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1696,6 +1683,11 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasSubscriber() const;
+#if !CAPNP_LITE
+  inline  ::galenafork::rpc::Subscriber::Client getSubscriber() const;
+#endif  // !CAPNP_LITE
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1708,9 +1700,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Subscriber::EndedParams::Builder {
+class Balancer::SubscribeParams::Builder {
 public:
-  typedef EndedParams Builds;
+  typedef SubscribeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1724,6 +1716,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasSubscriber();
+#if !CAPNP_LITE
+  inline  ::galenafork::rpc::Subscriber::Client getSubscriber();
+  inline void setSubscriber( ::galenafork::rpc::Subscriber::Client&& value);
+  inline void setSubscriber( ::galenafork::rpc::Subscriber::Client& value);
+  inline void adoptSubscriber(::capnp::Orphan< ::galenafork::rpc::Subscriber>&& value);
+  inline ::capnp::Orphan< ::galenafork::rpc::Subscriber> disownSubscriber();
+#endif  // !CAPNP_LITE
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1734,14 +1735,15 @@
 };
 
 #if !CAPNP_LITE
-class Subscriber::EndedParams::Pipeline {
+class Balancer::SubscribeParams::Pipeline {
 public:
-  typedef EndedParams Pipelines;
+  typedef SubscribeParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::galenafork::rpc::Subscriber::Client getSubscriber();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1750,9 +1752,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Subscriber::EndedResults::Reader {
+class Balancer::SubscribeResults::Reader {
 public:
-  typedef EndedResults Reads;
+  typedef SubscribeResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1779,9 +1781,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Subscriber::EndedResults::Builder {
+class Balancer::SubscribeResults::Builder {
 public:
-  typedef EndedResults Builds;
+  typedef SubscribeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1805,9 +1807,9 @@
 };
 
 #if !CAPNP_LITE
-class Subscriber::EndedResults::Pipeline {
+class Balancer::SubscribeResults::Pipeline {
 public:
-  typedef EndedResults Pipelines;
+  typedef SubscribeResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3170,6 +3172,64 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+#if !CAPNP_LITE
+inline Subscriber::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Subscriber::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Subscriber::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Subscriber::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Subscriber::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::galenafork::rpc::Subscriber::Client& Subscriber::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::galenafork::rpc::Subscriber::Client& Subscriber::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool Subscriber::PushParams::Reader::hasUpdates() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Subscriber::PushParams::Builder::hasUpdates() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader Subscriber::PushParams::Reader::getUpdates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder Subscriber::PushParams::Builder::getUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Subscriber::PushParams::Builder::setUpdates( ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder Subscriber::PushParams::Builder::initUpdates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Subscriber::PushParams::Builder::adoptUpdates(
+    ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>> Subscriber::PushParams::Builder::disownUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Balancer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -3432,64 +3492,6 @@
 }
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-inline Subscriber::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Subscriber::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Subscriber::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Subscriber::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Subscriber::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::galenafork::rpc::Subscriber::Client& Subscriber::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::galenafork::rpc::Subscriber::Client& Subscriber::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
-
-#endif  // !CAPNP_LITE
-inline bool Subscriber::PushParams::Reader::hasUpdates() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Subscriber::PushParams::Builder::hasUpdates() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader Subscriber::PushParams::Reader::getUpdates() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder Subscriber::PushParams::Builder::getUpdates() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Subscriber::PushParams::Builder::setUpdates( ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder Subscriber::PushParams::Builder::initUpdates(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Subscriber::PushParams::Builder::adoptUpdates(
-    ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>> Subscriber::PushParams::Builder::disownUpdates() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
 inline  ::uint64_t Digest::Reader::getRulesVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
