--- a/spec/handover.pml
+++ b/spec/handover.pml
@@ -92,6 +92,14 @@
 #define home_since(e) pick(e, 1, 2, 2)
 #define deputy_since(e) pick(e, 1, 2, 2)
 #define draining(e) pick(e, 0, bit(A), 0)
+#elif SCENARIO == 7 /* drain: C drains and stays so */
+#define LAST 2
+#define members(e) ABC
+#define home(e) A
+#define deputy(e) B
+#define home_since(e) 1
+#define deputy_since(e) 1
+#define draining(e) pick(e, 0, bit(C), bit(C))
 #endif
 
 /* Knowledge of one member. */
@@ -309,9 +317,14 @@
      }
 
   /* `peer` will never accept the placement of epoch `e`, and says so. */
+#ifdef MUTANT_NO_DENIAL
+#define denies false
+#else
+#define denies true
+#endif
 #define refuses(e)                                                    \
-  (in(e, s[me].placed[peer]) && !in(e, s[me].denied[peer]) &&         \
-   !s[peer].owns &&                                                   \
+  (denies && in(e, s[me].placed[peer]) &&                             \
+   !in(e, s[me].denied[peer]) && !s[peer].owns &&                     \
    (s[peer].epoch > (e) || in(me, s[peer].lapsed) ||                  \
     (s[peer].epoch == (e) && in(peer, draining(e)))))
   :: d_step { refuses(1) -> s[me].denied[peer] = s[me].denied[peer] | bit(1) }
--- a/spec/journal.pml
+++ b/spec/journal.pml
@@ -132,13 +132,20 @@
 /* The partner of an owner: the first other member that is not lapsed, in the
  * order home, deputy, rest of the roster. */
 #define can_be_partner(x, m) ((x) != (m) && !in(x, s[m].lapsed))
-#define partner(m)                                                        \
+#define named_partner(m, otherwise)                                       \
   (can_be_partner(home(s[m].epoch), m) -> home(s[m].epoch) :              \
-   (can_be_partner(deputy(s[m].epoch), m) -> deputy(s[m].epoch) :         \
+   (can_be_partner(deputy(s[m].epoch), m) -> deputy(s[m].epoch) : otherwise))
+#ifdef MUTANT_NO_SPARE_PARTNER
+/* Home and deputy only: a deputy that took over has no partner. */
+#define partner(m) named_partner(m, NOBODY)
+#else
+#define partner(m)                                                        \
+  named_partner(m,                                                        \
     (can_be_partner(A, m) -> A :                                          \
      (can_be_partner(B, m) -> B :                                         \
       (can_be_partner(C, m) -> C :                                        \
-       (LAST_MEMBER == D && can_be_partner(D, m) -> D : NOBODY))))))
+       (LAST_MEMBER == D && can_be_partner(D, m) -> D : NOBODY)))))
+#endif
 
 /* A mark holds as long as the roster fields that choose the partner stay. */
 #ifdef MUTANT_MARK_OF_ANY_EPOCH
@@ -449,10 +456,10 @@
   od
 }
 
-/* Progress: in the end the owner has settled the request, unless it has no
- * partner left or is in quarantine. */
+/* Progress: in the end the owner has settled the request, unless no other
+ * member is left or it is in quarantine. */
 #define settled(m) \
-  (!s[m].owns || in(m, gone) || s[m].quarantined || partner(m) == NOBODY || \
+  (!s[m].owns || in(m, gone) || s[m].quarantined || (ALL & ~bit(m) & ~gone) == 0 || \
    (s[m].entry != NONE && s[m].entry != PENDING && s[m].entry != REFUSING))
 
 proctype quiescence()
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -272,11 +272,13 @@
       ack[w] = NO_MESSAGE;
       w_epoch[w] = 1
     }
-    w = 0;
     run world();
     run lessee();
-    run watcher(0);
-    run watcher(1);
-    run watcher(2)
+    for (w : 0 .. WATCHERS - 1) {
+      if
+      :: in(w, watchers(1) | watchers(2) | watchers(3)) -> run watcher(w)
+      :: else
+      fi
+    }
   }
 }
