--- a/spec/spread.pml
+++ b/spec/spread.pml
@@ -94,6 +94,8 @@
 /* An envelope arrives: the process checks the service that it names. */
 #ifdef MUTANT_NO_IDENTITY_CHECK
 #define passes(s) true
+#elif defined(MUTANT_DROP_ALL)
+#define passes(s) false
 #else
 #define passes(s) ((s) == process)
 #endif
