--- a/spec/check.sh
+++ b/spec/check.sh
@@ -17,12 +17,14 @@
 readonly memory_mb=2000
 readonly depth=100000
 
-# Builds the checker of one run in the current folder.
+# Builds the checker of one run in the current folder. A run that must fail ends
+# early: for it the compiler's own time counts more than its optimizer.
 build_checker() {
-    local model=$1
-    shift
+    local model=$1 expect=$2 optimize=-O2
+    shift 2
+    [ "$expect" = fail ] && optimize=-O0
     spin -a "$@" "$here/$model.pml" >spin.out 2>&1 &&
-        gcc -O2 -w -DSAFETY -DNOREDUCE -DCOLLAPSE -DVECTORSZ=2048 \
+        gcc $optimize -w -DSAFETY -DNOREDUCE -DVECTORSZ=2048 \
             -DMEMLIM=$memory_mb -o pan pan.c >gcc.out 2>&1
 }
 
@@ -48,7 +50,7 @@
     shift 4
     local result=hold complete=no matches=no violated
     mkdir "$work/$number" && cd "$work/$number" || return 1
-    if build_checker "$model" "$@"; then
+    if build_checker "$model" "$expect" "$@"; then
         ./pan -m$depth >pan.out 2>&1
         violated=$(violated_assertion)
         search_complete && complete=yes
