--- a/testsuite/standins/caller/flow.cpp
+++ b/testsuite/standins/caller/flow.cpp
@@ -317,6 +317,16 @@
 {
     waiting_ = false;
     counts_.ended(how, reason);
+    if (how == outcome::broken || how == outcome::misdelivered)
+    {
+        log_line("broken")
+            .with("reason", reason)
+            .with("id", request_id())
+            .with("caller", to_string(socket_->local()))
+            .with("repeats", repeats_)
+            .with("acknowledged", acknowledged_)
+            .with("instance", instance_ ? instance_->value() : "none");
+    }
     if (how == outcome::answered)
     {
         counts_.took(read_monotonic_clock() - sent_at_);
