--- a/src/galena_agent/agent_worker.cpp
+++ b/src/galena_agent/agent_worker.cpp
@@ -19,7 +19,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr duration tick_interval = milliseconds(10);
+constexpr duration tick_interval = milliseconds(20);
 constexpr duration report_interval = milliseconds(250);
 constexpr std::size_t inbox_size = 256;
 constexpr int batches_per_turn = 8;
@@ -47,7 +47,7 @@
       to_control_(dependencies.to_control_), inbox_(inbox_size),
       traces_(dependencies.seed_, 0), random_(dependencies.seed_),
       started_(read_monotonic_clock()), received_(max_datagram_bytes),
-      on_packets_([this] { take_packets(); }),
+      ticks_(tick_interval), on_packets_([this] { take_packets(); }),
       on_inbox_([this] { take_mail(); }), on_stop_([this] { stopped_ = true; }),
       on_tick_([this] { take_tick(); }),
       reactor_(new ACE_Dev_Poll_Reactor, true),
@@ -58,15 +58,12 @@
     watch(packets_.get(), on_packets_);
     watch(inbox_.fd(), on_inbox_);
     watch(stop_.fd(), on_stop_);
-    const ACE_Time_Value interval(
-        0, static_cast<suseconds_t>(tick_interval.count()));
-    reactor_.schedule_timer(&on_tick_, nullptr, interval, interval);
+    watch(ticks_.fd(), on_tick_);
 }
 
 agent_worker::~agent_worker()
 {
-    reactor_.cancel_timer(&on_tick_);
-    for (const int fd : {packets_.get(), inbox_.fd(), stop_.fd()})
+    for (const int fd : {packets_.get(), inbox_.fd(), stop_.fd(), ticks_.fd()})
     {
         reactor_.remove_handler(fd, ACE_Event_Handler::READ_MASK |
                                         ACE_Event_Handler::DONT_CALL);
@@ -190,6 +187,7 @@
 
 void agent_worker::take_tick()
 {
+    ticks_.clear();
     if (!state_)
     {
         return;
--- a/src/galena_agent/agent_worker.h
+++ b/src/galena_agent/agent_worker.h
@@ -11,6 +11,7 @@
 #include "request_tracker.h"
 #include "upstream_flows.h"
 
+#include <galenafork/interval_timer.h>
 #include <galenafork/load_policy.h>
 #include <galenafork/mailbox.h>
 #include <galenafork/trace_export.h>
@@ -97,6 +98,7 @@
     instant started_;
     instant last_report_;
     receive_batch received_;
+    interval_timer ticks_;
     wake_event stop_;
     bool stopped_ = false;
     input_handler on_packets_;
--- a/src/include/galenafork/input_handler.h
+++ b/src/include/galenafork/input_handler.h
@@ -11,8 +11,8 @@
 namespace galenafork
 {
 
-/// Calls a function when its descriptor turns readable, or its timer fires.
-/// Must outlive its registration.
+/// Calls a function when its descriptor turns readable. Must outlive its
+/// registration.
 class input_handler final : public ACE_Event_Handler
 {
 public:
@@ -24,13 +24,6 @@
         return 0;
     }
 
-    int handle_timeout(const ACE_Time_Value& /*now*/,
-                       const void* /*argument*/) override
-    {
-        act_();
-        return 0;
-    }
-
 private:
     std::function<void()> act_;
 };
--- a/testsuite/lib/processes.py
+++ b/testsuite/lib/processes.py
@@ -59,6 +59,10 @@
                 [str(a) for a in arguments], stdin=subprocess.DEVNULL,
                 stdout=output, stderr=log)
 
+    def pid(self):
+        """The process id."""
+        return self._popen.pid
+
     def running(self):
         """True until the process has ended."""
         return self._popen.poll() is None
