--- a/src/galena_balancer/peers.h
+++ b/src/galena_balancer/peers.h
@@ -17,6 +17,11 @@
 namespace galenafork
 {
 
+/// Takes updates that `source` pushed. True if one of them builds on something
+/// that is not known here.
+bool take_pushed(knowledge& known, capnp::List<rpc::Update>::Reader updates,
+                 const std::string& source);
+
 /// Sends news to those who subscribed.
 class subscribers
 {
@@ -27,6 +32,9 @@
     /// Sends every later update to `to`, until a call to it fails.
     void add(rpc::Subscriber::Client to);
 
+    /// Tells all that nothing more will come, and forgets them.
+    void end();
+
     /// How many there are.
     std::size_t count() const
     {
@@ -49,20 +57,29 @@
 class subscriber_server final : public rpc::Subscriber::Server
 {
 public:
-    /// `known` outlives this; `source` is for the log; `on_gap` is called when
-    /// an update builds on something that is not known here.
-    subscriber_server(knowledge& known, std::string source,
-                      std::function<void()> on_gap);
+    /// What the owner of the subscription does.
+    struct events
+    {
+        /// An update builds on something that is not known here.
+        std::function<void()> gap_;
+        /// Nothing more will come.
+        std::function<void()> ended_;
+    };
+
+    /// `known` outlives this; `source` is for the log.
+    subscriber_server(knowledge& known, std::string source, events on);
 
     kj::Promise<void> push(PushContext context) override;
+    kj::Promise<void> ended(EndedContext context) override;
 
 private:
     knowledge& known_;
     std::string source_;
-    std::function<void()> on_gap_;
+    events on_;
 };
 
-/// Other balancers and the periodic exchange with a random one.
+/// Other balancers: news goes to a few random ones at once, and a periodic
+/// exchange with a random one heals what that missed.
 class peers
 {
 public:
@@ -102,6 +119,10 @@
         unsigned failures_ = 0;
     };
 
+    void schedule_rumour(const spread_update& news);
+    void send_rumour();
+    kj::Promise<void> tell(const endpoint& peer,
+                           const std::vector<spread_update>& news);
     bool pick(endpoint& picked);
     void note_success(const endpoint& peer);
     void note_failure(const endpoint& peer, const std::string& why);
@@ -118,6 +139,8 @@
     endpoint self_;
     std::function<double()> random_;
     std::map<endpoint, peer_record> peers_;
+    std::vector<spread_update> rumour_;
+    bool rumour_scheduled_ = false;
     std::string last_failure_ = "no peer is known";
 };
 
--- a/src/galena_balancer/subscribers.cpp
+++ b/src/galena_balancer/subscribers.cpp
@@ -16,6 +16,25 @@
 
 } // namespace
 
+bool take_pushed(knowledge& known, capnp::List<rpc::Update>::Reader updates,
+                 const std::string& source)
+{
+    bool gap = false;
+    for (const auto in : updates)
+    {
+        const auto update = read(in);
+        if (!update)
+        {
+            log_event(
+                log_level::warning, "bad_update",
+                {{"source", source}, {"reason", update.error().message_}});
+            continue;
+        }
+        gap = known.take(*update, source) == merge_result::gap || gap;
+    }
+    return gap;
+}
+
 subscribers::subscribers(control_loop& loop, knowledge& known) : loop_(loop)
 {
     known.add_listener([this](const spread_update& update)
@@ -28,6 +47,17 @@
     ++next_id_;
 }
 
+void subscribers::end()
+{
+    for (auto& [id, client] : clients_)
+    {
+        loop_.add_task("end", loop_.timer().timeoutAfter(
+                                  push_timeout,
+                                  client.endedRequest().send().ignoreResult()));
+    }
+    clients_.clear();
+}
+
 void subscribers::schedule(const spread_update& update)
 {
     if (clients_.empty())
@@ -75,31 +105,24 @@
 }
 
 subscriber_server::subscriber_server(knowledge& known, std::string source,
-                                     std::function<void()> on_gap)
-    : known_(known), source_(std::move(source)), on_gap_(std::move(on_gap))
+                                     events on)
+    : known_(known), source_(std::move(source)), on_(std::move(on))
 {
 }
 
 kj::Promise<void> subscriber_server::push(PushContext context)
 {
-    bool gap = false;
-    for (const auto in : context.getParams().getUpdates())
-    {
-        const auto update = read(in);
-        if (!update)
-        {
-            log_event(
-                log_level::warning, "bad_update",
-                {{"source", source_}, {"reason", update.error().message_}});
-            continue;
-        }
-        gap = known_.take(*update, source_) == merge_result::gap || gap;
-    }
-    if (gap)
+    if (take_pushed(known_, context.getParams().getUpdates(), source_))
     {
-        on_gap_();
+        on_.gap_();
     }
     return kj::READY_NOW;
 }
 
+kj::Promise<void> subscriber_server::ended(EndedContext /*context*/)
+{
+    on_.ended_();
+    return kj::READY_NOW;
+}
+
 } // namespace galenafork
--- a/src/galena_experiment/model/trace.h
+++ b/src/galena_experiment/model/trace.h
@@ -32,8 +32,7 @@
 struct traced_flow
 {
     instant start_;
-    /// Stands for the hash of the flow key.
-    std::uint64_t hash_ = 0;
+    std::size_t bucket_ = 0;
     std::uint32_t requests_ = 1;
     std::uint64_t seed_ = 0;
 };
--- a/src/galenactl/apply_rules.cpp
+++ b/src/galenactl/apply_rules.cpp
@@ -1,5 +1,6 @@
 #include <galenactl/commands.h>
 #include <galenactl/report.h>
+#include <galenafork/platform_setup.h>
 #include <galenafork/program_options.h>
 
 #include <algorithm>
@@ -35,7 +36,7 @@
 tl::expected<std::vector<rule_error>, error>
 find_unannounced(const rule_set& wanted, session& s)
 {
-    const auto rosters = s.wait(s.store().list(roster_object_name("")));
+    const auto rosters = s.wait(s.store().list(roster_object_prefix));
     if (!rosters)
     {
         return tl::unexpected(rosters.error());
@@ -48,7 +49,7 @@
     std::vector<rule_error> faults;
     for (const rule& r : wanted.rules_)
     {
-        if (announced.count(roster_object_name(r.service_.value())) == 0)
+        if (announced.count(roster_object_name(r.service_)) == 0)
         {
             faults.push_back({r.line_, r.service_column_,
                               "no instance of service '" + r.service_.value() +
@@ -175,16 +176,40 @@
     return tl::unexpected(std::move(current.error()));
 }
 
-exit_status write_rules(const arguments& given, pending_apply& a, session& s)
+write_result put_next(const pending_apply& a, session& s)
 {
-    a.next_ = next_rules_object(a.before_, {a.wanted_.text_, given.author_,
-                                            utc_now(), s.new_write_id()});
     object_write write;
     write.name_ = rules_object_name;
     write.expected_ = a.before_version_;
     write.value_ = to_json(a.next_);
     write.write_ = a.next_.write_;
-    return report(given, a, s.wait(s.store().put_if(std::move(write))));
+    return s.wait(s.store().put_if(std::move(write)));
+}
+
+exit_status write_rules(const arguments& given, pending_apply& a, session& s)
+{
+    a.next_ = next_rules_object(a.before_, {a.wanted_.text_, given.author_,
+                                            utc_now(), s.new_write_id()});
+    return report(given, a, put_next(a, s));
+}
+
+// A read may be stale. Only a conditional update shows that what was read is
+// still in force: it writes the same version of the rules once more.
+exit_status confirm_unchanged(const arguments& given, pending_apply& a,
+                              session& s)
+{
+    a.next_ = *a.before_;
+    a.next_.write_ = s.new_write_id();
+    const write_result result = put_next(a, s);
+    if (result.outcome_ == write_outcome::accepted)
+    {
+        return report_unchanged(given, a.next_);
+    }
+    if (result.outcome_ == write_outcome::unknown)
+    {
+        return report_unknown(given, a, result.reason_);
+    }
+    return report(given, a, result);
 }
 
 exit_status apply_wanted(const arguments& given, pending_apply& a, session& s)
@@ -207,7 +232,7 @@
     }
     if (a.before_ && a.before_->text_ == a.wanted_.text_)
     {
-        return report_unchanged(given, *a.before_);
+        return confirm_unchanged(given, a, s);
     }
     const std::uint64_t version =
         a.before_ ? a.before_->version_.value() : std::uint64_t{0};
--- a/src/libdaemon/control.capnp.h
+++ b/src/libdaemon/control.capnp.h
@@ -24,6 +24,11 @@
 CAPNP_DECLARE_SCHEMA(f58515a99718eddd);
 CAPNP_DECLARE_SCHEMA(d7e26edd94ceef32);
 CAPNP_DECLARE_SCHEMA(d07bb8bab740f8e1);
+CAPNP_DECLARE_SCHEMA(d27d5feec7e4c5fa);
+CAPNP_DECLARE_SCHEMA(8c00959395103650);
+CAPNP_DECLARE_SCHEMA(916aacddd2f8e9fa);
+CAPNP_DECLARE_SCHEMA(8e8403558d314484);
+CAPNP_DECLARE_SCHEMA(da1ea371cde92fca);
 CAPNP_DECLARE_SCHEMA(d6c6ba89fced5fc4);
 CAPNP_DECLARE_SCHEMA(8a36670478193ce6);
 CAPNP_DECLARE_SCHEMA(9df4ffd09b5d6514);
@@ -31,15 +36,13 @@
 CAPNP_DECLARE_SCHEMA(8feab7b0d5f8bff8);
 CAPNP_DECLARE_SCHEMA(a242b91f5077d6cb);
 CAPNP_DECLARE_SCHEMA(8ac95ffb0e6a7f30);
-CAPNP_DECLARE_SCHEMA(d27d5feec7e4c5fa);
-CAPNP_DECLARE_SCHEMA(8c00959395103650);
-CAPNP_DECLARE_SCHEMA(916aacddd2f8e9fa);
 CAPNP_DECLARE_SCHEMA(c6ef0b38b125f621);
 CAPNP_DECLARE_SCHEMA(d43c0cebd1eadd93);
 CAPNP_DECLARE_SCHEMA(883a569998a75aa6);
 CAPNP_DECLARE_SCHEMA(e5cb9f4f495c5da0);
 CAPNP_DECLARE_SCHEMA(fc7cc891920d780e);
 CAPNP_DECLARE_SCHEMA(931a4ebcf8ebf87f);
+CAPNP_DECLARE_SCHEMA(ba3ff4b98194a03a);
 CAPNP_DECLARE_SCHEMA(90effdced0cee264);
 CAPNP_DECLARE_SCHEMA(a93176fa06115a0e);
 CAPNP_DECLARE_SCHEMA(a1d092e3d7f3dd83);
@@ -133,162 +136,194 @@
   };
 };
 
-struct Balancer {
-  Balancer() = delete;
+struct Subscriber {
+  Subscriber() = delete;
 
 #if !CAPNP_LITE
   class Client;
   class Server;
 #endif  // !CAPNP_LITE
 
-  struct DigestParams;
-  struct DigestResults;
-  struct PullParams;
-  struct PullResults;
-  struct SubscribeParams;
-  struct SubscribeResults;
+  struct PushParams;
+  struct PushResults;
+  struct EndedParams;
+  struct EndedResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(d6c6ba89fced5fc4)
+    CAPNP_DECLARE_INTERFACE_HEADER(d27d5feec7e4c5fa)
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
   #endif  // !CAPNP_LITE
 };
 
-struct Balancer::DigestParams {
-  DigestParams() = delete;
+struct Subscriber::PushParams {
+  PushParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8a36670478193ce6, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8c00959395103650, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Balancer::DigestResults {
-  DigestResults() = delete;
+struct Subscriber::PushResults {
+  PushResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9df4ffd09b5d6514, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(916aacddd2f8e9fa, 0, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Balancer::PullParams {
-  PullParams() = delete;
+struct Subscriber::EndedParams {
+  EndedParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c464c5ad3d508588, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8e8403558d314484, 0, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Balancer::PullResults {
-  PullResults() = delete;
+struct Subscriber::EndedResults {
+  EndedResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8feab7b0d5f8bff8, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(da1ea371cde92fca, 0, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Balancer::SubscribeParams {
-  SubscribeParams() = delete;
+struct Balancer {
+  Balancer() = delete;
+
+#if !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
+
+  struct DigestParams;
+  struct DigestResults;
+  struct PullParams;
+  struct PullResults;
+  struct SubscribeParams;
+  struct SubscribeResults;
+
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(d6c6ba89fced5fc4)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
+
+struct Balancer::DigestParams {
+  DigestParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a242b91f5077d6cb, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8a36670478193ce6, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Balancer::SubscribeResults {
-  SubscribeResults() = delete;
+struct Balancer::DigestResults {
+  DigestResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8ac95ffb0e6a7f30, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(9df4ffd09b5d6514, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Subscriber {
-  Subscriber() = delete;
+struct Balancer::PullParams {
+  PullParams() = delete;
 
-#if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  struct PushParams;
-  struct PushResults;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c464c5ad3d508588, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Balancer::PullResults {
+  PullResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  #if !CAPNP_LITE
   struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(d27d5feec7e4c5fa)
+    CAPNP_DECLARE_STRUCT_HEADER(8feab7b0d5f8bff8, 0, 1)
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
-  #endif  // !CAPNP_LITE
 };
 
-struct Subscriber::PushParams {
-  PushParams() = delete;
+struct Balancer::SubscribeParams {
+  SubscribeParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8c00959395103650, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a242b91f5077d6cb, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Subscriber::PushResults {
-  PushResults() = delete;
+struct Balancer::SubscribeResults {
+  SubscribeResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(916aacddd2f8e9fa, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8ac95ffb0e6a7f30, 0, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -366,6 +401,7 @@
     ROSTER,
     CHANGE,
     LAPSED,
+    RULES_CHANGE,
   };
 
   struct _capnpPrivate {
@@ -391,6 +427,21 @@
   };
 };
 
+struct RulesChange {
+  RulesChange() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ba3ff4b98194a03a, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Roster {
   Roster() = delete;
 
@@ -852,12 +903,11 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Balancer::Client
-    : public virtual ::capnp::Capability::Client,
-      public virtual  ::galenafork::rpc::Control::Client {
+class Subscriber::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef Balancer Calls;
-  typedef Balancer Reads;
+  typedef Subscriber Calls;
+  typedef Subscriber Reads;
 
   Client(decltype(nullptr));
   explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
@@ -871,22 +921,19 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request< ::galenafork::rpc::Balancer::DigestParams,  ::galenafork::rpc::Balancer::DigestResults> digestRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::galenafork::rpc::Balancer::PullParams,  ::galenafork::rpc::Balancer::PullResults> pullRequest(
+  ::capnp::Request< ::galenafork::rpc::Subscriber::PushParams,  ::galenafork::rpc::Subscriber::PushResults> pushRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::galenafork::rpc::Balancer::SubscribeParams,  ::galenafork::rpc::Balancer::SubscribeResults> subscribeRequest(
+  ::capnp::Request< ::galenafork::rpc::Subscriber::EndedParams,  ::galenafork::rpc::Subscriber::EndedResults> endedRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
 };
 
-class Balancer::Server
-    : public virtual ::capnp::Capability::Server,
-      public virtual  ::galenafork::rpc::Control::Server {
+class Subscriber::Server
+    : public virtual ::capnp::Capability::Server {
 public:
-  typedef Balancer Serves;
+  typedef Subscriber Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
       uint64_t interfaceId, uint16_t methodId,
@@ -894,22 +941,18 @@
       override;
 
 protected:
-  typedef  ::galenafork::rpc::Balancer::DigestParams DigestParams;
-  typedef  ::galenafork::rpc::Balancer::DigestResults DigestResults;
-  typedef ::capnp::CallContext<DigestParams, DigestResults> DigestContext;
-  virtual ::kj::Promise<void> digest(DigestContext context);
-  typedef  ::galenafork::rpc::Balancer::PullParams PullParams;
-  typedef  ::galenafork::rpc::Balancer::PullResults PullResults;
-  typedef ::capnp::CallContext<PullParams, PullResults> PullContext;
-  virtual ::kj::Promise<void> pull(PullContext context);
-  typedef  ::galenafork::rpc::Balancer::SubscribeParams SubscribeParams;
-  typedef  ::galenafork::rpc::Balancer::SubscribeResults SubscribeResults;
-  typedef ::capnp::CallContext<SubscribeParams, SubscribeResults> SubscribeContext;
-  virtual ::kj::Promise<void> subscribe(SubscribeContext context);
+  typedef  ::galenafork::rpc::Subscriber::PushParams PushParams;
+  typedef  ::galenafork::rpc::Subscriber::PushResults PushResults;
+  typedef ::capnp::CallContext<PushParams, PushResults> PushContext;
+  virtual ::kj::Promise<void> push(PushContext context);
+  typedef  ::galenafork::rpc::Subscriber::EndedParams EndedParams;
+  typedef  ::galenafork::rpc::Subscriber::EndedResults EndedResults;
+  typedef ::capnp::CallContext<EndedParams, EndedResults> EndedContext;
+  virtual ::kj::Promise<void> ended(EndedContext context);
 
-  inline  ::galenafork::rpc::Balancer::Client thisCap() {
+  inline  ::galenafork::rpc::Subscriber::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::galenafork::rpc::Balancer>();
+        .template castAs< ::galenafork::rpc::Subscriber>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
@@ -918,9 +961,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Balancer::DigestParams::Reader {
+class Subscriber::PushParams::Reader {
 public:
-  typedef DigestParams Reads;
+  typedef PushParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -935,8 +978,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCaller() const;
-  inline  ::galenafork::rpc::Endpoint::Reader getCaller() const;
+  inline bool hasUpdates() const;
+  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -950,9 +993,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Balancer::DigestParams::Builder {
+class Subscriber::PushParams::Builder {
 public:
-  typedef DigestParams Builds;
+  typedef PushParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -966,12 +1009,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCaller();
-  inline  ::galenafork::rpc::Endpoint::Builder getCaller();
-  inline void setCaller( ::galenafork::rpc::Endpoint::Reader value);
-  inline  ::galenafork::rpc::Endpoint::Builder initCaller();
-  inline void adoptCaller(::capnp::Orphan< ::galenafork::rpc::Endpoint>&& value);
-  inline ::capnp::Orphan< ::galenafork::rpc::Endpoint> disownCaller();
+  inline bool hasUpdates();
+  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder getUpdates();
+  inline void setUpdates( ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
+  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>> disownUpdates();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -983,15 +1026,14 @@
 };
 
 #if !CAPNP_LITE
-class Balancer::DigestParams::Pipeline {
+class Subscriber::PushParams::Pipeline {
 public:
-  typedef DigestParams Pipelines;
+  typedef PushParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::galenafork::rpc::Endpoint::Pipeline getCaller();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1000,9 +1042,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Balancer::DigestResults::Reader {
+class Subscriber::PushResults::Reader {
 public:
-  typedef DigestResults Reads;
+  typedef PushResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1017,14 +1059,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDigest() const;
-  inline  ::galenafork::rpc::Digest::Reader getDigest() const;
-
-  inline bool getReady() const;
-
-  inline bool hasPeers() const;
-  inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1037,9 +1071,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Balancer::DigestResults::Builder {
+class Subscriber::PushResults::Builder {
 public:
-  typedef DigestResults Builds;
+  typedef PushResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1053,23 +1087,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDigest();
-  inline  ::galenafork::rpc::Digest::Builder getDigest();
-  inline void setDigest( ::galenafork::rpc::Digest::Reader value);
-  inline  ::galenafork::rpc::Digest::Builder initDigest();
-  inline void adoptDigest(::capnp::Orphan< ::galenafork::rpc::Digest>&& value);
-  inline ::capnp::Orphan< ::galenafork::rpc::Digest> disownDigest();
-
-  inline bool getReady();
-  inline void setReady(bool value);
-
-  inline bool hasPeers();
-  inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Builder getPeers();
-  inline void setPeers( ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Builder initPeers(unsigned int size);
-  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>> disownPeers();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1080,15 +1097,14 @@
 };
 
 #if !CAPNP_LITE
-class Balancer::DigestResults::Pipeline {
+class Subscriber::PushResults::Pipeline {
 public:
-  typedef DigestResults Pipelines;
+  typedef PushResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::galenafork::rpc::Digest::Pipeline getDigest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1097,9 +1113,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Balancer::PullParams::Reader {
+class Subscriber::EndedParams::Reader {
 public:
-  typedef PullParams Reads;
+  typedef EndedParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1114,9 +1130,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHave() const;
-  inline  ::galenafork::rpc::Versions::Reader getHave() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1129,9 +1142,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Balancer::PullParams::Builder {
+class Subscriber::EndedParams::Builder {
 public:
-  typedef PullParams Builds;
+  typedef EndedParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1145,13 +1158,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHave();
-  inline  ::galenafork::rpc::Versions::Builder getHave();
-  inline void setHave( ::galenafork::rpc::Versions::Reader value);
-  inline  ::galenafork::rpc::Versions::Builder initHave();
-  inline void adoptHave(::capnp::Orphan< ::galenafork::rpc::Versions>&& value);
-  inline ::capnp::Orphan< ::galenafork::rpc::Versions> disownHave();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1162,15 +1168,14 @@
 };
 
 #if !CAPNP_LITE
-class Balancer::PullParams::Pipeline {
+class Subscriber::EndedParams::Pipeline {
 public:
-  typedef PullParams Pipelines;
+  typedef EndedParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::galenafork::rpc::Versions::Pipeline getHave();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1179,9 +1184,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Balancer::PullResults::Reader {
+class Subscriber::EndedResults::Reader {
 public:
-  typedef PullResults Reads;
+  typedef EndedResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1196,9 +1201,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasUpdates() const;
-  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1211,9 +1213,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Balancer::PullResults::Builder {
+class Subscriber::EndedResults::Builder {
 public:
-  typedef PullResults Builds;
+  typedef EndedResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1227,13 +1229,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasUpdates();
-  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder getUpdates();
-  inline void setUpdates( ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
-  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>> disownUpdates();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1244,9 +1239,9 @@
 };
 
 #if !CAPNP_LITE
-class Balancer::PullResults::Pipeline {
+class Subscriber::EndedResults::Pipeline {
 public:
-  typedef PullResults Pipelines;
+  typedef EndedResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1260,9 +1255,78 @@
 };
 #endif  // !CAPNP_LITE
 
-class Balancer::SubscribeParams::Reader {
+#if !CAPNP_LITE
+class Balancer::Client
+    : public virtual ::capnp::Capability::Client,
+      public virtual  ::galenafork::rpc::Control::Client,
+      public virtual  ::galenafork::rpc::Subscriber::Client {
 public:
-  typedef SubscribeParams Reads;
+  typedef Balancer Calls;
+  typedef Balancer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::galenafork::rpc::Balancer::DigestParams,  ::galenafork::rpc::Balancer::DigestResults> digestRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::galenafork::rpc::Balancer::PullParams,  ::galenafork::rpc::Balancer::PullResults> pullRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::galenafork::rpc::Balancer::SubscribeParams,  ::galenafork::rpc::Balancer::SubscribeResults> subscribeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Balancer::Server
+    : public virtual ::capnp::Capability::Server,
+      public virtual  ::galenafork::rpc::Control::Server,
+      public virtual  ::galenafork::rpc::Subscriber::Server {
+public:
+  typedef Balancer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::galenafork::rpc::Balancer::DigestParams DigestParams;
+  typedef  ::galenafork::rpc::Balancer::DigestResults DigestResults;
+  typedef ::capnp::CallContext<DigestParams, DigestResults> DigestContext;
+  virtual ::kj::Promise<void> digest(DigestContext context);
+  typedef  ::galenafork::rpc::Balancer::PullParams PullParams;
+  typedef  ::galenafork::rpc::Balancer::PullResults PullResults;
+  typedef ::capnp::CallContext<PullParams, PullResults> PullContext;
+  virtual ::kj::Promise<void> pull(PullContext context);
+  typedef  ::galenafork::rpc::Balancer::SubscribeParams SubscribeParams;
+  typedef  ::galenafork::rpc::Balancer::SubscribeResults SubscribeResults;
+  typedef ::capnp::CallContext<SubscribeParams, SubscribeResults> SubscribeContext;
+  virtual ::kj::Promise<void> subscribe(SubscribeContext context);
+
+  inline  ::galenafork::rpc::Balancer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::galenafork::rpc::Balancer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Balancer::DigestParams::Reader {
+public:
+  typedef DigestParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1277,10 +1341,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSubscriber() const;
-#if !CAPNP_LITE
-  inline  ::galenafork::rpc::Subscriber::Client getSubscriber() const;
-#endif  // !CAPNP_LITE
+  inline bool hasCaller() const;
+  inline  ::galenafork::rpc::Endpoint::Reader getCaller() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1294,9 +1356,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Balancer::SubscribeParams::Builder {
+class Balancer::DigestParams::Builder {
 public:
-  typedef SubscribeParams Builds;
+  typedef DigestParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1310,14 +1372,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSubscriber();
-#if !CAPNP_LITE
-  inline  ::galenafork::rpc::Subscriber::Client getSubscriber();
-  inline void setSubscriber( ::galenafork::rpc::Subscriber::Client&& value);
-  inline void setSubscriber( ::galenafork::rpc::Subscriber::Client& value);
-  inline void adoptSubscriber(::capnp::Orphan< ::galenafork::rpc::Subscriber>&& value);
-  inline ::capnp::Orphan< ::galenafork::rpc::Subscriber> disownSubscriber();
-#endif  // !CAPNP_LITE
+  inline bool hasCaller();
+  inline  ::galenafork::rpc::Endpoint::Builder getCaller();
+  inline void setCaller( ::galenafork::rpc::Endpoint::Reader value);
+  inline  ::galenafork::rpc::Endpoint::Builder initCaller();
+  inline void adoptCaller(::capnp::Orphan< ::galenafork::rpc::Endpoint>&& value);
+  inline ::capnp::Orphan< ::galenafork::rpc::Endpoint> disownCaller();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1329,15 +1389,15 @@
 };
 
 #if !CAPNP_LITE
-class Balancer::SubscribeParams::Pipeline {
+class Balancer::DigestParams::Pipeline {
 public:
-  typedef SubscribeParams Pipelines;
+  typedef DigestParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::galenafork::rpc::Subscriber::Client getSubscriber();
+  inline  ::galenafork::rpc::Endpoint::Pipeline getCaller();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1346,9 +1406,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Balancer::SubscribeResults::Reader {
+class Balancer::DigestResults::Reader {
 public:
-  typedef SubscribeResults Reads;
+  typedef DigestResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1363,6 +1423,14 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasDigest() const;
+  inline  ::galenafork::rpc::Digest::Reader getDigest() const;
+
+  inline bool getReady() const;
+
+  inline bool hasPeers() const;
+  inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1375,9 +1443,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Balancer::SubscribeResults::Builder {
+class Balancer::DigestResults::Builder {
 public:
-  typedef SubscribeResults Builds;
+  typedef DigestResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1391,6 +1459,23 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasDigest();
+  inline  ::galenafork::rpc::Digest::Builder getDigest();
+  inline void setDigest( ::galenafork::rpc::Digest::Reader value);
+  inline  ::galenafork::rpc::Digest::Builder initDigest();
+  inline void adoptDigest(::capnp::Orphan< ::galenafork::rpc::Digest>&& value);
+  inline ::capnp::Orphan< ::galenafork::rpc::Digest> disownDigest();
+
+  inline bool getReady();
+  inline void setReady(bool value);
+
+  inline bool hasPeers();
+  inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Builder getPeers();
+  inline void setPeers( ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>::Builder initPeers(unsigned int size);
+  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Endpoint,  ::capnp::Kind::STRUCT>> disownPeers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1401,14 +1486,15 @@
 };
 
 #if !CAPNP_LITE
-class Balancer::SubscribeResults::Pipeline {
+class Balancer::DigestResults::Pipeline {
 public:
-  typedef SubscribeResults Pipelines;
+  typedef DigestResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::galenafork::rpc::Digest::Pipeline getDigest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1417,62 +1503,91 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Subscriber::Client
-    : public virtual ::capnp::Capability::Client {
+class Balancer::PullParams::Reader {
 public:
-  typedef Subscriber Calls;
-  typedef Subscriber Reads;
+  typedef PullParams Reads;
 
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  ::capnp::Request< ::galenafork::rpc::Subscriber::PushParams,  ::galenafork::rpc::Subscriber::PushResults> pushRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-protected:
-  Client() = default;
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHave() const;
+  inline  ::galenafork::rpc::Versions::Reader getHave() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class Subscriber::Server
-    : public virtual ::capnp::Capability::Server {
+class Balancer::PullParams::Builder {
 public:
-  typedef Subscriber Serves;
+  typedef PullParams Builds;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-protected:
-  typedef  ::galenafork::rpc::Subscriber::PushParams PushParams;
-  typedef  ::galenafork::rpc::Subscriber::PushResults PushResults;
-  typedef ::capnp::CallContext<PushParams, PushResults> PushContext;
-  virtual ::kj::Promise<void> push(PushContext context);
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline  ::galenafork::rpc::Subscriber::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::galenafork::rpc::Subscriber>();
-  }
+  inline bool hasHave();
+  inline  ::galenafork::rpc::Versions::Builder getHave();
+  inline void setHave( ::galenafork::rpc::Versions::Reader value);
+  inline  ::galenafork::rpc::Versions::Builder initHave();
+  inline void adoptHave(::capnp::Orphan< ::galenafork::rpc::Versions>&& value);
+  inline ::capnp::Orphan< ::galenafork::rpc::Versions> disownHave();
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Balancer::PullParams::Pipeline {
+public:
+  typedef PullParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::galenafork::rpc::Versions::Pipeline getHave();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
 #endif  // !CAPNP_LITE
 
-class Subscriber::PushParams::Reader {
+class Balancer::PullResults::Reader {
 public:
-  typedef PushParams Reads;
+  typedef PullResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1502,9 +1617,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Subscriber::PushParams::Builder {
+class Balancer::PullResults::Builder {
 public:
-  typedef PushParams Builds;
+  typedef PullResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1535,9 +1650,9 @@
 };
 
 #if !CAPNP_LITE
-class Subscriber::PushParams::Pipeline {
+class Balancer::PullResults::Pipeline {
 public:
-  typedef PushParams Pipelines;
+  typedef PullResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1551,9 +1666,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Subscriber::PushResults::Reader {
+class Balancer::SubscribeParams::Reader {
 public:
-  typedef PushResults Reads;
+  typedef SubscribeParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1568,6 +1683,11 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasSubscriber() const;
+#if !CAPNP_LITE
+  inline  ::galenafork::rpc::Subscriber::Client getSubscriber() const;
+#endif  // !CAPNP_LITE
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1580,9 +1700,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Subscriber::PushResults::Builder {
+class Balancer::SubscribeParams::Builder {
 public:
-  typedef PushResults Builds;
+  typedef SubscribeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1596,6 +1716,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasSubscriber();
+#if !CAPNP_LITE
+  inline  ::galenafork::rpc::Subscriber::Client getSubscriber();
+  inline void setSubscriber( ::galenafork::rpc::Subscriber::Client&& value);
+  inline void setSubscriber( ::galenafork::rpc::Subscriber::Client& value);
+  inline void adoptSubscriber(::capnp::Orphan< ::galenafork::rpc::Subscriber>&& value);
+  inline ::capnp::Orphan< ::galenafork::rpc::Subscriber> disownSubscriber();
+#endif  // !CAPNP_LITE
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1606,9 +1735,81 @@
 };
 
 #if !CAPNP_LITE
-class Subscriber::PushResults::Pipeline {
+class Balancer::SubscribeParams::Pipeline {
 public:
-  typedef PushResults Pipelines;
+  typedef SubscribeParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::galenafork::rpc::Subscriber::Client getSubscriber();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Balancer::SubscribeResults::Reader {
+public:
+  typedef SubscribeResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Balancer::SubscribeResults::Builder {
+public:
+  typedef SubscribeResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Balancer::SubscribeResults::Pipeline {
+public:
+  typedef SubscribeResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2017,6 +2218,10 @@
   inline bool hasLapsed() const;
   inline  ::galenafork::rpc::Lapsed::Reader getLapsed() const;
 
+  inline bool isRulesChange() const;
+  inline bool hasRulesChange() const;
+  inline  ::galenafork::rpc::RulesChange::Reader getRulesChange() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2070,13 +2275,117 @@
   inline void adoptChange(::capnp::Orphan< ::galenafork::rpc::Change>&& value);
   inline ::capnp::Orphan< ::galenafork::rpc::Change> disownChange();
 
-  inline bool isLapsed();
-  inline bool hasLapsed();
-  inline  ::galenafork::rpc::Lapsed::Builder getLapsed();
-  inline void setLapsed( ::galenafork::rpc::Lapsed::Reader value);
-  inline  ::galenafork::rpc::Lapsed::Builder initLapsed();
-  inline void adoptLapsed(::capnp::Orphan< ::galenafork::rpc::Lapsed>&& value);
-  inline ::capnp::Orphan< ::galenafork::rpc::Lapsed> disownLapsed();
+  inline bool isLapsed();
+  inline bool hasLapsed();
+  inline  ::galenafork::rpc::Lapsed::Builder getLapsed();
+  inline void setLapsed( ::galenafork::rpc::Lapsed::Reader value);
+  inline  ::galenafork::rpc::Lapsed::Builder initLapsed();
+  inline void adoptLapsed(::capnp::Orphan< ::galenafork::rpc::Lapsed>&& value);
+  inline ::capnp::Orphan< ::galenafork::rpc::Lapsed> disownLapsed();
+
+  inline bool isRulesChange();
+  inline bool hasRulesChange();
+  inline  ::galenafork::rpc::RulesChange::Builder getRulesChange();
+  inline void setRulesChange( ::galenafork::rpc::RulesChange::Reader value);
+  inline  ::galenafork::rpc::RulesChange::Builder initRulesChange();
+  inline void adoptRulesChange(::capnp::Orphan< ::galenafork::rpc::RulesChange>&& value);
+  inline ::capnp::Orphan< ::galenafork::rpc::RulesChange> disownRulesChange();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Update::Pipeline {
+public:
+  typedef Update Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Rules::Reader {
+public:
+  typedef Rules Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasText() const;
+  inline  ::capnp::Text::Reader getText() const;
+
+  inline bool hasRetired() const;
+  inline  ::capnp::Text::Reader getRetired() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Rules::Builder {
+public:
+  typedef Rules Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasText();
+  inline  ::capnp::Text::Builder getText();
+  inline void setText( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initText(unsigned int size);
+  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownText();
+
+  inline bool hasRetired();
+  inline  ::capnp::Text::Builder getRetired();
+  inline void setRetired( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRetired(unsigned int size);
+  inline void adoptRetired(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRetired();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2088,9 +2397,9 @@
 };
 
 #if !CAPNP_LITE
-class Update::Pipeline {
+class Rules::Pipeline {
 public:
-  typedef Update Pipelines;
+  typedef Rules Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2104,9 +2413,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Rules::Reader {
+class RulesChange::Reader {
 public:
-  typedef Rules Reads;
+  typedef RulesChange Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2123,11 +2432,13 @@
 
   inline  ::uint64_t getVersion() const;
 
-  inline bool hasText() const;
-  inline  ::capnp::Text::Reader getText() const;
+  inline  ::uint32_t getFirstLine() const;
 
-  inline bool hasRetired() const;
-  inline  ::capnp::Text::Reader getRetired() const;
+  inline bool hasRemoved() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRemoved() const;
+
+  inline bool hasAdded() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getAdded() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2141,9 +2452,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Rules::Builder {
+class RulesChange::Builder {
 public:
-  typedef Rules Builds;
+  typedef RulesChange Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2160,19 +2471,24 @@
   inline  ::uint64_t getVersion();
   inline void setVersion( ::uint64_t value);
 
-  inline bool hasText();
-  inline  ::capnp::Text::Builder getText();
-  inline void setText( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownText();
-
-  inline bool hasRetired();
-  inline  ::capnp::Text::Builder getRetired();
-  inline void setRetired( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRetired(unsigned int size);
-  inline void adoptRetired(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRetired();
+  inline  ::uint32_t getFirstLine();
+  inline void setFirstLine( ::uint32_t value);
+
+  inline bool hasRemoved();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRemoved();
+  inline void setRemoved( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRemoved(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRemoved(unsigned int size);
+  inline void adoptRemoved(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRemoved();
+
+  inline bool hasAdded();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getAdded();
+  inline void setAdded( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setAdded(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initAdded(unsigned int size);
+  inline void adoptAdded(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownAdded();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2184,9 +2500,9 @@
 };
 
 #if !CAPNP_LITE
-class Rules::Pipeline {
+class RulesChange::Pipeline {
 public:
-  typedef Rules Pipelines;
+  typedef RulesChange Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2856,6 +3172,64 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+#if !CAPNP_LITE
+inline Subscriber::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Subscriber::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Subscriber::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Subscriber::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Subscriber::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::galenafork::rpc::Subscriber::Client& Subscriber::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::galenafork::rpc::Subscriber::Client& Subscriber::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool Subscriber::PushParams::Reader::hasUpdates() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Subscriber::PushParams::Builder::hasUpdates() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader Subscriber::PushParams::Reader::getUpdates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder Subscriber::PushParams::Builder::getUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Subscriber::PushParams::Builder::setUpdates( ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder Subscriber::PushParams::Builder::initUpdates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Subscriber::PushParams::Builder::adoptUpdates(
+    ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>> Subscriber::PushParams::Builder::disownUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Balancer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -3118,64 +3492,6 @@
 }
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-inline Subscriber::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Subscriber::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Subscriber::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Subscriber::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Subscriber::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::galenafork::rpc::Subscriber::Client& Subscriber::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::galenafork::rpc::Subscriber::Client& Subscriber::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
-
-#endif  // !CAPNP_LITE
-inline bool Subscriber::PushParams::Reader::hasUpdates() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Subscriber::PushParams::Builder::hasUpdates() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader Subscriber::PushParams::Reader::getUpdates() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder Subscriber::PushParams::Builder::getUpdates() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Subscriber::PushParams::Builder::setUpdates( ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>::Builder Subscriber::PushParams::Builder::initUpdates(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Subscriber::PushParams::Builder::adoptUpdates(
-    ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>> Subscriber::PushParams::Builder::disownUpdates() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafork::rpc::Update,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
 inline  ::uint64_t Digest::Reader::getRulesVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3649,6 +3965,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Update::Reader::isRulesChange() const {
+  return which() == Update::RULES_CHANGE;
+}
+inline bool Update::Builder::isRulesChange() {
+  return which() == Update::RULES_CHANGE;
+}
+inline bool Update::Reader::hasRulesChange() const {
+  if (which() != Update::RULES_CHANGE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Update::Builder::hasRulesChange() {
+  if (which() != Update::RULES_CHANGE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::galenafork::rpc::RulesChange::Reader Update::Reader::getRulesChange() const {
+  KJ_IREQUIRE((which() == Update::RULES_CHANGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::galenafork::rpc::RulesChange>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::galenafork::rpc::RulesChange::Builder Update::Builder::getRulesChange() {
+  KJ_IREQUIRE((which() == Update::RULES_CHANGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::galenafork::rpc::RulesChange>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Update::Builder::setRulesChange( ::galenafork::rpc::RulesChange::Reader value) {
+  _builder.setDataField<Update::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Update::RULES_CHANGE);
+  ::capnp::_::PointerHelpers< ::galenafork::rpc::RulesChange>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::galenafork::rpc::RulesChange::Builder Update::Builder::initRulesChange() {
+  _builder.setDataField<Update::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Update::RULES_CHANGE);
+  return ::capnp::_::PointerHelpers< ::galenafork::rpc::RulesChange>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Update::Builder::adoptRulesChange(
+    ::capnp::Orphan< ::galenafork::rpc::RulesChange>&& value) {
+  _builder.setDataField<Update::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Update::RULES_CHANGE);
+  ::capnp::_::PointerHelpers< ::galenafork::rpc::RulesChange>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::galenafork::rpc::RulesChange> Update::Builder::disownRulesChange() {
+  KJ_IREQUIRE((which() == Update::RULES_CHANGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::galenafork::rpc::RulesChange>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Rules::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3731,6 +4101,110 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t RulesChange::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RulesChange::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RulesChange::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RulesChange::Reader::getFirstLine() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RulesChange::Builder::getFirstLine() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RulesChange::Builder::setFirstLine( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RulesChange::Reader::hasRemoved() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RulesChange::Builder::hasRemoved() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader RulesChange::Reader::getRemoved() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder RulesChange::Builder::getRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RulesChange::Builder::setRemoved( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void RulesChange::Builder::setRemoved(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder RulesChange::Builder::initRemoved(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RulesChange::Builder::adoptRemoved(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> RulesChange::Builder::disownRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RulesChange::Reader::hasAdded() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RulesChange::Builder::hasAdded() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader RulesChange::Reader::getAdded() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder RulesChange::Builder::getAdded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RulesChange::Builder::setAdded( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void RulesChange::Builder::setAdded(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder RulesChange::Builder::initAdded(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RulesChange::Builder::adoptAdded(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> RulesChange::Builder::disownAdded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Roster::Reader::hasJson() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libflow/agent_core.cpp
+++ b/src/libflow/agent_core.cpp
@@ -11,10 +11,10 @@
 namespace
 {
 
-// Peers that get every heartbeat; with more members only the watchers do and,
-// in turn, as many others.
-constexpr std::size_t all_pairs_limit = 8;
-constexpr std::size_t others_per_round = 4;
+// Up to so many peers all get every heartbeat; with more only the watchers do
+// and, in turn, so many others. Keeps a node's control traffic within 17 KB/s.
+constexpr std::size_t all_pairs_limit = 6;
+constexpr std::size_t others_per_round = 2;
 
 constexpr duration sweep_interval = std::chrono::seconds(1);
 constexpr duration removal_interval = std::chrono::seconds(1);
@@ -46,7 +46,8 @@
 std::vector<const member*> heartbeat_targets(const agent_state& state)
 {
     auto peers = live_peers(state.view_, state.self_);
-    if (peers.size() <= all_pairs_limit)
+    // Without a lease only the acks of all bring it back.
+    if (peers.size() <= all_pairs_limit || state.lease_.missing_since_)
     {
         return peers;
     }
@@ -215,6 +216,10 @@
     take_load(state, from, beat.load_, now);
     const bool grants =
         holds_lease(state.lease_, state.view_, state.settings_.lease_, now);
+    if (has_promised_lapse(state.watch_, from.sender_))
+    {
+        send_to(state, *sender, lapse_promise{from.sender_}, out);
+    }
     if (may_ack(state.watch_, state.view_, from.sender_, now))
     {
         send_to(state, *sender,
@@ -332,6 +337,7 @@
     {
         part.complete_ = false;
         part.mark_home_.reset();
+        part.last_home_.reset();
     }
 }
 
@@ -355,6 +361,7 @@
     const instance_life old = state.self_;
     state.self_ = life_of(*self);
     state.lease_.self_ = state.self_;
+    state.lease_.active_watchers_.clear();
     rename_own_entries(state, old);
     return true;
 }
@@ -473,6 +480,11 @@
         return out;
     }
     const lease_settings& lease = state.settings_.lease_;
+    if (is_out(state.lease_, state.watch_, state.view_))
+    {
+        pvt::fence(state, out);
+        return out;
+    }
     note_lease(state.lease_, state.watch_, state.view_, lease, now);
     pvt::send_heartbeats(state, now, out);
     pvt::send_promises(state, now, out);
