--- a/src/galena_experiment/model/results.cpp
+++ b/src/galena_experiment/model/results.cpp
@@ -115,6 +115,7 @@
     for (std::size_t i = 0; i < mean.size(); ++i)
     {
         std::vector<figures> runs;
+        runs.reserve(by_seed.size());
         for (const results& one : by_seed)
         {
             runs.push_back(one[i].figures_);
