--- a/src/galena_balancer/balancer_app.cpp
+++ b/src/galena_balancer/balancer_app.cpp
@@ -51,7 +51,7 @@
                 {loop_->timer(), loop_->io().provider->getNetwork(),
                  read_monotonic_clock, [this] { return draw(); }}),
       known_(*loop_, *metrics_,
-             [this](std::shared_ptr<const routing_snapshot> snapshot)
+             [this](const std::shared_ptr<const routing_snapshot>& snapshot)
              {
                  for (const auto& thread : traffic_)
                  {
--- a/src/galena_balancer/knowledge.h
+++ b/src/galena_balancer/knowledge.h
@@ -21,7 +21,7 @@
 public:
     /// `publish` gets each newer table for the traffic threads.
     using publish_function =
-        std::function<void(std::shared_ptr<const routing_snapshot>)>;
+        std::function<void(const std::shared_ptr<const routing_snapshot>&)>;
     /// Gets each update that was news here, as a step where it was one.
     using listener = std::function<void(const spread_update&)>;
 
--- a/src/galena_balancer/peers.cpp
+++ b/src/galena_balancer/peers.cpp
@@ -180,7 +180,7 @@
 }
 
 kj::Promise<void> peers::exchange_with(rpc::Balancer::Client peer,
-                                       std::string source)
+                                       const std::string& source)
 {
     auto request = peer.digestRequest();
     write(request.initCaller(), self_);
@@ -210,8 +210,8 @@
 }
 
 kj::Promise<void> peers::pull(rpc::Balancer::Client peer,
-                              const spread_versions& have, std::string source,
-                              bool peer_is_ready)
+                              const spread_versions& have,
+                              const std::string& source, bool peer_is_ready)
 {
     pulls_.add();
     auto request = peer.pullRequest();
--- a/src/galena_balancer/peers.h
+++ b/src/galena_balancer/peers.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -47,7 +48,9 @@
     kj::Promise<void> push(std::uint64_t id);
 
     control_loop& loop_;
-    std::map<std::uint64_t, rpc::Subscriber::Client> clients_;
+    // By pointer: a pair of the standard library cannot hold a capability,
+    // whose copy constructor takes no const.
+    std::map<std::uint64_t, std::unique_ptr<rpc::Subscriber::Client>> clients_;
     std::uint64_t next_id_ = 0;
     std::vector<spread_update> pending_;
     bool scheduled_ = false;
@@ -101,7 +104,7 @@
 
     /// Exchanges over an open connection.
     kj::Promise<void> exchange_with(rpc::Balancer::Client peer,
-                                    std::string source);
+                                    const std::string& source);
 
     /// Peers known now.
     std::vector<endpoint> all() const;
@@ -128,8 +131,8 @@
     void note_failure(const endpoint& peer, const std::string& why);
     void take_peers(capnp::List<rpc::Endpoint>::Reader addresses);
     kj::Promise<void> pull(rpc::Balancer::Client peer,
-                           const spread_versions& have, std::string source,
-                           bool peer_is_ready);
+                           const spread_versions& have,
+                           const std::string& source, bool peer_is_ready);
 
     control_loop& loop_;
     knowledge& known_;
--- a/src/galena_balancer/relay_role.cpp
+++ b/src/galena_balancer/relay_role.cpp
@@ -189,7 +189,7 @@
                 const auto at = links_.find(relay);
                 return at == links_.end()
                            ? kj::Promise<void>(kj::READY_NOW)
-                           : at->second.connection_->on_disconnect();
+                           : at->second->connection_->on_disconnect();
             })
         .then([this, relay] { links_.erase(relay); },
               [this, relay](kj::Exception&&)
@@ -204,8 +204,9 @@
                           rpc::Balancer::Client client)
 {
     links_.erase(relay);
-    links_.emplace(
-        relay, link{std::move(connection), kj::mv(client), to_string(relay)});
+    auto opened = std::make_unique<link>(
+        link{std::move(connection), kj::mv(client), to_string(relay)});
+    links_.emplace(relay, std::move(opened));
 }
 
 kj::Promise<void> relay_role::subscribe(const endpoint& relay,
@@ -236,7 +237,7 @@
         return;
     }
     exchanging_ = true;
-    link& first = links_.begin()->second;
+    link& first = *links_.begin()->second;
     auto exchange =
         dependencies_.peers_.exchange_with(first.client_, first.name_);
     dependencies_.loop_.add_task(
--- a/src/galena_balancer/relay_role.h
+++ b/src/galena_balancer/relay_role.h
@@ -91,7 +91,7 @@
     relay_dependencies dependencies_;
     relay_view view_;
     object_version version_ = no_object;
-    std::map<endpoint, link> links_;
+    std::map<endpoint, std::unique_ptr<link>> links_;
     /// Relays that are being connected to.
     std::set<endpoint> opening_;
     /// The relays that share the rosters out now.
--- a/src/galena_balancer/subscribers.cpp
+++ b/src/galena_balancer/subscribers.cpp
@@ -43,7 +43,8 @@
 
 void subscribers::add(rpc::Subscriber::Client to)
 {
-    clients_.emplace(next_id_, kj::mv(to));
+    clients_.emplace(next_id_,
+                     std::make_unique<rpc::Subscriber::Client>(kj::mv(to)));
     ++next_id_;
 }
 
@@ -51,9 +52,10 @@
 {
     for (auto& [id, client] : clients_)
     {
-        loop_.add_task("end", loop_.timer().timeoutAfter(
-                                  push_timeout,
-                                  client.endedRequest().send().ignoreResult()));
+        loop_.add_task(
+            "end",
+            loop_.timer().timeoutAfter(
+                push_timeout, client->endedRequest().send().ignoreResult()));
     }
     clients_.clear();
 }
@@ -92,7 +94,7 @@
 
 kj::Promise<void> subscribers::push(std::uint64_t id)
 {
-    auto request = clients_.at(id).pushRequest();
+    auto request = clients_.at(id)->pushRequest();
     auto updates = request.initUpdates(static_cast<unsigned>(pending_.size()));
     for (unsigned i = 0; i < updates.size(); ++i)
     {
--- a/src/galena_balancer/traffic_metrics.cpp
+++ b/src/galena_balancer/traffic_metrics.cpp
@@ -36,7 +36,7 @@
           "Time to decide on and encode one packet, sampled.",
           thread_label(thread)))
 {
-    for (std::size_t i = 0; i < reasons_; ++i)
+    for (std::size_t i = 0; i < reasons; ++i)
     {
         auto labels = thread_label(thread);
         labels.push_back({"reason", to_string(static_cast<refusal>(i))});
--- a/src/galena_balancer/traffic_metrics.h
+++ b/src/galena_balancer/traffic_metrics.h
@@ -36,10 +36,10 @@
     distribution& decision_seconds_;
 
 private:
-    static constexpr std::size_t reasons_ =
+    static constexpr std::size_t reasons =
         static_cast<std::size_t>(refusal::malformed) + 1;
 
-    std::array<counter*, reasons_> refused_{};
+    std::array<counter*, reasons> refused_{};
 };
 
 } // namespace galenafork
--- a/src/galena_balancer/traffic_thread.cpp
+++ b/src/galena_balancer/traffic_thread.cpp
@@ -24,7 +24,7 @@
 constexpr std::size_t snapshot_mail = 64;
 
 // A notice names a service and at most `max_list_items` lapsed lives.
-constexpr std::size_t max_notice_bytes = 32 * 1024;
+constexpr std::size_t max_notice_bytes = 32UL * 1024;
 
 /// Calls a function when its descriptor turns readable.
 class input_handler final : public ACE_Event_Handler
--- a/src/libbalancer/spread_test.cpp
+++ b/src/libbalancer/spread_test.cpp
@@ -83,7 +83,7 @@
 TEST_CASE("updates in any order and number never take a version back")
 {
     const bool held = rc::check(
-        [](std::vector<std::uint8_t> picks)
+        [](const std::vector<std::uint8_t>& picks)
         {
             auto updates = make_history(3);
             updates.emplace_back(make_rules(1, 2));
