--- a/src/galena_agent/agent_worker.h
+++ b/src/galena_agent/agent_worker.h
@@ -11,6 +11,7 @@
 #include "request_tracker.h"
 #include "upstream_flows.h"
 
+#include <galenafork/interval_timer.h>
 #include <galenafork/load_policy.h>
 #include <galenafork/mailbox.h>
 #include <galenafork/trace_export.h>
@@ -58,7 +59,7 @@
     void take_datagram(const datagram_view& in);
     void take_packet(forwarded_packet packet);
     void take_tick();
-    void take_upstream(const flow_key& flow, byte_buffer answer);
+    void take_upstream(const flow_key& flow, const byte_buffer& answer);
     void finish_request(const flow_key& flow, const byte_buffer& answer);
     void begin(const begin_life& life);
     void act(const agent_actions& actions);
@@ -97,6 +98,7 @@
     instant started_;
     instant last_report_;
     receive_batch received_;
+    interval_timer ticks_;
     wake_event stop_;
     bool stopped_ = false;
     input_handler on_packets_;
--- a/src/galena_experiment/model/buckets.cpp
+++ b/src/galena_experiment/model/buckets.cpp
@@ -28,9 +28,9 @@
     }
     for (std::size_t i = 0; i < members.size(); ++i)
     {
-        quota[i] = may_hold(members[i])
-                       ? bucket_count * members[i].slots_.value() / slots
-                       : 0;
+        quota[i] = may_hold(members[i]) ? std::size_t{bucket_count} *
+                                              members[i].slots_.value() / slots
+                                        : 0;
     }
     std::size_t rest =
         bucket_count -
@@ -46,6 +46,17 @@
     return quota;
 }
 
+std::size_t next_holder(const std::vector<upstream>& members,
+                        std::size_t member)
+{
+    std::size_t next = (member + 1) % members.size();
+    while (!may_hold(members[next]) && next != member)
+    {
+        next = (next + 1) % members.size();
+    }
+    return next;
+}
+
 } // namespace
 
 bucket_homes spread_buckets(const bucket_homes& homes,
@@ -82,4 +93,19 @@
     return next;
 }
 
+bucket_homes take_over(const bucket_homes& homes,
+                       const std::vector<upstream>& members, deputy_rule rule)
+{
+    if (rule == deputy_rule::spread)
+    {
+        return spread_buckets(homes, members);
+    }
+    bucket_homes next = homes;
+    for (std::size_t& home : next)
+    {
+        home = may_hold(members[home]) ? home : next_holder(members, home);
+    }
+    return next;
+}
+
 } // namespace galenafork::pvt
--- a/src/galena_experiment/model/results.cpp
+++ b/src/galena_experiment/model/results.cpp
@@ -31,6 +31,7 @@
 {
     return {
         {"max_over_mean_now", f.now_.max_over_mean_},
+        {"integer_bound_now", f.integer_bound_},
         {"variation_now", f.now_.variation_},
         {"max_over_mean_1s", f.per_second_.max_over_mean_},
         {"variation_1s", f.per_second_.variation_},
@@ -42,6 +43,7 @@
         {"p50_ms", f.p50_ms_},
         {"p99_ms", f.p99_ms_},
         {"p999_ms", f.p999_ms_},
+        {"offered", f.offered_},
         {"goodput", f.goodput_},
         {"refused_share", f.refused_share_},
         {"failed_share", f.failed_share_},
@@ -95,6 +97,33 @@
     return all;
 }
 
+std::vector<results> run_seeds(const experiment_setup& setup,
+                               std::uint64_t first, std::uint64_t count,
+                               const std::vector<strategy>& strategies)
+{
+    std::vector<results> by_seed;
+    for (std::uint64_t i = 0; i < count; ++i)
+    {
+        by_seed.push_back(run_all(setup, first + i, strategies));
+    }
+    return by_seed;
+}
+
+results mean_of(const std::vector<results>& by_seed)
+{
+    results mean = by_seed.front();
+    for (std::size_t i = 0; i < mean.size(); ++i)
+    {
+        std::vector<figures> runs;
+        for (const results& one : by_seed)
+        {
+            runs.push_back(one[i].figures_);
+        }
+        mean[i].figures_ = mean_of(runs);
+    }
+    return mean;
+}
+
 const result* find_result(const results& all, const std::string& service,
                           const std::string& scenario, strategy s)
 {
--- a/src/include/galenafork/load_settings.h
+++ b/src/include/galenafork/load_settings.h
@@ -23,7 +23,7 @@
     /// What a candidate in another data centre must be better by on top.
     double locality_margin_ = 0.1;
     /// Most that an upstream's report may raise its load, as a share of it.
-    double report_influence_ = 0.1;
+    double report_influence_ = 0.05;
     /// Counts the flows given to a member since its last report.
     bool local_correction_ = true;
     /// A member is slow once a request takes this many times the usual.
@@ -59,7 +59,7 @@
     /// Retries for each first request.
     double retry_ratio_ = 0.1;
     /// Most tokens that the budget holds.
-    double retry_burst_ = 100;
+    double retry_burst_ = 20;
 };
 
 /// Which deadline travels with a request.
--- a/src/libflow/agent_core.cpp
+++ b/src/libflow/agent_core.cpp
@@ -11,10 +11,10 @@
 namespace
 {
 
-// Peers that get every heartbeat; with more members only the watchers do and,
-// in turn, as many others.
-constexpr std::size_t all_pairs_limit = 8;
-constexpr std::size_t others_per_round = 4;
+// Up to so many peers all get every heartbeat; with more only the watchers do
+// and, in turn, so many others. Keeps a node's control traffic within 17 KB/s.
+constexpr std::size_t all_pairs_limit = 6;
+constexpr std::size_t others_per_round = 2;
 
 constexpr duration sweep_interval = std::chrono::seconds(1);
 constexpr duration removal_interval = std::chrono::seconds(1);
@@ -46,7 +46,8 @@
 std::vector<const member*> heartbeat_targets(const agent_state& state)
 {
     auto peers = live_peers(state.view_, state.self_);
-    if (peers.size() <= all_pairs_limit)
+    // Without a lease only the acks of all bring it back.
+    if (peers.size() <= all_pairs_limit || state.lease_.missing_since_)
     {
         return peers;
     }
@@ -141,6 +142,20 @@
     }
 }
 
+// A member that nobody acks may have been removed without hearing of it.
+void ask_for_news(agent_state& state, instant now, agent_actions& out)
+{
+    const auto& missing = state.lease_.missing_since_;
+    const duration patience = state.settings_.lease_.lease_length_ / 2;
+    if (!missing || now < *missing + patience ||
+        (state.last_fetch_ && now < *state.last_fetch_ + patience))
+    {
+        return;
+    }
+    state.last_fetch_ = now;
+    out.push_back(fetch_roster{epoch(state.view_.roster_.epoch_.value() + 1)});
+}
+
 void sweep(agent_state& state, instant now, agent_actions& out)
 {
     if (state.last_sweep_ && now < *state.last_sweep_ + sweep_interval)
@@ -201,6 +216,10 @@
     take_load(state, from, beat.load_, now);
     const bool grants =
         holds_lease(state.lease_, state.view_, state.settings_.lease_, now);
+    if (has_promised_lapse(state.watch_, from.sender_))
+    {
+        send_to(state, *sender, lapse_promise{from.sender_}, out);
+    }
     if (may_ack(state.watch_, state.view_, from.sender_, now))
     {
         send_to(state, *sender,
@@ -270,15 +289,20 @@
     }
 };
 
-// Members that vanished without having drained are as lost as lapsed ones.
+bool has_left(const roster& r, const instance_life& life)
+{
+    return std::find(r.left_.begin(), r.left_.end(), life) != r.left_.end();
+}
+
+// Members that vanished without having left are as lost as lapsed ones.
 std::vector<instance_life> lost_between(const roster& before,
                                         const member_view& after)
 {
     std::vector<instance_life> lost;
     for (const member& m : before.members_)
     {
-        if (m.state_ != member_state::draining &&
-            find_life(after, life_of(m)) == nullptr)
+        if (find_life(after, life_of(m)) == nullptr &&
+            !has_left(after.roster_, life_of(m)))
         {
             lost.push_back(life_of(m));
         }
@@ -313,6 +337,7 @@
     {
         part.complete_ = false;
         part.mark_home_.reset();
+        part.last_home_.reset();
     }
 }
 
@@ -336,6 +361,7 @@
     const instance_life old = state.self_;
     state.self_ = life_of(*self);
     state.lease_.self_ = state.self_;
+    state.lease_.active_watchers_.clear();
     rename_own_entries(state, old);
     return true;
 }
@@ -454,11 +480,17 @@
         return out;
     }
     const lease_settings& lease = state.settings_.lease_;
+    if (is_out(state.lease_, state.watch_, state.view_))
+    {
+        pvt::fence(state, out);
+        return out;
+    }
     note_lease(state.lease_, state.watch_, state.view_, lease, now);
     pvt::send_heartbeats(state, now, out);
     pvt::send_promises(state, now, out);
     pvt::learn_lapsed(state, find_lapsed(state.watch_, state.view_, lease, now),
                       now, out);
+    pvt::ask_for_news(state, now, out);
     pvt::ask_removals(state, now, out);
     pvt::drive_query(state, now, out);
     pvt::drive_syncs(state, now, out);
--- a/testsuite/lib/system.py
+++ b/testsuite/lib/system.py
@@ -4,12 +4,15 @@
 import collections
 import pathlib
 import signal
+import time
 
 from processes import Failed, Ports, http_ok, replace_file, tail, wait_ready
-from processes import wait_until
+from processes import get_json, post_json, wait_until
 
 READY_SECONDS = 20
 DRAIN_SECONDS = 60
+# Longest that libcoap clients go on after their last round has begun.
+LIBCOAP_END_MS = 30000
 DATA_CENTRES = ("nowy-sacz", "gorlice", "limanowa", "krynica")
 
 Service = collections.namedtuple("Service", "name kind address requested_by")
@@ -60,6 +63,11 @@
         self.fabric = None
         self.balancers = []
         self.instances = []
+        self._draining = []
+
+    def take_port(self):
+        """A free `IP:PORT` for a part that the test itself starts."""
+        return self._ports.take()
 
     def ledgers(self):
         """The run ledgers of all upstreams that there ever were."""
@@ -131,10 +139,11 @@
         """Waits until it is ready."""
         wait_ready(balancer.process, balancer.http, READY_SECONDS)
 
-    def list_balancers(self):
-        """Tells the fabric which balancers to spray over."""
-        replace_file(self._fabric_list, "".join(
-            f"{b.packets}\n" for b in self.balancers))
+    def list_balancers(self, chosen=None):
+        """Tells the fabric which balancers to spray over; all if not said."""
+        listed = self.balancers if chosen is None else chosen
+        replace_file(self._fabric_list,
+                     "".join(f"{b.packets}\n" for b in listed))
 
     def kill_balancer(self, balancer):
         """Ends a balancer without warning; the fabric still lists it."""
@@ -186,16 +195,60 @@
         """Waits until the agent is ready."""
         wait_ready(instance.agent, instance.http, READY_SECONDS)
 
+    def begin_drain(self, instance):
+        """Tells an agent to end once its flows have; see `drained`."""
+        self.instances.remove(instance)
+        instance.agent.signal(signal.SIGTERM)
+        self._draining.append((instance, time.monotonic() + DRAIN_SECONDS))
+
+    def draining(self, service):
+        """True while an instance of the service drains."""
+        self._reap_drained()
+        return any(i.service == service for i, _ in self._draining)
+
+    def wait_for_drains(self):
+        """Waits until every drain is over."""
+        wait_until(lambda: not self._reap_drained(), DRAIN_SECONDS + 1,
+                   "drains")
+
+    def _reap_drained(self):
+        """Stops upstreams whose agents have ended; returns what still
+        drains. Raises Failed if an agent failed or takes too long."""
+        still = []
+        for instance, deadline in self._draining:
+            status = instance.agent.status()
+            if status is None and time.monotonic() < deadline:
+                still.append((instance, deadline))
+            elif status == 0:
+                self._stop(instance.upstream)
+            else:
+                raise Failed(f"{instance.name} did not drain: status {status}:"
+                             f" {tail(instance.agent.log)}")
+        self._draining = still
+        return still
+
     def drain_instance(self, instance):
         """Stops an agent in good order, then its upstream. Returns False if
-        the agent had to be killed because it did not end in time."""
+        the agent did not end well in time."""
         self.instances.remove(instance)
         instance.agent.signal(signal.SIGTERM)
-        ended = instance.agent.wait(DRAIN_SECONDS) is not None
-        if not ended:
+        status = instance.agent.wait(DRAIN_SECONDS)
+        if status is None:
             instance.agent.kill()
         self._stop(instance.upstream)
-        return ended
+        return status == 0
+
+    def set_platform_faults(self, **faults):
+        """Puts faults of the platform stand-in in force; none ends all."""
+        post_json(self.platform, "/v1/standin/faults", faults)
+
+    def platform_calls(self):
+        """Calls that the platform stand-in has counted."""
+        return get_json(self.platform, "/v1/standin/calls")
+
+    def status(self, daemon):
+        """The daemon's /status."""
+        return get_json(daemon.http, "/status")
 
     def kill_instance(self, instance):
         """Ends agent and upstream without warning."""
@@ -219,7 +272,8 @@
         return self._start(
             name, "libcoap_caller", "--orders", self.entrances["orders"],
             "--photos", self.entrances["photos"], "--tag", name,
-            "--limit-ms", int(seconds * 1000),
+            "--duration-ms", int(seconds * 1000),
+            "--limit-ms", int(seconds * 1000) + LIBCOAP_END_MS,
             "--intakes", self._folder / f"{name}.intakes", *options)
 
     def intakes(self):
--- a/testsuite/standins/caller/flow.h
+++ b/testsuite/standins/caller/flow.h
@@ -42,7 +42,7 @@
     duration life_ = std::chrono::seconds(3);
     /// First wait for an acknowledgement; doubles with each repeat.
     duration ack_timeout_ = std::chrono::milliseconds(300);
-    unsigned most_repeats_ = 6;
+    unsigned most_repeats_ = 4;
     /// Wait for a separate answer after the acknowledgement.
     duration answer_timeout_ = std::chrono::seconds(10);
     /// How often a refused request is sent anew.
@@ -78,6 +78,7 @@
     void on_ack_timeout();
     void on_answer_timeout();
     void take_datagrams();
+    void take_stray(const received_datagram& stray);
     void take_message(const byte_buffer& bytes);
     void take_response(const coap_message& response);
     void acknowledge(const coap_message& message);
--- a/testsuite/standins/libcoap_caller/client.cpp
+++ b/testsuite/standins/libcoap_caller/client.cpp
@@ -1,5 +1,8 @@
 #include "client.h"
 
+#include <common/log.h>
+
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cstring>
 #include <stdexcept>
@@ -11,7 +14,7 @@
 {
 
 constexpr coap_fixed_point_t ack_timeout{0, 300};
-constexpr std::uint16_t most_repeats = 6;
+constexpr std::uint16_t most_repeats = 4;
 constexpr std::uint32_t step_ms = 20;
 constexpr std::size_t v4_offset = 12;
 
@@ -60,6 +63,28 @@
     }
 }
 
+// Says where a photo set first differs from what its first cell promised: a
+// body put together from two instances shows here.
+void log_wrong_bytes(const answer_text& text, const std::string& body)
+{
+    std::size_t at = 0;
+    while (at < body.size() &&
+           body.compare(at, photo_cell_bytes,
+                        photo_cell(text, at / photo_cell_bytes)) == 0)
+    {
+        at += photo_cell_bytes;
+    }
+    const auto found = parse_answer_text(
+        body.substr(std::min(at, body.size()), photo_cell_bytes));
+    log_line("wrong_bytes")
+        .with("id", text.id_)
+        .with("instance", text.instance_.value())
+        .with("size", body.size())
+        .with("cell", at / photo_cell_bytes)
+        .with("found_id", found ? found->id_ : "none")
+        .with("found_instance", found ? found->instance_.value() : "none");
+}
+
 std::string body_of(const coap_pdu_t& answer)
 {
     std::size_t size = 0;
@@ -93,6 +118,7 @@
 
 client_session::~client_session()
 {
+    take_failure("unfinished");
     coap_session_release(session_);
 }
 
@@ -176,10 +202,12 @@
     }
     else if (instance_.has_value() && *instance_ != text->instance_)
     {
+        instance_ = text->instance_;
         end_request(outcome::broken, "moved");
     }
     else if (photo && body != photo_bytes(*text, 0, body.size()))
     {
+        log_wrong_bytes(*text, body);
         end_request(outcome::broken, "wrong_bytes");
     }
     else
@@ -250,23 +278,30 @@
         *context_, std::move(settings), counts));
 }
 
-bool client::run(duration limit)
+bool client::run(duration limit, const std::function<void()>& add_more)
 {
     const instant end = read_monotonic_clock() + limit;
     while (read_monotonic_clock() < end)
     {
-        bool all_done = true;
-        for (const auto& session : sessions_)
+        const auto done =
+            std::remove_if(sessions_.begin(), sessions_.end(),
+                           [](const auto& s) { return s->done(); });
+        sessions_.erase(done, sessions_.end());
+        if (sessions_.empty())
         {
-            session->next();
-            all_done = all_done && session->done();
+            add_more();
         }
-        if (all_done)
+        if (sessions_.empty())
         {
             return true;
         }
+        for (const auto& session : sessions_)
+        {
+            session->next();
+        }
         coap_io_process(context_, step_ms);
     }
+    sessions_.clear();
     return false;
 }
 
