Losses of joining members open no gap; idle time above callers' longest pause

Cause: lost_answers refused 462 requests: a member lost while it was joining counted as a home that may have held entries. Ruled out: leases (nothing lapsed in that run).

--- a/src/include/galenafork/agent_core.h
+++ b/src/include/galenafork/agent_core.h
@@ -202,6 +202,10 @@
     std::optional<instant> last_heartbeat_;
     /// Last search for idle flows and expired entries.
     std::optional<instant> last_sweep_;
+    /// When this agent learned of each loss that may have taken journal
+    /// entries along. A member lost while it was joining held none: no home
+    /// opens before every member has answered it as serving.
+    std::map<instance_life, instant> losses_;
     /// Last request for a newer roster because the lease is missing.
     std::optional<instant> last_fetch_;
     /// Last requests to remove a member.
--- a/src/include/galenafork/member_view.h
+++ b/src/include/galenafork/member_view.h
@@ -30,6 +30,11 @@
 /// Adds what is missing of `lives` to the lapsed set. True if that changed it.
 bool merge_lapsed(member_view& view, const std::vector<instance_life>& lives);
 
+/// Those of `lives` that are not in the lapsed set yet.
+std::vector<instance_life>
+unknown_lapses(const member_view& view,
+               const std::vector<instance_life>& lives);
+
 /// Every live member but `self`.
 std::vector<const member*> live_peers(const member_view& view,
                                       const instance_life& self);
--- a/src/libflow/agent_core.cpp
+++ b/src/libflow/agent_core.cpp
@@ -301,7 +301,8 @@
     std::vector<instance_life> lost;
     for (const member& m : before.members_)
     {
-        if (find_life(after, life_of(m)) == nullptr &&
+        if (m.state_ != member_state::joining &&
+            find_life(after, life_of(m)) == nullptr &&
             !has_left(after.roster_, life_of(m)))
         {
             lost.push_back(life_of(m));
@@ -368,9 +369,25 @@
 
 } // namespace
 
+void note_losses(agent_state& state, const std::vector<instance_life>& lives,
+                 instant now)
+{
+    for (const instance_life& life : lives)
+    {
+        const member* m = find_life(state.view_, life);
+        const bool was_joining =
+            m != nullptr && m->state_ == member_state::joining;
+        if (!was_joining)
+        {
+            state.losses_.emplace(life, now);
+        }
+    }
+}
+
 void learn_lapsed(agent_state& state, const std::vector<instance_life>& lives,
                   instant now, agent_actions& out)
 {
+    note_losses(state, unknown_lapses(state.view_, lives), now);
     if (!merge_lapsed(state.view_, lives))
     {
         return;
@@ -442,7 +459,12 @@
     {
         pvt::distrust_buckets(state);
     }
-    merge_lapsed(state.view_, pvt::lost_between(before, state.view_));
+    const auto lost = pvt::lost_between(before, state.view_);
+    for (const instance_life& life : lost)
+    {
+        state.losses_.emplace(life, now);
+    }
+    merge_lapsed(state.view_, lost);
     pvt::settle_view(state, now, out);
     pvt::tell_all_balancers(state, now, out);
     pvt::retry_held(state, now, out);
--- a/src/libflow/directory.cpp
+++ b/src/libflow/directory.cpp
@@ -143,9 +143,8 @@
 // A member was lost so lately that repeats of its requests may still come.
 bool lost_lately(const agent_state& state, instant now)
 {
-    const auto& learned = state.watch_.lapse_learned_;
     return std::any_of(
-        learned.begin(), learned.end(),
+        state.losses_.begin(), state.losses_.end(),
         [&](const auto& loss)
         { return now < loss.second + state.settings_.journal_.quarantine_; });
 }
--- a/src/libflow/member_view.cpp
+++ b/src/libflow/member_view.cpp
@@ -1,6 +1,7 @@
 #include <galenafork/member_view.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace galenafork
 {
@@ -24,18 +25,24 @@
     return found != nullptr && !view.lapsed_.contains(*found);
 }
 
+std::vector<instance_life>
+unknown_lapses(const member_view& view, const std::vector<instance_life>& lives)
+{
+    const auto& known = view.lapsed_.lives_;
+    std::vector<instance_life> unknown;
+    std::copy_if(
+        lives.begin(), lives.end(), std::back_inserter(unknown),
+        [&](const instance_life& life)
+        { return std::find(known.begin(), known.end(), life) == known.end(); });
+    return unknown;
+}
+
 bool merge_lapsed(member_view& view, const std::vector<instance_life>& lives)
 {
+    const auto unknown = unknown_lapses(view, lives);
     auto& known = view.lapsed_.lives_;
-    const std::size_t before = known.size();
-    for (const instance_life& life : lives)
-    {
-        if (std::find(known.begin(), known.end(), life) == known.end())
-        {
-            known.push_back(life);
-        }
-    }
-    return known.size() != before;
+    known.insert(known.end(), unknown.begin(), unknown.end());
+    return !unknown.empty();
 }
 
 std::vector<const member*> live_peers(const member_view& view,
--- a/testsuite/lib/system.py
+++ b/testsuite/lib/system.py
@@ -178,7 +178,7 @@
 http = "{http}"
 rpc = "{rpc}"
 [flows]
-idle_timeout = "4 s"
+idle_timeout = "9 s"
 [journal]
 lifetime = "8 s"
 quarantine = "8 s"
