--- a/src/libvirtual/service_fixture.cpp
+++ b/src/libvirtual/service_fixture.cpp
@@ -145,7 +145,7 @@
     }
     packet.balancer_ = *parse_endpoint("127.0.0.1:1");
     packet.fabric_ = *parse_endpoint("127.0.0.1:2");
-    post(balancer_id, home->packets_, packet, std::move(request));
+    post(balancer_id, home->packets_, packet, request);
 }
 
 void service_fixture::send(const flow_key& flow,
@@ -156,7 +156,7 @@
 
 void service_fixture::post(const instance_id& from, const endpoint& to,
                            datagram message,
-                           std::optional<request_info> request)
+                           const std::optional<request_info>& request)
 {
     for (const auto& [id, agent] : agents_)
     {
--- a/src/libvirtual/service_fixture.h
+++ b/src/libvirtual/service_fixture.h
@@ -82,7 +82,7 @@
     void tick_agents();
     void act(const instance_id& from, const agent_actions& actions);
     void post(const instance_id& from, const endpoint& to, datagram message,
-              std::optional<request_info> request);
+              const std::optional<request_info>& request);
     void learn_rosters();
     std::uint64_t draw();
 
