A draining agent leaves only on a report made under its drain

Now the report must have been made with the drain known to the traffic thread, and the agent stays 2 s, until balancers know. Ruled out: idle times (the flow was 0.3 s old). Before: left after 2 ms.

--- a/src/galena_agent/agent_app.cpp
+++ b/src/galena_agent/agent_app.cpp
@@ -19,6 +19,8 @@
 constexpr duration watch_length = seconds(25);
 constexpr duration watch_pause = milliseconds(500);
 constexpr duration drain_poll = milliseconds(100);
+// Balancers learn of the drain meanwhile; until then their packets come here.
+constexpr duration drain_linger = seconds(2);
 
 kj::Duration to_kj(duration d)
 {
@@ -268,6 +270,7 @@
     log_event(log_level::info, "draining", {});
     const instant deadline = read_monotonic_clock() + config_.drain_time_;
     return begin_drain()
+        .then([this] { return wait(drain_linger); })
         .then([this, deadline] { return wait_for_flows(deadline); })
         .then([this] { return leave(); });
 }
--- a/src/galena_agent/agent_mail.h
+++ b/src/galena_agent/agent_mail.h
@@ -34,6 +34,8 @@
     /// The roster lets this agent open flows.
     bool serving_ = false;
     bool fenced_ = false;
+    /// The traffic thread knows that this agent drains, and no flow and no
+    /// request of its own is left.
     bool may_leave_ = false;
     /// First among the live members: the one that watches the platform.
     bool is_first_ = false;
--- a/src/galena_agent/agent_worker.cpp
+++ b/src/galena_agent/agent_worker.cpp
@@ -448,7 +448,9 @@
     const member* self = find_life(state_->view_, state_->self_);
     r.serving_ = self != nullptr && self->state_ == member_state::serving;
     r.fenced_ = state_->fenced_;
-    r.may_leave_ = may_leave(*state_);
+    const bool drains =
+        self != nullptr && self->state_ == member_state::draining;
+    r.may_leave_ = drains && may_leave(*state_);
     r.is_first_ = std::all_of(peers.begin(), peers.end(),
                               [&](const member* m) {
                                   return state_->self_.instance_ < m->instance_;
--- a/testsuite/lib/processes.py
+++ b/testsuite/lib/processes.py
@@ -142,11 +142,16 @@
         return False
 
 
-def get_json(address, path):
-    """The JSON that `http://ADDRESS/PATH` answers."""
+def get_text(address, path):
+    """The text that `http://ADDRESS/PATH` answers."""
     with urllib.request.urlopen(f"http://{address}{path}",
                                 timeout=HTTP_SECONDS) as answer:
-        return json.load(answer)
+        return answer.read().decode()
+
+
+def get_json(address, path):
+    """The JSON that `http://ADDRESS/PATH` answers."""
+    return json.loads(get_text(address, path))
 
 
 def post_json(address, path, value):
--- a/testsuite/lib/system.py
+++ b/testsuite/lib/system.py
@@ -7,7 +7,7 @@
 import time
 
 from processes import Failed, Ports, http_ok, replace_file, tail, wait_ready
-from processes import get_json, post_json, wait_until
+from processes import get_json, get_text, post_json, wait_until
 
 READY_SECONDS = 20
 DRAIN_SECONDS = 60
@@ -285,6 +285,12 @@
                 states[intake] = state
         return states
 
+    def save_metrics(self):
+        """Keeps each running daemon's metrics as `NAME.metrics`."""
+        for part in self.balancers + self.instances:
+            path = self._folder / f"{part.name}.metrics"
+            path.write_text(get_text(part.http, "/metrics"))
+
     def healthy(self):
         """True if every daemon that should run answers /healthz."""
         addresses = [p.http for p in self.balancers + self.instances]
--- a/testsuite/promises/harness.py
+++ b/testsuite/promises/harness.py
@@ -111,6 +111,7 @@
         with Processes(folder) as processes:
             case = Case(binaries, processes, seed)
             facts = act(case)
+            case.system.save_metrics()
         held = all(ok for _, ok in facts)
     except (Failed, OSError) as failure:
         facts, held = [(f"failed: {failure}", False)], False
