One input handler and one name for roster objects

Cause: the balancer kept its own copy of input_handler, and the agent spelt the roster's object name by hand beside roster_object_name. Ruled out for now: read_platform_settings in the agent (its ranges are wider than the agent's, which would loosen a bound), one reader of log levels and control addresses for both daemons (needs a run of all settings cases). Before and after: testsuite/spread/run.sh passed; cases replace_all_balancers, drain_bound, takeover_platform_up held; clang-tidy clean on both files. Conclusion: behaviour unchanged.

--- a/src/galena_agent/membership.cpp
+++ b/src/galena_agent/membership.cpp
@@ -1,5 +1,6 @@
 #include "membership.h"
 
+#include <galenafork/platform_setup.h>
 #include <galenafork/time.h>
 
 namespace galenafork
@@ -29,7 +30,7 @@
 
 membership::membership(const service_name& service,
                        membership_dependencies needs)
-    : service_(service), object_("roster/" + service.value()),
+    : service_(service), object_(roster_object_name(service)),
       needs_(std::move(needs)), fetch_(kj::READY_NOW)
 {
 }
--- a/src/galena_balancer/traffic_thread.cpp
+++ b/src/galena_balancer/traffic_thread.cpp
@@ -1,10 +1,10 @@
 #include "traffic_thread.h"
 
+#include <galenafork/input_handler.h>
 #include <galenafork/time.h>
 #include <galenafork/wire.h>
 
 #include <ace/Dev_Poll_Reactor.h>
-#include <ace/Event_Handler.h>
 #include <ace/OS_NS_Thread.h>
 #include <ace/Reactor.h>
 #include <chrono>
@@ -26,22 +26,6 @@
 // A notice names a service and at most `max_list_items` lapsed lives.
 constexpr std::size_t max_notice_bytes = 32UL * 1024;
 
-/// Calls a function when its descriptor turns readable.
-class input_handler final : public ACE_Event_Handler
-{
-public:
-    explicit input_handler(std::function<void()> act) : act_(std::move(act)) {}
-
-    int handle_input(ACE_HANDLE /*handle*/) override
-    {
-        act_();
-        return 0;
-    }
-
-private:
-    std::function<void()> act_;
-};
-
 double seconds_since(std::chrono::steady_clock::time_point start)
 {
     const std::chrono::duration<double> passed =
