After an outage slots go to callers that are still there

Copies counted as new attempts, waiting segments were searched one by one, each status placed all of them again, and a question to 47 agents was encoded 47 times on 0.038 of a core. Changed: a handshake keeps its slot 40 ms; late segments wait only for a slot within 100 ms, at a balancer 700 ms; a copy's number tells its age; a copy of what waits is dropped; waiting segments are indexed and services without room looked at once; a message to many is encoded once; flows in handshake are admitted beyond the slots by the measured handshake time (replay: 12 ms of delay in balancers at 0.95 load). Replays in load_test.cpp fail on the code before.

--- a/src/galena_pass_agent/agent_traffic.cpp
+++ b/src/galena_pass_agent/agent_traffic.cpp
@@ -249,11 +249,12 @@
 
     void send_status()
     {
-        const status_message status = status_of(state_, now_);
+        std::vector<host_address> hosts;
         for (const auto& entry : balancers_)
         {
-            actions_.to_peer(entry.first, status);
+            hosts.push_back(entry.first);
         }
+        actions_.to_peers(hosts, status_of(state_, now_));
         status_sent_ = now_;
         io_.perform(actions_);
     }
--- a/src/galena_pass_balancer/balancer_traffic.cpp
+++ b/src/galena_pass_balancer/balancer_traffic.cpp
@@ -252,10 +252,7 @@
             state_.rules_ ? state_.rules_->version_ : config_version();
         hello.agents_ = static_cast<std::uint32_t>(agents_.size());
         hello.leaving_ = leaving_;
-        for (const host_address host : to)
-        {
-            actions_.to_peer(host, hello);
-        }
+        actions_.to_peers({to.begin(), to.end()}, hello);
     }
 
     void on_timer()
--- a/src/include/galenafork/pass_actions.h
+++ b/src/include/galenafork/pass_actions.h
@@ -7,6 +7,7 @@
 #include <galenafork/pass_messages.h>
 #include <galenafork/pass_types.h>
 
+#include <memory>
 #include <vector>
 
 namespace galenafork
@@ -38,8 +39,8 @@
     std::uint32_t sequence_ = 0;
     /// For `pass_target::agent`: hops that the segment has behind it then.
     std::uint8_t hops_ = 0;
-    /// For `pass_target::peer`.
-    pass_message message_;
+    /// For `pass_target::peer`; actions with several receivers share it.
+    std::shared_ptr<const pass_message> message_;
 };
 
 /// One decision for the log: what it was about, its inputs and its outcome.
@@ -79,6 +80,8 @@
     void to_agent(host_address host, byte_view bytes, std::uint8_t hops = 0);
     void reset(const flow_key& flow, std::uint32_t sequence);
     void to_peer(host_address host, pass_message message);
+    /// The same message to each of `hosts`.
+    void to_peers(const std::vector<host_address>& hosts, pass_message message);
 };
 
 } // namespace galenafork
--- a/src/include/galenafork/pass_agent.h
+++ b/src/include/galenafork/pass_agent.h
@@ -22,14 +22,20 @@
 {
     host_address host_;
     /// Requests at the upstream beyond its slots: they fill the time of the
-    /// handshake, a caller's round trip, in which a slot would stand idle.
+    /// handshake, a caller's round trip, in which a slot would stand idle. None
+    /// while the upstream is cold.
     std::uint32_t extra_admitted_ = 1;
+    /// Besides, for each slot, at most this many when handshakes take as long
+    /// as the work. Upstreams queue a few requests a slot before they shed
+    /// load.
+    double most_extra_per_slot_ = 1.0;
     /// An upstream that is alive answers an opening segment within this time;
     /// it needs under a millisecond, the rest covers a busy instance.
     duration opening_answer_ = std::chrono::milliseconds(80);
     /// A caller continues an answered handshake within this time: some round
-    /// trips.
-    duration handshake_ = std::chrono::milliseconds(120);
+    /// trips. One that does not has gone, or waits behind a busy balancer; its
+    /// slot serves another meanwhile.
+    duration handshake_ = std::chrono::milliseconds(40);
     /// Unanswered openings in a row, with no other sign of life, after which
     /// the upstream gets no more.
     std::uint32_t silent_openings_ = 2;
@@ -45,9 +51,10 @@
     /// taken.
     double planned_share_ = 0.7;
     /// A segment that will miss its latency target still waits if it is
-    /// expected to have a slot within this time, well before its caller's
-    /// attempt ends. Not in lasting overload.
-    duration late_wait_ = std::chrono::milliseconds(1200);
+    /// expected to have a slot within this time: those in time keep coming in
+    /// before it, and a slot that comes later finds its caller gone. Not in
+    /// lasting overload.
+    duration late_wait_ = std::chrono::milliseconds(100);
     /// Share of the slots that is expected to be left over for such segments,
     /// as those in time go first.
     double late_share_ = 0.7;
@@ -152,6 +159,8 @@
     instant held_since_{};
     std::uint32_t busy_ = 0;
     duration service_time_{0};
+    /// Smoothed time from the offer of an opening segment to the request.
+    duration handshake_time_{0};
     /// Balancers should hear of it at once.
     bool status_changed_ = false;
 };
--- a/src/include/galenafork/pass_balancer.h
+++ b/src/include/galenafork/pass_balancer.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <random>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace galenafork
@@ -46,9 +47,10 @@
     /// Between two searches for the owner of one flow: a round trip to the
     /// agents and their answer.
     duration locate_interval_ = std::chrono::milliseconds(150);
-    /// An opening segment waits at most this long for a first agent; then its
-    /// caller's attempt is over.
-    duration opening_wait_ = std::chrono::milliseconds(1300);
+    /// An opening segment waits at most this long for a first agent: half of a
+    /// caller's attempt. Whoever waited longer is refused and comes back at
+    /// once, as one of those that can be answered soon.
+    duration opening_wait_ = std::chrono::milliseconds(700);
     /// Opening segments that wait for a first agent.
     std::size_t max_waiting_ = 2000;
     /// They are placed while an agent has less than this many requests a slot:
@@ -78,6 +80,8 @@
     std::uint32_t opening_ = 0;
     instant located_{};
     bool finished_ = false;
+    /// Its opening segment waits at the owner for a slot.
+    bool held_ = false;
     /// Next sequence number that the caller expects.
     std::uint32_t caller_expects_ = 0;
     /// Agents that answered the last question with "not here".
@@ -89,6 +93,7 @@
 {
     segment segment_;
     std::vector<std::uint8_t> packet_;
+    /// When its caller's attempt began, as far as its copy number tells.
     instant since_{};
 };
 
@@ -101,6 +106,8 @@
     std::unordered_map<service_name, std::vector<host_address>> services_;
     std::unordered_map<flow_key, balancer_flow> flows_;
     std::vector<waiting_opening> waiting_;
+    /// Flows of `waiting_`.
+    std::unordered_set<flow_key> waiting_flows_;
     std::minstd_rand random_;
     std::uint64_t refused_no_rule_ = 0;
     /// All entries of agents have been read.
--- a/src/libpass/agent_lifecycle.cpp
+++ b/src/libpass/agent_lifecycle.cpp
@@ -131,7 +131,12 @@
     }
     if (flow.upstream_sequence_ && waited > state.settings_.handshake_)
     {
-        // The caller has taken another upstream's answer, or none.
+        // The caller has taken another upstream's answer, or none, or its next
+        // segment waits at a balancer.
+        if (flow.counted_)
+        {
+            pvt::smooth(state.handshake_time_, state.settings_.handshake_);
+        }
         set_counted(state, flow, false);
     }
 }
@@ -163,6 +168,7 @@
     state.settings_ = settings;
     state.started_ = now;
     state.service_time_ = settings.service_time_;
+    state.handshake_time_ = settings.round_trip_;
     return state;
 }
 
--- a/src/libpass/agent_opening.cpp
+++ b/src/libpass/agent_opening.cpp
@@ -17,11 +17,24 @@
 namespace
 {
 
+// Weight of the newest sample of a smoothed time.
+constexpr double sample_weight = 0.1;
+
+// Requests that the upstream may have, running or in their handshake. While
+// balancers are behind, after an outage above all, a handshake takes longer
+// than the work: so many flows are in theirs as keep the slots busy meanwhile.
 std::uint32_t limit_of(const pass_agent_state& state, instant now)
 {
     const std::uint32_t slots = state.upstream_.slots_.value();
-    return now < state.cold_until_ ? slots
-                                   : slots + state.settings_.extra_admitted_;
+    const std::uint32_t least =
+        now < state.cold_until_ ? 0 : state.settings_.extra_admitted_;
+    const double in_handshake =
+        static_cast<double>(state.handshake_time_.count()) /
+        static_cast<double>(
+            std::max<duration::rep>(state.service_time_.count(), 1));
+    const double extra = std::floor(
+        slots * std::min(in_handshake, state.settings_.most_extra_per_slot_));
+    return slots + least + static_cast<std::uint32_t>(extra);
 }
 
 double backlog_of(const pass_agent_state& state)
@@ -240,6 +253,14 @@
 
 } // namespace
 
+void smooth(duration& smoothed, duration sample)
+{
+    const auto old = static_cast<double>(smoothed.count());
+    const auto now = static_cast<double>(sample.count());
+    smoothed =
+        duration(static_cast<duration::rep>(old + (now - old) * sample_weight));
+}
+
 void enter(agent_flow& flow, pass_phase phase, instant now)
 {
     flow.phase_ = phase;
--- a/src/libpass/agent_pvt.h
+++ b/src/libpass/agent_pvt.h
@@ -33,6 +33,9 @@
 /// Counts the flow as one of the upstream's requests, or no longer.
 void set_counted(pass_agent_state& state, agent_flow& flow, bool counted);
 
+/// Moves `smoothed` towards the newest sample.
+void smooth(duration& smoothed, duration sample);
+
 /// Changes the phase.
 void enter(agent_flow& flow, pass_phase phase, instant now);
 
--- a/src/libpass/agent_segments.cpp
+++ b/src/libpass/agent_segments.cpp
@@ -31,17 +31,6 @@
            s.acknowledged_ - *flow.upstream_sequence_ < flow_span;
 }
 
-// Weight of the newest sample of the service time.
-constexpr double service_time_weight = 0.1;
-
-void sample_service_time(pass_agent_state& state, duration sample)
-{
-    const auto old = static_cast<double>(state.service_time_.count());
-    const auto now = static_cast<double>(sample.count());
-    state.service_time_ = duration(
-        static_cast<duration::rep>(old + (now - old) * service_time_weight));
-}
-
 void end_if_finished(pass_agent_state& state, agent_flow& flow, instant now)
 {
     if (flow.caller_finished_ && flow.upstream_finished_)
@@ -57,6 +46,10 @@
 {
     if (flow.phase_ == pass_phase::opening)
     {
+        pvt::smooth(
+            state.handshake_time_,
+            std::min(std::chrono::duration_cast<duration>(now - flow.offered_),
+                     state.settings_.handshake_));
         enter(flow, pass_phase::open, now);
         set_counted(state, flow, true);
     }
@@ -239,8 +232,9 @@
         set_counted(state, flow, false);
         if (!flow.adopted_)
         {
-            sample_service_time(state, std::chrono::duration_cast<duration>(
-                                           now - flow.request_since_));
+            pvt::smooth(state.service_time_,
+                        std::chrono::duration_cast<duration>(
+                            now - flow.request_since_));
         }
     }
     flow.upstream_finished_ |= s.finishes_;
--- a/src/libpass/agent_test.cpp
+++ b/src/libpass/agent_test.cpp
@@ -84,6 +84,21 @@
     CHECK(count(copy, pass_target::upstream) == 0);
 }
 
+TEST_CASE("a caller that does not go on leaves its slot to the next")
+{
+    pass_agent_state state = make_agent();
+    pass_actions out;
+    for (const std::uint16_t port : {1, 2, 3, 4})
+    {
+        take_place(state, make_place(), make_opening(port), start, out);
+        take_from_upstream(state, make_opening_answer(port, 9000), some_bytes(),
+                           start, out);
+    }
+    REQUIRE(state.held_.size() == 1);
+    take_tick(state, start + milliseconds(50), out);
+    CHECK(state.held_.empty());
+}
+
 TEST_CASE("a copy of a waiting segment does not wait twice")
 {
     pass_agent_state state = make_agent();
--- a/src/libpass/balancer.cpp
+++ b/src/libpass/balancer.cpp
@@ -1,6 +1,7 @@
 #include <galenafork/pass_balancer.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace galenafork
@@ -79,6 +80,20 @@
     return it == state.rules_->rules_.end() ? nullptr : &it->second;
 }
 
+// Callers send copies of an opening segment this long after the first one.
+constexpr std::array<duration, 3> copy_ages = {duration(0),
+                                               std::chrono::milliseconds(200),
+                                               std::chrono::milliseconds(600)};
+
+// Time since the caller's attempt began, at least. After an outage most
+// segments are copies whose answer will be late: as first ones they would take
+// the place of those that can still be answered in time.
+duration least_age(const segment& opening)
+{
+    return copy_ages[std::min<std::size_t>(opening.acknowledged_,
+                                           copy_ages.size() - 1)];
+}
+
 struct opening_context
 {
     const pass_rule& rule_;
@@ -87,10 +102,10 @@
     host_address earlier_;
 };
 
-bool has_room(pass_balancer_state& state, const pass_rule& rule,
-              const flow_key& flow, instant now)
+bool has_room(const pass_balancer_state& state, const service_name& service,
+              instant now)
 {
-    const auto hosts = state.services_.find(service_for(rule, flow));
+    const auto hosts = state.services_.find(service);
     return hosts != state.services_.end() &&
            std::any_of(hosts->second.begin(), hosts->second.end(),
                        [&](host_address host)
@@ -156,10 +171,7 @@
 void wait_for_agent(pass_balancer_state& state, const segment& s,
                     byte_view bytes, instant now, pass_actions& out)
 {
-    const auto same = std::find_if(state.waiting_.begin(), state.waiting_.end(),
-                                   [&](const waiting_opening& w)
-                                   { return w.segment_.flow_ == s.flow_; });
-    if (same != state.waiting_.end())
+    if (state.waiting_flows_.count(s.flow_) != 0)
     {
         return;
     }
@@ -169,8 +181,9 @@
         out.reset(s.flow_, 0);
         return;
     }
+    state.waiting_flows_.insert(s.flow_);
     state.waiting_.push_back(
-        {s, {bytes.data_, bytes.data_ + bytes.size_}, now});
+        {s, {bytes.data_, bytes.data_ + bytes.size_}, now - least_age(s)});
     note(out, "waiting", state.rules_ ? "no_agent" : "no_rules", s, {}, true,
          state, now);
 }
@@ -193,19 +206,27 @@
         return;
     }
     const auto known = state.flows_.find(s.flow_);
-    opening_context context{*rule, bytes, duration(0), {}};
+    opening_context context{*rule, bytes, least_age(s), {}};
     if (known != state.flows_.end() && known->second.opening_ == s.sequence_ &&
         known->second.owner_ != host_address())
     {
         // A copy: its agent knows whether the first one waits there. Only if
         // that agent has fallen silent does the copy go elsewhere.
         const host_address owner = known->second.owner_;
-        context.age_ =
-            std::chrono::duration_cast<duration>(now - known->second.began_);
+        context.age_ = std::max(
+            context.age_,
+            std::chrono::duration_cast<duration>(now - known->second.began_));
         if (is_silent(state, owner, now))
         {
             context.earlier_ = owner;
         }
+        else if (known->second.held_)
+        {
+            // It waits there already: another copy would tell its agent
+            // nothing, and in a queue's time there are two of each.
+            note(out, "copy_dropped", "held", s, owner, false, state, now);
+            return;
+        }
         else
         {
             place_message copy;
@@ -283,50 +304,72 @@
     {
         flow.denials_.push_back(except);
     }
-    const locate_message message{{bytes.data_, bytes.data_ + bytes.size_},
-                                 state.settings_.host_};
+    std::vector<host_address> asked;
     for (const auto& [host, agent] : state.agents_)
     {
         if (host != except && may_own(state, agent, s.flow_, now))
         {
-            out.to_peer(host, message);
+            asked.push_back(host);
         }
     }
+    out.to_peers(asked, locate_message{{bytes.data_, bytes.data_ + bytes.size_},
+                                       state.settings_.host_});
     note(out, "locating", "unknown_flow", s, except, true, state, now);
 }
 
+// Places or refuses one waiting segment; false if it goes on waiting.
+// `full` collects services without room, so that each is looked at once.
+bool settle_waiting(pass_balancer_state& state, const waiting_opening& w,
+                    std::vector<service_name>& full, instant now,
+                    pass_actions& out)
+{
+    const duration age = std::chrono::duration_cast<duration>(now - w.since_);
+    if (age > state.settings_.opening_wait_)
+    {
+        note(out, "refused", "waited_too_long", w.segment_, {}, true, state,
+             now);
+        out.reset(w.segment_.flow_, 0);
+        return true;
+    }
+    if (!state.rules_)
+    {
+        return false;
+    }
+    const pass_rule* rule = rule_for(state, w.segment_.flow_);
+    if (rule == nullptr)
+    {
+        ++state.refused_no_rule_;
+        note(out, "refused", "no_rule", w.segment_, {}, true, state, now);
+        out.reset(w.segment_.flow_, 0);
+        return true;
+    }
+    const service_name& service = service_for(*rule, w.segment_.flow_);
+    if (std::find(full.begin(), full.end(), service) != full.end())
+    {
+        return false;
+    }
+    if (!has_room(state, service, now))
+    {
+        full.push_back(service);
+        return false;
+    }
+    return place(state, w.segment_,
+                 {*rule, {w.packet_.data(), w.packet_.size()}, age, {}}, now,
+                 out);
+}
+
 void place_waiting(pass_balancer_state& state, instant now, pass_actions& out)
 {
     std::vector<waiting_opening> waiting = std::move(state.waiting_);
     state.waiting_.clear();
+    std::vector<service_name> full;
     for (waiting_opening& w : waiting)
     {
-        const duration age =
-            std::chrono::duration_cast<duration>(now - w.since_);
-        if (age > state.settings_.opening_wait_)
+        if (settle_waiting(state, w, full, now, out))
         {
-            note(out, "refused", "waited_too_long", w.segment_, {}, true, state,
-                 now);
-            out.reset(w.segment_.flow_, 0);
-            continue;
-        }
-        if (!state.rules_)
-        {
-            state.waiting_.push_back(std::move(w));
-            continue;
+            state.waiting_flows_.erase(w.segment_.flow_);
         }
-        const pass_rule* rule = rule_for(state, w.segment_.flow_);
-        if (rule == nullptr)
-        {
-            ++state.refused_no_rule_;
-            note(out, "refused", "no_rule", w.segment_, {}, true, state, now);
-            out.reset(w.segment_.flow_, 0);
-            continue;
-        }
-        if (!has_room(state, *rule, w.segment_.flow_, now) ||
-            !place(state, w.segment_,
-                   {*rule, {w.packet_.data(), w.packet_.size()}, age, {}}, now,
-                   out))
+        else
         {
             state.waiting_.push_back(std::move(w));
         }
@@ -470,6 +513,7 @@
     if (message.owner_ != host_address())
     {
         flow.owner_ = message.owner_;
+        flow.held_ = message.held_;
         flow.last_ = now;
         return;
     }
--- a/src/libpass/balancer_test.cpp
+++ b/src/libpass/balancer_test.cpp
@@ -107,6 +107,35 @@
     CHECK(find_message<place_message>(elsewhere)->earlier_ == agent_a);
 }
 
+TEST_CASE("a copy of a segment that waits at an agent is not sent again")
+{
+    pass_balancer_state state = make_balancer();
+    pass_actions out;
+    take_from_caller(state, make_opening(1), some_bytes(), start, out);
+    take_moved(state, {make_flow(1), agent_c, true, agent_c}, start, out);
+    pass_actions copy;
+    take_from_caller(state, make_opening(1), some_bytes(),
+                     start + milliseconds(200), copy);
+    CHECK(copy.sends_.empty());
+    // It left the queue: from now on its agent must see the copies.
+    take_moved(state, {make_flow(1), agent_c, false, agent_c}, start, out);
+    take_from_caller(state, make_opening(1), some_bytes(),
+                     start + milliseconds(600), copy);
+    CHECK(find_message<place_message>(copy) != nullptr);
+}
+
+TEST_CASE("a copy's number tells how long its caller has waited")
+{
+    pass_balancer_state state = make_balancer();
+    segment last_copy = make_opening(1);
+    last_copy.acknowledged_ = 2;
+    pass_actions out;
+    take_from_caller(state, last_copy, some_bytes(), start, out);
+    const auto* place = find_message<place_message>(out);
+    REQUIRE(place != nullptr);
+    CHECK(place->age_ == milliseconds(600));
+}
+
 TEST_CASE("an unknown flow's owner is asked for, not guessed")
 {
     pass_balancer_state state = make_balancer();
--- a/src/libpass/load_test.cpp
+++ b/src/libpass/load_test.cpp
@@ -147,6 +147,41 @@
     }
 }
 
+TEST_CASE("slots do not stand idle while balancers are behind")
+{
+    for (const std::uint32_t seed : {12U, 13U})
+    {
+        world_settings filling = make_settings(seed, 0.95);
+        filling.balancer_delay_ = milliseconds(12);
+        world_settings fixed = filling;
+        fixed.agent_.most_extra_per_slot_ = 0;
+        const world_result with = play(filling);
+        const world_result without = play(fixed);
+        INFO("seed " << seed << ": " << with.in_time_share() << " against "
+                     << without.in_time_share());
+        CHECK(with.in_time_share() > without.in_time_share());
+    }
+}
+
+TEST_CASE("after an outage slots are not kept for callers that have gone")
+{
+    for (const std::uint32_t seed : {14U, 15U})
+    {
+        world_settings brief = make_settings(seed, 0.9);
+        brief.outage_ = milliseconds(1200);
+        brief.unheard_ = milliseconds(1200);
+        world_settings patient = brief;
+        patient.agent_.handshake_ = milliseconds(120);
+        patient.agent_.late_wait_ = milliseconds(1200);
+        patient.balancer_.opening_wait_ = milliseconds(1300);
+        const world_result with = play(brief);
+        const world_result without = play(patient);
+        INFO("seed " << seed << ": " << with.in_time_share() << " against "
+                     << without.in_time_share());
+        CHECK(with.in_time_share() > without.in_time_share());
+    }
+}
+
 TEST_CASE("the first agent back does not get everything that waited")
 {
     world_settings spread = make_settings(10, 0.6);
--- a/src/libpass/load_world.h
+++ b/src/libpass/load_world.h
@@ -40,6 +40,8 @@
     duration length_ = std::chrono::seconds(10);
     /// Until then every agent is silent.
     duration outage_{0};
+    /// How long a segment waits in a balancer before it is looked at.
+    duration balancer_delay_{0};
     /// Until then balancers hear no caller.
     duration unheard_{0};
     pass_balancer_settings balancer_;
--- a/src/libpass/load_world_test.cpp
+++ b/src/libpass/load_world_test.cpp
@@ -256,10 +256,12 @@
         c.balancer_ = random_() % balancers_.size();
         ++c.tries_;
         const unsigned attempt = c.tries_;
-        for (const int copy : {0, 200, 600})
+        std::uint32_t copy = 0;
+        for (const int delay : {0, 200, 600})
         {
-            after(milliseconds(copy),
-                  [this, id, attempt] { send_opening(id, attempt); });
+            after(milliseconds(delay), [this, id, attempt, copy]
+                  { send_opening(id, attempt, copy); });
+            ++copy;
         }
         after(milliseconds(1400),
               [this, id, attempt]
@@ -291,7 +293,7 @@
               });
     }
 
-    void send_opening(std::size_t id, unsigned attempt)
+    void send_opening(std::size_t id, unsigned attempt, std::uint32_t copy)
     {
         caller& c = callers_[id];
         if (c.done_ || c.connected_ || c.tries_ != attempt)
@@ -302,12 +304,13 @@
         s.flow_ = c.flow_;
         s.opens_ = true;
         s.sequence_ = 7;
+        s.acknowledged_ = copy;
         to_balancer(c.balancer_, s);
     }
 
     void to_balancer(std::size_t b, const segment& s)
     {
-        after(caller_way,
+        after(caller_way + settings_.balancer_delay_,
               [this, b, s]
               {
                   if (is_unheard())
@@ -384,7 +387,7 @@
 
     void message(const pass_action& action, bool /*from_agent*/)
     {
-        const pass_message m = action.message_;
+        const pass_message m = *action.message_;
         const std::uint32_t host = action.host_.value();
         after(peer_way,
               [this, m, host]
--- a/src/libpass/pass_actions.cpp
+++ b/src/libpass/pass_actions.cpp
@@ -44,11 +44,22 @@
 
 void pass_actions::to_peer(host_address host, pass_message message)
 {
-    pass_action action;
-    action.target_ = pass_target::peer;
-    action.host_ = host;
-    action.message_ = std::move(message);
-    sends_.push_back(std::move(action));
+    to_peers({host}, std::move(message));
+}
+
+void pass_actions::to_peers(const std::vector<host_address>& hosts,
+                            pass_message message)
+{
+    const auto shared =
+        std::make_shared<const pass_message>(std::move(message));
+    for (const host_address host : hosts)
+    {
+        pass_action action;
+        action.target_ = pass_target::peer;
+        action.host_ = host;
+        action.message_ = shared;
+        sends_.push_back(std::move(action));
+    }
 }
 
 } // namespace galenafork
--- a/src/libpass/samples.h
+++ b/src/libpass/samples.h
@@ -137,7 +137,7 @@
     {
         if (action.target_ == pass_target::peer)
         {
-            if (const auto* m = std::get_if<Message>(&action.message_))
+            if (const auto* m = std::get_if<Message>(action.message_.get()))
             {
                 return m;
             }
--- a/src/libpassd/packet_io.cpp
+++ b/src/libpassd/packet_io.cpp
@@ -69,9 +69,16 @@
     segments_sent_->add();
 }
 
-void packet_io::send_message(host_address to, const pass_message& message)
+void packet_io::send_message(host_address to,
+                             const std::shared_ptr<const pass_message>& message)
 {
-    const std::vector<std::uint8_t> bytes = encode(message);
+    // A message to many peers is encoded once.
+    if (message != encoded_)
+    {
+        encoded_ = message;
+        encoded_bytes_ = encode(*message);
+    }
+    const std::vector<std::uint8_t>& bytes = encoded_bytes_;
     if (bytes.size() > max_message_bytes)
     {
         lost_->add();
@@ -119,6 +126,7 @@
         }
     }
     actions.sends_.clear();
+    encoded_.reset();
 }
 
 void packet_io::flush()
--- a/src/libpassd/packet_io.h
+++ b/src/libpassd/packet_io.h
@@ -57,13 +57,17 @@
 
     void send_segment(const endpoint& to, byte_view bytes,
                       std::uint8_t hops = 0);
-    void send_message(host_address to, const pass_message& message);
+    void send_message(host_address to,
+                      const std::shared_ptr<const pass_message>& message);
 
     packet_addresses addresses_;
     unique_fd packets_;
     unique_fd peers_;
     std::unique_ptr<send_batch> segment_batch_;
     std::unique_ptr<send_batch> message_batch_;
+    /// The message encoded last and its bytes.
+    std::shared_ptr<const pass_message> encoded_;
+    std::vector<std::uint8_t> encoded_bytes_;
     counter* lost_;
     counter* segments_sent_;
     counter* messages_sent_;
