A change heard does not put off the next look at the store

Now the looks keep their own times, spread over the fleet. Test: upkeep_test, events do not put off the next look at the store.

--- a/src/libpassd/rules_follower.cpp
+++ b/src/libpassd/rules_follower.cpp
@@ -98,6 +98,7 @@
                     reachable_ = true;
                     log_event(log_level::info, "store_back", {});
                 }
+                put_off_check();
                 seen_ = page->version_;
                 certain_ = page->version_;
                 for (const platform_object& object : page->objects_)
@@ -111,9 +112,22 @@
             });
 }
 
+void rules_follower::put_off_check()
+{
+    check_due_ =
+        timer_.now() + to_kj(rules_watch_length(balancers_, random_()));
+}
+
+// An event does not put the next look off: every balancer hears it at the same
+// moment, and none would look for a change that is missed right after it.
 kj::Promise<void> rules_follower::watch()
 {
-    const duration wait = rules_watch_length(balancers_, random_());
+    const kj::TimePoint now = timer_.now();
+    if (now >= check_due_)
+    {
+        return check();
+    }
+    const duration wait((check_due_ - now) / kj::MICROSECONDS);
     return store_.watch_all(fleet::rules_collection, seen_, wait)
         .then([this](tl::expected<object_changes, error>&& changes)
               { return take_changes(std::move(changes)); });
@@ -168,6 +182,7 @@
                     store_failed(now.error());
                     return retry();
                 }
+                put_off_check();
                 return *now == certain_ ? watch() : read();
             });
 }
--- a/src/libpassd/rules_follower.h
+++ b/src/libpassd/rules_follower.h
@@ -89,6 +89,7 @@
     kj::Promise<void> watch();
     kj::Promise<void> take_changes(tl::expected<object_changes, error> changes);
     kj::Promise<void> check();
+    void put_off_check();
     kj::Promise<void> retry();
     void store_failed(const error& why);
 
@@ -103,6 +104,8 @@
     object_version certain_ = no_object;
     std::function<double()> random_;
     std::size_t balancers_ = 1;
+    /// When the next look at the store's version is due, by the timer.
+    kj::TimePoint check_due_ = kj::origin<kj::TimePoint>();
     bool reachable_ = true;
     bool hinted_ = false;
 };
--- a/src/libpassd/upkeep_test.cpp
+++ b/src/libpassd/upkeep_test.cpp
@@ -165,6 +165,23 @@
     CHECK(eventually([this] { return store_.page_reads_ == 2; }));
 }
 
+TEST_CASE_FIXTURE(fixture, "events do not put off the next look at the store")
+{
+    // CONFIG of zon-sacz-grown, mix --seed 1089921574143.
+    store_.put("config/main", rules_of(5));
+    const auto following = follower_.follow();
+    CHECK(eventually([this] { return taken_.size() == 1; }));
+    int version = 6;
+    CHECK(eventually(
+        [&]
+        {
+            store_.put("config/main", rules_of(version++));
+            run_for(100);
+            return store_.version_reads_ > 0 || version > 40;
+        }));
+    CHECK(store_.version_reads_ > 0);
+}
+
 TEST_CASE_FIXTURE(fixture, "lost history and outages end in a fresh read")
 {
     store_.put("config/main", rules_of(5));
