--- a/src/include/galenafork/platform.h
+++ b/src/include/galenafork/platform.h
@@ -157,11 +157,6 @@
     virtual kj::Promise<tl::expected<platform_object, error>>
     get_old(std::string name) = 0;
 
-    /// The store's version now. Reads only the objects of a collection that
-    /// come after `name`, so it costs little however large `name` is.
-    virtual kj::Promise<tl::expected<object_version, error>>
-    version_past(std::string name) = 0;
-
     /// Waits up to `wait` for changes after `after`. Fails with `not_found` if
     /// the platform no longer has that history: read all again.
     virtual kj::Promise<tl::expected<object_changes, error>>
--- a/src/include/galenafork/platform_client.h
+++ b/src/include/galenafork/platform_client.h
@@ -103,8 +103,6 @@
     kj::Promise<tl::expected<std::vector<object_entry>, error>>
     list(std::string prefix) override;
 
-    kj::Promise<tl::expected<object_version, error>>
-    version_past(std::string name) override;
     kj::Promise<tl::expected<object_page, error>>
     read_all(std::string collection, freshness fresh) override;
     kj::Promise<tl::expected<platform_object, error>>
--- a/src/libpassd/fake_store.h
+++ b/src/libpassd/fake_store.h
@@ -77,15 +77,6 @@
         return tl::expected<std::vector<object_entry>, error>();
     }
 
-    kj::Promise<tl::expected<object_version, error>>
-    version_past(std::string /*name*/) override
-    {
-        using result = tl::expected<object_version, error>;
-        ++version_reads_;
-        return down_ ? result(tl::unexpected(lost()))
-                     : result(object_version(revision_));
-    }
-
     kj::Promise<tl::expected<object_page, error>>
     read_all(std::string collection, freshness /*fresh*/) override
     {
@@ -158,7 +149,6 @@
     bool history_gone_ = false;
     int fresh_reads_ = 0;
     int page_reads_ = 0;
-    int version_reads_ = 0;
     std::map<std::string, platform_object> objects_;
 
 private:
--- a/src/libpassd/rules_follower.cpp
+++ b/src/libpassd/rules_follower.cpp
@@ -98,9 +98,8 @@
                     reachable_ = true;
                     log_event(log_level::info, "store_back", {});
                 }
-                put_off_check();
+                plan_read();
                 seen_ = page->version_;
-                certain_ = page->version_;
                 for (const platform_object& object : page->objects_)
                 {
                     if (object.name_ == fleet::rules_object)
@@ -112,22 +111,21 @@
             });
 }
 
-void rules_follower::put_off_check()
+void rules_follower::plan_read()
 {
-    check_due_ =
-        timer_.now() + to_kj(rules_watch_length(balancers_, random_()));
+    read_due_ = timer_.now() + to_kj(rules_watch_length(balancers_, random_()));
 }
 
-// An event does not put the next look off: every balancer hears it at the same
-// moment, and none would look for a change that is missed right after it.
+// An event does not put the next read off: every balancer hears it at the same
+// moment, and none would read for a change that is missed right after it.
 kj::Promise<void> rules_follower::watch()
 {
     const kj::TimePoint now = timer_.now();
-    if (now >= check_due_)
+    if (now >= read_due_)
     {
-        return check();
+        return read();
     }
-    const duration wait((check_due_ - now) / kj::MICROSECONDS);
+    const duration wait((read_due_ - now) / kj::MICROSECONDS);
     return store_.watch_all(fleet::rules_collection, seen_, wait)
         .then([this](tl::expected<object_changes, error>&& changes)
               { return take_changes(std::move(changes)); });
@@ -148,7 +146,8 @@
     }
     if (changes->changes_.empty())
     {
-        return check();
+        // A watch may have lost what happened: only a read tells.
+        return read();
     }
     seen_ = std::max(seen_, changes->version_);
     const platform_object* newest = nullptr;
@@ -161,32 +160,11 @@
     }
     if (newest != nullptr)
     {
-        certain_ = newest->version_;
         take_text(newest->value_, rules_source::watch);
     }
     return watch();
 }
 
-// A watch may have lost what happened: only a read tells. Where nothing at all
-// has changed in the store the rules have not either, and need not be sent
-// again: large ones occupy a small instance's link and processor for a tenth
-// of a second.
-kj::Promise<void> rules_follower::check()
-{
-    return store_.version_past(fleet::rules_object)
-        .then(
-            [this](tl::expected<object_version, error>&& now)
-            {
-                if (!now)
-                {
-                    store_failed(now.error());
-                    return retry();
-                }
-                put_off_check();
-                return *now == certain_ ? watch() : read();
-            });
-}
-
 kj::Promise<void> rules_follower::take_hint(newer_rules hint)
 {
     if (hinted_ || hint.version_ <= current_.version_)
--- a/src/libpassd/rules_follower.h
+++ b/src/libpassd/rules_follower.h
@@ -88,8 +88,7 @@
     kj::Promise<void> read();
     kj::Promise<void> watch();
     kj::Promise<void> take_changes(tl::expected<object_changes, error> changes);
-    kj::Promise<void> check();
-    void put_off_check();
+    void plan_read();
     kj::Promise<void> retry();
     void store_failed(const error& why);
 
@@ -100,12 +99,10 @@
     ask_function ask_;
     rules_text current_;
     object_version seen_ = no_object;
-    /// A version of the store at which `current_` was in force for certain.
-    object_version certain_ = no_object;
     std::function<double()> random_;
     std::size_t balancers_ = 1;
-    /// When the next look at the store's version is due, by the timer.
-    kj::TimePoint check_due_ = kj::origin<kj::TimePoint>();
+    /// When the next read is due, by the timer.
+    kj::TimePoint read_due_ = kj::origin<kj::TimePoint>();
     bool reachable_ = true;
     bool hinted_ = false;
 };
--- a/src/libpassd/upkeep_test.cpp
+++ b/src/libpassd/upkeep_test.cpp
@@ -149,25 +149,8 @@
     CHECK(spread_);
 }
 
-TEST_CASE_FIXTURE(fixture, "rules are read again only if the store changed")
+TEST_CASE_FIXTURE(fixture, "events do not put off the next read")
 {
-    store_.put("config/main", rules_of(5));
-    const auto following = follower_.follow();
-    CHECK(eventually([this] { return store_.version_reads_ >= 3; }));
-    CHECK(store_.page_reads_ == 1);
-    store_.put("config/main", rules_of(6));
-    CHECK(eventually([this] { return taken_.size() == 2; }));
-    const int checks = store_.version_reads_;
-    CHECK(eventually([&] { return store_.version_reads_ >= checks + 3; }));
-    // The watch brought the newest object of all: nothing to read.
-    CHECK(store_.page_reads_ == 1);
-    store_.put("agents/10.0.0.1", "{}");
-    CHECK(eventually([this] { return store_.page_reads_ == 2; }));
-}
-
-TEST_CASE_FIXTURE(fixture, "events do not put off the next look at the store")
-{
-    // CONFIG of zon-sacz-grown, mix --seed 1089921574143.
     store_.put("config/main", rules_of(5));
     const auto following = follower_.follow();
     CHECK(eventually([this] { return taken_.size() == 1; }));
@@ -177,9 +160,9 @@
         {
             store_.put("config/main", rules_of(version++));
             run_for(100);
-            return store_.version_reads_ > 0 || version > 40;
+            return store_.page_reads_ > 1 || version > 40;
         }));
-    CHECK(store_.version_reads_ > 0);
+    CHECK(store_.page_reads_ > 1);
 }
 
 TEST_CASE_FIXTURE(fixture, "lost history and outages end in a fresh read")
--- a/src/libplatform/collections.cpp
+++ b/src/libplatform/collections.cpp
@@ -145,35 +145,6 @@
     return impl_->get(std::move(name), freshness::may_be_old);
 }
 
-kj::Promise<tl::expected<object_version, error>>
-platform_client::version_past(std::string name)
-{
-    using result = tl::expected<object_version, error>;
-    if (impl_->dialect_.read_page_ == nullptr)
-    {
-        return result(no_collections());
-    }
-    const std::string collection = name.substr(0, name.find('/'));
-    return impl_
-        ->read(&platform_counters::lists_,
-               impl_->dialect_.collection_url_(collection, name), {})
-        .then(
-            [this, collection](pvt::answer_or_error&& answer) -> result
-            {
-                if (!answer)
-                {
-                    return tl::unexpected(std::move(answer.error()));
-                }
-                if (answer->status_ != pvt::status_ok)
-                {
-                    return tl::unexpected(
-                        pvt::unexpected_status(answer->status_));
-                }
-                return impl_->dialect_.read_page_(collection, answer->body_)
-                    .map([](const object_page& page) { return page.version_; });
-            });
-}
-
 kj::Promise<tl::expected<object_page, error>>
 platform_client::read_all(std::string collection, freshness fresh)
 {
