--- a/src/libpass/balancer.cpp
+++ b/src/libpass/balancer.cpp
@@ -153,6 +153,7 @@
         flow.began_ = now - context.age_;
     }
     flow.owner_ = first;
+    flow.held_ = false;
     flow.last_ = now;
     note(out, "placed",
          context.earlier_ == host_address() ? "" : "silent_agent", s, first,
@@ -188,6 +189,14 @@
          state, now);
 }
 
+void refuse_without_rule(pass_balancer_state& state, const segment& s,
+                         instant now, pass_actions& out)
+{
+    ++state.refused_no_rule_;
+    note(out, "refused", "no_rule", s, {}, true, state, now);
+    out.reset(s.flow_, 0);
+}
+
 void take_opening(pass_balancer_state& state, const segment& s, byte_view bytes,
                   instant now, pass_actions& out)
 {
@@ -200,9 +209,7 @@
     const pass_rule* rule = rule_for(state, s.flow_);
     if (rule == nullptr)
     {
-        ++state.refused_no_rule_;
-        note(out, "refused", "no_rule", s, {}, true, state, now);
-        out.reset(s.flow_, 0);
+        refuse_without_rule(state, s, now, out);
         return;
     }
     const auto known = state.flows_.find(s.flow_);
@@ -338,9 +345,7 @@
     const pass_rule* rule = rule_for(state, w.segment_.flow_);
     if (rule == nullptr)
     {
-        ++state.refused_no_rule_;
-        note(out, "refused", "no_rule", w.segment_, {}, true, state, now);
-        out.reset(w.segment_.flow_, 0);
+        refuse_without_rule(state, w.segment_, now, out);
         return true;
     }
     const service_name& service = service_for(*rule, w.segment_.flow_);
--- a/src/libpass/balancer_test.cpp
+++ b/src/libpass/balancer_test.cpp
@@ -124,6 +124,23 @@
     CHECK(find_message<place_message>(copy) != nullptr);
 }
 
+TEST_CASE("copies go on once the agent that held the first has fallen silent")
+{
+    pass_balancer_state state = make_balancer();
+    pass_actions out;
+    take_from_caller(state, make_opening(1), some_bytes(), start, out);
+    take_moved(state, {make_flow(1), agent_c, true, agent_c}, start, out);
+    const instant later = start + milliseconds(900);
+    take_status(state, make_status(agent_a, "a"), later, out);
+    pass_actions moved;
+    take_from_caller(state, make_opening(1), some_bytes(), later, moved);
+    REQUIRE(find_message<place_message>(moved) != nullptr);
+    // Nobody has said that it waits at the new agent.
+    pass_actions copy;
+    take_from_caller(state, make_opening(1), some_bytes(), later, copy);
+    CHECK(find_message<place_message>(copy) != nullptr);
+}
+
 TEST_CASE("a copy's number tells how long its caller has waited")
 {
     pass_balancer_state state = make_balancer();
