A flow that the upstream's new life answered is not reset with the old ones

A copy of an opening segment that reached the next life kept the first one's time, so a new start's report reset an open flow. The time of the upstream's last segment counts now. Besides, the start of a life was computed when the traffic thread took the report, not when the report arrived. A report or goodbye that the traffic thread cannot take is answered with 503 instead of an acknowledgement that is not in force. The soak's plan of events has its own random numbers, so a seed replays it. Tests: 'a flow that the new life answered is not reset' failed on the condition before (1 reset); 'a report that waits for the traffic thread moves no start'.

--- a/src/galena_pass_agent/pass_agent_daemon.cpp
+++ b/src/galena_pass_agent/pass_agent_daemon.cpp
@@ -35,6 +35,7 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_not_found = 404;
+constexpr unsigned status_unavailable = 503;
 
 start_stamp wall_clock_now()
 {
@@ -44,6 +45,16 @@
         std::chrono::duration_cast<milliseconds>(since_epoch).count()));
 }
 
+// What is acknowledged must come into force; an upstream without an
+// acknowledgement asks again.
+http_reply refuse_order(const char* event, const instance_id& instance)
+{
+    log_event(log_level::warning, event,
+              {{"instance", instance.value()},
+               {"reason", "traffic thread is behind"}});
+    return {status_unavailable, ""};
+}
+
 } // namespace
 
 tl::expected<std::unique_ptr<pass_agent_daemon>, error>
@@ -177,10 +188,15 @@
     }
     const std::uint64_t now_ms = wall_clock_now().value();
     const std::uint64_t started_ms = report->started_.value();
-    report->life_ = milliseconds(now_ms > started_ms ? now_ms - started_ms : 0);
+    report->began_ =
+        read_monotonic_clock() -
+        milliseconds(now_ms > started_ms ? now_ms - started_ms : 0);
     agent_orders orders;
     orders.report_ = std::move(*report);
-    traffic_.orders().post(std::move(orders));
+    if (!traffic_.orders().post(std::move(orders)))
+    {
+        return refuse_order("report_refused", instance);
+    }
     if (!registered_)
     {
         registered_ = true;
@@ -198,7 +214,10 @@
               {{"instance", instance.value()}});
     agent_orders orders;
     orders.goodbye_ = instance;
-    traffic_.orders().post(std::move(orders));
+    if (!traffic_.orders().post(std::move(orders)))
+    {
+        return refuse_order("goodbye_refused", instance);
+    }
     upstream_gone_ = true;
     return {status_ok, "{}"};
 }
--- a/src/include/galenafork/pass_agent.h
+++ b/src/include/galenafork/pass_agent.h
@@ -121,6 +121,8 @@
     instant phase_since_{};
     /// When the upstream got the opening segment.
     instant offered_{};
+    /// When the upstream last sent a segment of the flow.
+    instant answered_{};
     instant last_{};
     std::uint32_t opening_ = 0;
     std::optional<std::uint32_t> upstream_sequence_;
--- a/src/include/galenafork/pass_types.h
+++ b/src/include/galenafork/pass_types.h
@@ -131,8 +131,8 @@
     /// Grows with each report of one life.
     std::uint64_t sequence_ = 0;
     start_stamp started_;
-    /// Time from its start to the report's arrival, by its instance's clock.
-    duration life_{0};
+    /// `started_` on the agent's clock, as computed when the report arrived.
+    instant began_{};
 };
 
 } // namespace galenafork
--- a/src/libpass/agent_lifecycle.cpp
+++ b/src/libpass/agent_lifecycle.cpp
@@ -37,6 +37,13 @@
             report.instance_ != known.instance_);
 }
 
+// The upstream's life that has the flow, or was last offered it, is younger
+// than `life`: a copy of the opening segment may have reached the next life.
+bool belongs_to(const agent_flow& flow, instant life)
+{
+    return std::max(flow.offered_, flow.answered_) >= life;
+}
+
 // Flows of a life that is over: callers are told at once, so that those who
 // may repeat do so now.
 void end_flows(pass_agent_state& state, instant new_life, instant now,
@@ -46,7 +53,7 @@
     {
         const bool may_be_open = flow.phase_ == pass_phase::opening ||
                                  flow.phase_ == pass_phase::open;
-        if (!may_be_open || flow.offered_ >= new_life)
+        if (!may_be_open || belongs_to(flow, new_life))
         {
             continue;
         }
@@ -211,7 +218,7 @@
     if (is_new_life(state.upstream_, report))
     {
         note_upstream(out, state, "upstream_new_life", "");
-        end_flows(state, now - report.life_ - state.settings_.life_margin_, now,
+        end_flows(state, report.began_ - state.settings_.life_margin_, now,
                   out);
         state.suspect_ = false;
         state.silent_openings_ = 0;
--- a/src/libpass/agent_segments.cpp
+++ b/src/libpass/agent_segments.cpp
@@ -220,6 +220,7 @@
                     instant now)
 {
     flow.last_ = now;
+    flow.answered_ = now;
     if (s.opens_)
     {
         flow.upstream_sequence_ = s.sequence_;
--- a/src/libpass/agent_test.cpp
+++ b/src/libpass/agent_test.cpp
@@ -191,7 +191,7 @@
     open_flow(state, 1, start);
     open_flow(state, 2, start + seconds(3));
     upstream_report report = make_report(5000, 1);
-    report.life_ = milliseconds(300);
+    report.began_ = start + milliseconds(2900);
     pass_actions out;
     take_report(state, report, start + milliseconds(3200), out);
     REQUIRE(count(out, pass_target::reset) == 1);
@@ -199,6 +199,38 @@
     CHECK(state.busy_ == 1);
 }
 
+TEST_CASE("a flow that the new life answered is not reset")
+{
+    // Soak seed 1: the first copy went to the life that ended, the agent was
+    // stopped for a while, and a later copy opened the flow at the new life.
+    pass_agent_state state = make_agent();
+    pass_actions out;
+    take_place(state, make_place(), make_opening(1), start, out);
+    const instant back = start + milliseconds(700);
+    take_place(state, make_place(), make_opening(1), back, out);
+    take_from_upstream(state, make_opening_answer(1, 9000), some_bytes(), back,
+                       out);
+    take_from_caller(state, make_request(1, 9000), some_bytes(), balancer_x,
+                     back, out);
+    upstream_report report = make_report(5000, 1);
+    report.began_ = back - milliseconds(200);
+    pass_actions later;
+    take_report(state, report, back + milliseconds(50), later);
+    CHECK(count(later, pass_target::reset) == 0);
+}
+
+TEST_CASE("a report that waits for the traffic thread moves no start")
+{
+    pass_agent_state state = make_agent();
+    open_flow(state, 1, start + milliseconds(1200));
+    upstream_report report = make_report(5000, 1);
+    report.began_ = start + milliseconds(1000);
+    pass_actions out;
+    // Taken long after it arrived.
+    take_report(state, report, start + seconds(4), out);
+    CHECK(count(out, pass_target::reset) == 0);
+}
+
 TEST_CASE("an open flow is not reset while its upstream lives")
 {
     pass_agent_state state = make_agent();
--- a/src/libpass/samples.h
+++ b/src/libpass/samples.h
@@ -95,6 +95,8 @@
     r.slots_ = slot_count(2);
     r.state_ = upstream_state::ready;
     r.started_ = start_stamp(started);
+    r.began_ = start + std::chrono::milliseconds(started) -
+               std::chrono::milliseconds(1000);
     r.sequence_ = sequence;
     return r;
 }
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+import zlib
 
 from ends import Caller, Record, Upstream
 from store import Store
@@ -40,6 +41,8 @@
         # `busy`: instances that an event is at work on.
         self.processes, self.killed, self.busy = {}, set(), set()
         self.load_over = False
+        # The plan of events has its own numbers, so that a seed replays it.
+        self.plan = random.Random(seed)
         self.services = {(f"198.18.0.{i}", 443): f"service-{i}" for i in (1, 2)}
         self.version = 0
         self.dropped = {}
@@ -52,7 +55,9 @@
         """A running balancer, the same for a flow while that runs."""
         up = [b for b in self.balancers
               if self.processes[b].poll() is None and b not in self.killed]
-        return up[hash(source) % len(up)] if up else None
+        if not up:
+            return None
+        return up[zlib.crc32(repr(source).encode()) % len(up)]
 
     def write_rules(self):
         """The next version, as the operator writes it."""
@@ -145,20 +150,20 @@
         process.send_signal(signal.SIGCONT)
         self.busy.discard(host)
 
-    async def crash_upstream(self, seconds):
+    async def crash_upstream(self, seconds, pick):
         """An upstream ends without a word and starts again."""
         up = [u for u in self.upstreams if u.alive]
         if len(up) > 3:
-            victim = random.choice(up)
+            victim = up[int(pick * len(up))]
             victim.crash()
             await asyncio.sleep(seconds)
             victim.start()
 
-    async def drain_upstream(self, seconds):
+    async def drain_upstream(self, seconds, pick):
         """An upstream says that it leaves, ends, and starts again."""
         up = [u for u in self.upstreams if u.alive and not u.draining_since]
         if len(up) > 4:
-            victim = random.choice(up)
+            victim = up[int(pick * len(up))]
             victim.draining_since = time.monotonic()
             await asyncio.sleep(3.5 + seconds)
             victim.crash()
@@ -178,18 +183,26 @@
         self.store.lose_answers = False
 
     def event(self):
-        """Draws one event of the plan."""
-        host = random.choice(self.balancers + self.agents)
-        pause, length = random.uniform(0.05, 0.8), random.uniform(0.3, 2.0)
-        return random.choice([
-            ("kill", lambda: self.restart(host, signal.SIGKILL, pause)),
-            ("term", lambda: self.restart(host, signal.SIGTERM, pause)),
-            ("freeze", lambda: self.freeze(host, length)),
-            ("crash", lambda: self.crash_upstream(length)),
-            ("drain", lambda: self.drain_upstream(length)),
-            ("store", lambda: self.trouble_store(
-                random.choice(["down", "slow", "lost", "forget"]), length)),
-            ("rules", lambda: asyncio.sleep(0, self.write_rules())),
+        """Draws one event of the plan: its name, details and action."""
+        plan = self.plan
+        host = plan.choice(self.balancers + self.agents)
+        pause, length = plan.uniform(0.05, 0.8), plan.uniform(0.3, 2.0)
+        pick = plan.random()
+        how = plan.choice(["down", "slow", "lost", "forget"])
+        return plan.choice([
+            ("kill", f"{host} {pause:.2f}",
+             lambda: self.restart(host, signal.SIGKILL, pause)),
+            ("term", f"{host} {pause:.2f}",
+             lambda: self.restart(host, signal.SIGTERM, pause)),
+            ("freeze", f"{host} {length:.2f}",
+             lambda: self.freeze(host, length)),
+            ("crash", f"{length:.2f}",
+             lambda: self.crash_upstream(length, pick)),
+            ("drain", f"{length:.2f}",
+             lambda: self.drain_upstream(length, pick)),
+            ("store", f"{how} {length:.2f}",
+             lambda: self.trouble_store(how, length)),
+            ("rules", "", lambda: asyncio.sleep(0, self.write_rules())),
         ])
 
     async def load(self):
@@ -211,10 +224,10 @@
         load = asyncio.ensure_future(self.load())
         events = []
         while time.monotonic() < begun + seconds:
-            name, act = self.event()
-            print(f"{time.monotonic() - begun:6.2f} s {name}")
+            name, details, act = self.event()
+            print(f"{time.monotonic() - begun:6.2f} s {name} {details}")
             events.append(asyncio.ensure_future(act()))
-            await asyncio.sleep(random.expovariate(1.2))
+            await asyncio.sleep(self.plan.expovariate(1.2))
         await asyncio.gather(*events)
         calm = time.monotonic() + CALM_SECONDS / 2
         await asyncio.sleep(CALM_SECONDS)
