--- a/src/libpass/load_test.cpp
+++ b/src/libpass/load_test.cpp
@@ -125,6 +125,28 @@
     CHECK(with.longest_queue_ <= 3);
 }
 
+TEST_CASE("cold upstreams after a loss of power do not work off what is late")
+{
+    // chk-edge-grown trouble-2: 1.4 s without power, 0.5 s until balancers and
+    // agents are back, then 2 s of slow upstreams; callers return at once.
+    for (const std::uint32_t seed : {19U, 20U, 21U})
+    {
+        world_settings brief = make_settings(seed, 0.7);
+        brief.length_ = seconds(6);
+        brief.outage_ = milliseconds(1900);
+        brief.unheard_ = brief.outage_;
+        brief.cold_ = seconds(2);
+        brief.retry_pause_ = milliseconds(5);
+        world_settings patient = brief;
+        patient.agent_.late_wait_ = milliseconds(1200);
+        const double late_worth = 0.3;
+        const double with = play(brief).credit_share(late_worth);
+        const double without = play(patient).credit_share(late_worth);
+        INFO("seed " << seed << ": " << with << " against " << without);
+        CHECK(with > without);
+    }
+}
+
 TEST_CASE("after an outage callers are served late rather than refused")
 {
     for (const std::uint32_t seed : {8U, 9U})
