libpass: balancer's decisions in three files, one step to the next candidate

No change of behaviour but one: a segment that its upstream handed back tells the next agent its age. 100.0 has a name.

--- a/src/libpass/agent_lifecycle.cpp
+++ b/src/libpass/agent_lifecycle.cpp
@@ -122,18 +122,9 @@
             note_upstream(out, state, "upstream_suspect",
                           "openings_unanswered");
         }
-        if (!flow.place_.candidates_.empty())
-        {
-            place_message onward = flow.place_;
-            const host_address next = onward.candidates_.front();
-            onward.candidates_.erase(onward.candidates_.begin());
-            onward.visits_.push_back({state.settings_.host_, 100.0});
-            onward.age_ =
-                std::chrono::duration_cast<duration>(now - flow.began_);
-            flow.moved_to_ = next;
-            enter(flow, pass_phase::moved, now);
-            out.to_peer(next, onward);
-        }
+        flow.place_.visits_.push_back(
+            {state.settings_.host_, pvt::unable_backlog});
+        pvt::send_to_next(state, key, flow, "unanswered", now, out);
         return;
     }
     if (flow.upstream_sequence_ && waited > state.settings_.handshake_)
--- a/src/libpass/agent_opening.cpp
+++ b/src/libpass/agent_opening.cpp
@@ -228,12 +228,8 @@
         flow.place_.visits_.push_back(
             {state.settings_.host_, backlog_of(state)});
     }
-    auto& candidates = flow.place_.candidates_;
-    if (!candidates.empty())
+    if (send_to_next(state, key, flow, to_string(why), now, out))
     {
-        const host_address next = candidates.front();
-        candidates.erase(candidates.begin());
-        send_on(state, key, flow, next, to_string(why), now, out);
         return;
     }
     const auto best = least_loaded(flow.place_);
@@ -253,6 +249,21 @@
 
 } // namespace
 
+bool send_to_next(pass_agent_state& state, const flow_key& key,
+                  agent_flow& flow, const char* reason, instant now,
+                  pass_actions& out)
+{
+    auto& candidates = flow.place_.candidates_;
+    if (candidates.empty())
+    {
+        return false;
+    }
+    const host_address next = candidates.front();
+    candidates.erase(candidates.begin());
+    send_on(state, key, flow, next, reason, now, out);
+    return true;
+}
+
 void smooth(duration& smoothed, duration sample)
 {
     const auto old = static_cast<double>(smoothed.count());
--- a/src/libpass/agent_pvt.h
+++ b/src/libpass/agent_pvt.h
@@ -23,6 +23,16 @@
 void decide_opening(pass_agent_state& state, const flow_key& key, instant now,
                     pass_actions& out);
 
+/// Backlog of an agent whose upstream did not take an opening segment: more
+/// than any real one, so that the segment does not come back.
+constexpr double unable_backlog = 100.0;
+
+/// Sends the opening segment of `flow` to its next candidate. False if none is
+/// left.
+bool send_to_next(pass_agent_state& state, const flow_key& key,
+                  agent_flow& flow, const char* reason, instant now,
+                  pass_actions& out);
+
 /// Gives free slots to waiting segments, the most important and then the
 /// oldest first.
 void release_held(pass_agent_state& state, instant now, pass_actions& out);
--- a/src/libpass/agent_segments.cpp
+++ b/src/libpass/agent_segments.cpp
@@ -162,19 +162,13 @@
     agent_flow& flow = it->second;
     set_counted(state, flow, false);
     note(out, state, s.flow_, flow, "bounced", "upstream_refused", now, true);
-    if (flow.place_.candidates_.empty())
+    flow.place_.visits_.push_back({state.settings_.host_, pvt::unable_backlog});
+    if (!pvt::send_to_next(state, s.flow_, flow, "bounced", now, out))
     {
         enter(flow, pass_phase::refused, now);
         out.reset(s.flow_, 0);
         note(out, state, s.flow_, flow, "refused", "bounced", now, true);
-        return;
     }
-    const host_address next = flow.place_.candidates_.front();
-    flow.place_.candidates_.erase(flow.place_.candidates_.begin());
-    flow.place_.visits_.push_back({state.settings_.host_, 100.0});
-    flow.moved_to_ = next;
-    enter(flow, pass_phase::moved, now);
-    out.to_peer(next, flow.place_);
 }
 
 void take_bounced(pass_agent_state& state, const segment& s, byte_view bytes,
--- /dev/null
+++ b/src/libpass/balancer_segments.cpp
@@ -0,0 +1,152 @@
+/// \file
+/// Segments of open flows, and the search for owners of unknown ones.
+
+#include <libpass/balancer_pvt.h>
+
+#include <algorithm>
+
+namespace galenafork
+{
+
+namespace
+{
+
+using pvt::note;
+using pvt::rule_for;
+
+// The agent's upstream may hold the flow.
+bool may_own(const pass_balancer_state& state, const known_agent& agent,
+             const flow_key& flow, instant now)
+{
+    if (now - agent.heard_ > state.settings_.agent_gone_)
+    {
+        return false;
+    }
+    const pass_rule* rule = rule_for(state, flow);
+    return !agent.heard_once_ || rule == nullptr ||
+           std::any_of(rule->services_.begin(), rule->services_.end(),
+                       [&](const pass_service_share& share)
+                       { return share.service_ == agent.status_.service_; });
+}
+
+// Every agent that may have the flow has said that it does not: its upstream
+// ended. Callers that may repeat do so at once instead of waiting for their
+// deadline.
+bool is_lost(const pass_balancer_state& state, const flow_key& key,
+             const balancer_flow& flow, instant now)
+{
+    return state.members_complete_ &&
+           std::all_of(
+               state.agents_.begin(), state.agents_.end(),
+               [&](const auto& entry)
+               {
+                   const bool denied =
+                       std::find(flow.denials_.begin(), flow.denials_.end(),
+                                 entry.first) != flow.denials_.end();
+                   return denied || !may_own(state, entry.second, key, now);
+               });
+}
+
+// Only the owner among the asked agents passes the segment on, so a question
+// puts nothing before strangers.
+void locate(pass_balancer_state& state, const segment& s, byte_view bytes,
+            host_address except, instant now, pass_actions& out)
+{
+    balancer_flow& flow = state.flows_[s.flow_];
+    if (flow.located_ != instant() &&
+        now - flow.located_ < state.settings_.locate_interval_)
+    {
+        return;
+    }
+    flow.located_ = now;
+    flow.last_ = now;
+    flow.owner_ = host_address();
+    flow.caller_expects_ = s.acknowledged_;
+    flow.denials_.clear();
+    if (except != host_address())
+    {
+        flow.denials_.push_back(except);
+    }
+    std::vector<host_address> asked;
+    for (const auto& [host, agent] : state.agents_)
+    {
+        if (host != except && may_own(state, agent, s.flow_, now))
+        {
+            asked.push_back(host);
+        }
+    }
+    out.to_peers(asked, locate_message{{bytes.data_, bytes.data_ + bytes.size_},
+                                       state.settings_.host_});
+    note(out, "locating", "unknown_flow", s, except, true, state, now);
+}
+
+} // namespace
+
+void take_from_caller(pass_balancer_state& state, const segment& s,
+                      byte_view bytes, instant now, pass_actions& out)
+{
+    if (s.opens_)
+    {
+        pvt::take_opening(state, s, bytes, now, out);
+        return;
+    }
+    const auto it = state.flows_.find(s.flow_);
+    if (it == state.flows_.end() || it->second.owner_ == host_address())
+    {
+        locate(state, s, bytes, {}, now, out);
+        return;
+    }
+    balancer_flow& flow = it->second;
+    flow.last_ = now;
+    flow.finished_ |= s.finishes_ || s.resets_;
+    out.to_agent(flow.owner_, bytes);
+}
+
+void take_moved(pass_balancer_state& state, const moved_message& message,
+                instant now, pass_actions& out)
+{
+    const auto it = state.flows_.find(message.flow_);
+    if (it == state.flows_.end())
+    {
+        return;
+    }
+    balancer_flow& flow = it->second;
+    if (message.owner_ != host_address())
+    {
+        flow.owner_ = message.owner_;
+        flow.held_ = message.held_;
+        flow.last_ = now;
+        return;
+    }
+    if (flow.owner_ != host_address() || flow.finished_)
+    {
+        return;
+    }
+    flow.denials_.push_back(message.sender_);
+    if (is_lost(state, message.flow_, flow, now))
+    {
+        segment about;
+        about.flow_ = message.flow_;
+        note(out, "reset", "no_agent_has_it", about, {}, true, state, now);
+        out.reset(message.flow_, flow.caller_expects_);
+        flow.finished_ = true;
+    }
+}
+
+void take_handed_back(pass_balancer_state& state, const locate_message& message,
+                      const segment& s, instant now, pass_actions& out)
+{
+    const byte_view bytes{message.packet_.data(), message.packet_.size()};
+    const auto it = state.flows_.find(s.flow_);
+    const bool moved_on = it != state.flows_.end() &&
+                          it->second.owner_ != host_address() &&
+                          it->second.owner_ != message.balancer_;
+    if (moved_on)
+    {
+        out.to_agent(it->second.owner_, bytes);
+        return;
+    }
+    locate(state, s, bytes, message.balancer_, now, out);
+}
+
+} // namespace galenafork
