A watch that the store never answers ends with its wait; soak proves its checks

Cause: the mend before kept a repeated watch's end, but a store that holds watches without an answer, even those without a wait, kept the read away until the call's deadline, 5 s later. A watch that times out past its wait fails now, and the follower reads. Soak: loopback proxy before the store (delay, reset, one way, silent), a store whose watches are deaf, a route that comes and goes with a bound for its age, and sabotage.sh: for each of nine checks a stand-in breaks the promise, and the run must be red for it.

--- a/src/galena_agent/membership.cpp
+++ b/src/galena_agent/membership.cpp
@@ -137,6 +137,11 @@
                 switch (result.outcome_)
                 {
                 case write_outcome::accepted:
+                    if (result.current_)
+                    {
+                        return change_result(
+                            settled(r.wanted_, *result.current_, sent));
+                    }
                     needs_.on_roster_(next);
                     return change_result(written_change{std::move(next), sent});
                 case write_outcome::not_accepted:
@@ -149,6 +154,23 @@
             });
 }
 
+change_result membership::settled(const roster_change& wanted,
+                                  const platform_object& object, instant sent)
+{
+    take(object);
+    auto read = roster_from_json(object.value_);
+    if (!read)
+    {
+        return tl::unexpected(read.error());
+    }
+    if (is_undone(*read, wanted))
+    {
+        return tl::unexpected(
+            error{error_code::conflict, "another writer has undone it since"});
+    }
+    return written_change{std::move(*read), sent};
+}
+
 kj::Promise<change_result> membership::try_again(request r)
 {
     if (++r.attempt_ >= max_attempts)
--- a/src/galena_agent/membership.h
+++ b/src/galena_agent/membership.h
@@ -69,6 +69,8 @@
     kj::Promise<change_result> try_change(request r);
     kj::Promise<change_result> write(request r, const roster& current,
                                      object_version version);
+    change_result settled(const roster_change& wanted,
+                          const platform_object& object, instant sent);
     kj::Promise<change_result> try_again(request r);
     void take(const platform_object& object);
 
--- a/src/include/galenafork/roster.h
+++ b/src/include/galenafork/roster.h
@@ -128,6 +128,11 @@
 tl::expected<roster, error> apply(const roster& current,
                                   const roster_change& change);
 
+/// True if `r`, read after `change` was written, has it no longer: the member
+/// that joined is gone, or the removed one is there. A renewed incarnation is
+/// the same member.
+bool is_undone(const roster& r, const roster_change& change);
+
 /// The member named `instance`, or null.
 const member* find_member(const roster& r, const instance_id& instance);
 
--- a/src/libflow/roster.cpp
+++ b/src/libflow/roster.cpp
@@ -240,6 +240,28 @@
     return next;
 }
 
+bool is_undone(const roster& r, const roster_change& change)
+{
+    // The last bit counts a renewal.
+    constexpr std::uint64_t renewal = 1;
+    const member* found = find_member(r, change.member_.instance_);
+    const bool is_there =
+        found != nullptr && (found->incarnation_.value() | renewal) ==
+                                (change.member_.incarnation_.value() | renewal);
+    switch (change.kind_)
+    {
+    case roster_change_kind::join:
+        return !is_there;
+    case roster_change_kind::remove:
+    case roster_change_kind::leave:
+        return is_there;
+    case roster_change_kind::drain:
+    case roster_change_kind::undrain:
+        break;
+    }
+    return false;
+}
+
 const member* find_member(const roster& r, const instance_id& instance)
 {
     for (const member& m : r.members_)
--- a/src/libflow/roster_test.cpp
+++ b/src/libflow/roster_test.cpp
@@ -89,6 +89,23 @@
     CHECK(with_deputy * 10 >= orphaned * 8);
 }
 
+TEST_CASE("a join that was removed before its writer learned of it is undone")
+{
+    // promises/lost_answers: the platform lost the answer of a join, a peer
+    // removed the silent newcomer, and the newcomer then served flows as a
+    // member for 0.3 s.
+    const roster_change join = join_change(make_member(7));
+    const auto joined = apply(make_roster(3), join);
+    REQUIRE(joined.has_value());
+    CHECK_FALSE(is_undone(*joined, join));
+    const roster_change removal{roster_change_kind::remove, join.member_, {}};
+    const auto removed = apply(*joined, removal);
+    REQUIRE(removed.has_value());
+    CHECK(is_undone(*removed, join));
+    CHECK_FALSE(is_undone(*removed, removal));
+    CHECK(is_undone(*joined, removal));
+}
+
 TEST_CASE("a change naming an old incarnation changes nothing")
 {
     const roster r = make_roster(3);
--- a/src/libplatform/call_loop.cpp
+++ b/src/libplatform/call_loop.cpp
@@ -103,6 +103,14 @@
     counters_.failures_ += answer.timed_out_ ? 0 : 1;
     pvt::note_failure(state_.breaker_, settings_, clock_(), random_());
     call->progress_.must_settle_ |= call->is_write_;
+    if (call->wait_ > duration::zero() && answer.timed_out_ &&
+        clock_() >= call->wait_until_)
+    {
+        // The platform may hold a watch that hears nothing for longer than it
+        // was asked to: only a read tells then.
+        return pvt::answer_or_error(tl::unexpected(error{
+            error_code::timed_out, "the watch was not answered in time"}));
+    }
     const duration pause =
         pvt::backoff_delay(settings_, call->progress_.attempts_, random_());
     return timer_.afterDelay(pvt::to_kj(pause))
--- a/src/libplatform/platform_client_test.cpp
+++ b/src/libplatform/platform_client_test.cpp
@@ -253,7 +253,23 @@
     CHECK(service_.calls().watch_ == 2);
 }
 
-TEST_CASE_FIXTURE(fixture, "a watch without an answer does not start over")
+TEST_CASE_FIXTURE(fixture, "a watch that was cut keeps the end of its wait")
+{
+    put(0);
+    standin::fault_plan cut;
+    cut.outage_ = true;
+    after(700, cut);
+    after(702, {});
+    const kj::TimePoint begun = timer_.now();
+    const auto none =
+        wait(client_.watch(name, object_version(1), milliseconds(1000)));
+    REQUIRE(none.has_value());
+    CHECK_FALSE(none->has_value());
+    CHECK(timer_.now() - begun < 1500 * kj::MILLISECONDS);
+    CHECK(client_.counters().retries_ > 0);
+}
+
+TEST_CASE_FIXTURE(fixture, "a watch that is never answered ends with its wait")
 {
     // CONFIG of zon-sacz-grown, mix --seed 1089921574143: a watch that went
     // silent was tried again with its whole wait, so that the read due after
@@ -262,13 +278,12 @@
     standin::fault_plan plan;
     plan.delay_ms_ = 4000;
     service_.set_faults(plan);
-    after(100, {});
     const kj::TimePoint begun = timer_.now();
     const auto none =
-        wait(client_.watch(name, object_version(1), milliseconds(1000)));
-    REQUIRE(none.has_value());
-    CHECK_FALSE(none->has_value());
-    CHECK(timer_.now() - begun < 1900 * kj::MILLISECONDS);
+        wait(client_.watch(name, object_version(1), milliseconds(300)));
+    REQUIRE_FALSE(none.has_value());
+    CHECK(none.error().code_ == error_code::timed_out);
+    CHECK(timer_.now() - begun < 1200 * kj::MILLISECONDS);
     CHECK(client_.counters().timeouts_ == 1);
 }
 
--- a/testsuite/soak/ends.py
+++ b/testsuite/soak/ends.py
@@ -24,6 +24,8 @@
         self.open_at = {}
         self.refused = set()
         self.outcomes = []
+        # When the calm after the faults began.
+        self.calm = None
 
     def fail(self, what):
         """Notes a broken promise."""
@@ -92,15 +94,21 @@
             self.send(s)
             return
         self.record.open_at[flow] = (self, self.life)
+        if self.fleet.sabotages("reset"):
+            self.send(Segment(s.target, s.source, RESET))
         if s.data and state["got"] == s.seq:
             state["got"] += len(s.data)
-            self.record.runs.setdefault(flow, []).append(self.host)
-            if len(self.record.runs[flow]) > 1:
-                self.record.fail(f"run twice: {flow} {self.record.runs[flow]}")
-            asyncio.ensure_future(self._work(flow, s, self.life))
+            for _ in range(2 if self.fleet.sabotages("twice") else 1):
+                self._run(flow, s)
         elif s.data and state["answer"]:
             self.send(state["answer"])
 
+    def _run(self, flow, s):
+        self.record.runs.setdefault(flow, []).append(self.host)
+        if len(self.record.runs[flow]) > 1:
+            self.record.fail(f"run twice: {flow} {self.record.runs[flow]}")
+        asyncio.ensure_future(self._work(flow, s, self.life))
+
     async def _work(self, flow, s, life):
         while self.running >= self.slots:
             await asyncio.sleep(0.002)
@@ -113,6 +121,8 @@
         state["answer"] = Segment(s.target, s.source, ACK | FINISH,
                                   state["seq"] + 1, state["got"],
                                   b"done " + s.data)
+        if self.fleet.sabotages("answer"):
+            state["answer"].data += b"?"
         for _ in range(5):
             if not self.alive or life != self.life:
                 return
@@ -126,11 +136,13 @@
             if not self.alive:
                 continue
             self.sequence += 1
+            lies = self.fleet.sabotage == "service"
             body = json.dumps({
-                "service": self.service,
+                "service": "service-1" if lies else self.service,
                 "address": f"{self.host}:{self.fleet.ports['app']}",
                 "zone": "a", "version": "v1", "slots": self.slots,
-                "state": "draining" if self.draining_since else "ready",
+                "state": ("draining" if self.draining_since
+                          and self.fleet.sabotage != "drain" else "ready"),
                 "warmup_left_ms": 0, "sequence": self.sequence,
                 "born": self.born}).encode()
             draining = self.draining_since is not None
@@ -165,6 +177,8 @@
 
     def datagram_received(self, data, _):
         s = Segment.unpack(data)
+        if self.fleet.sabotage == "served" and self.record.calm:
+            return
         if s is not None and (s.target, s.source) in self.waiting:
             self.waiting[(s.target, s.source)].put_nowait(s)
 
@@ -187,6 +201,19 @@
             await asyncio.sleep(0.05)
         self.record.outcomes.append((time.monotonic(), outcome))
 
+    async def probe(self, target):
+        """Asks once for a route that comes and goes, and judges the answer."""
+        there = self.fleet.probed_there
+        source = (self.host, self.next_port % 60000 + 1)
+        due = self.fleet.rules_due(source)
+        since = self.fleet.probed_since
+        outcome = await self._attempt(target,
+                                      time.monotonic() + DEADLINE_SECONDS)
+        if due and since == self.fleet.probed_since and (
+                outcome == ("refused" if there else "ok")):
+            self.record.fail(f"old rules: {outcome} at {source}, the route "
+                             f"{'is' if there else 'is not'} there")
+
     async def _attempt(self, target, end):
         self.next_port = self.next_port % 60000 + 1
         flow = ((self.host, self.next_port), target)
@@ -221,6 +248,8 @@
             self.record.refused.add(flow)
             return "refused"
         body = b"%d" % random.getrandbits(60)
+        if self.fleet.sabotages("refused"):
+            self.record.refused.add(flow)
         while time.monotonic() < end:
             self.send(Segment(flow[0], flow[1], ACK, seq + 1, answer.seq + 1,
                               body))
--- a/testsuite/soak/run.sh
+++ b/testsuite/soak/run.sh
@@ -1,6 +1,10 @@
 #!/usr/bin/env bash
-# Fault soak of passthrough flows with a few seeds: regression cases and the
-# usual ones. By hand: testsuite/soak/run.sh FIRST LAST SECONDS
+# Fault soak of passthrough flows: seeds that once failed and the usual ones,
+# then the proof that each check can fail.
+# By hand: testsuite/soak/run.sh FIRST LAST SECONDS
+#   seed 1: reset while its upstream lives (a copy of an opening segment reached
+#           the upstream's next life)
+#   seed 2: SIGTERM ended with -6
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 
@@ -12,3 +16,6 @@
 done
 echo "soak: $bad of $((last - first + 1)) seeds broke a promise"
 [ "$bad" -eq 0 ]
+if [ $# -eq 0 ]; then
+    testsuite/soak/sabotage.sh
+fi
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -1,7 +1,9 @@
 """Fault soak of passthrough flows: the real programs as processes on loopback,
 faults from outside, promises checked from what callers and upstreams see.
 
-usage: soak.py BIN [--seed N] [--seconds S] [--keep FOLDER]
+usage: soak.py BIN [--seed N] [--seconds S] [--keep FOLDER] [--sabotage HOW]
+
+With --sabotage a stand-in breaks one promise on purpose: the run must be red.
 """
 
 import argparse
@@ -17,25 +19,33 @@
 import zlib
 
 from ends import Caller, Record, Upstream
+from proxy import FAULTS, Proxy
 from store import Store
 
 NET = "127.30"
 BALANCERS, AGENTS, CALLERS = 3, 6, 3
 REQUESTS_PER_SECOND = 60
+CALM_SECONDS = 8
+# Rules are in force this long after the operator's write, or after the end of
+# whatever kept a balancer or the store from work.
 RULE_SECONDS = 3
-CALM_SECONDS = 6
+PROBES_PER_SECOND = 4
+SABOTAGES = ("reset", "answer", "twice", "service", "drain", "rules",
+             "refused", "ended", "served")
 
 
 class Fleet:
     """All processes and stand-ins of one run."""
 
-    def __init__(self, binaries, folder, seed):
+    def __init__(self, binaries, folder, seed, sabotage=None):
+        self.sabotage = sabotage
         self.bin, self.folder = pathlib.Path(binaries), pathlib.Path(folder)
         base = 20000 + seed % 500 * 20
         names = ("packets", "readiness", "reports", "outbound", "app", "store",
                  "first", "last")
         self.ports = {n: base + i for i, n in enumerate(names)}
         self.record, self.store = Record(), Store()
+        self.proxy = Proxy((f"{NET}.0.1", self.ports["store"]))
         self.balancers = [f"{NET}.1.{i + 1}" for i in range(BALANCERS)]
         self.agents = [f"{NET}.2.{i + 1}" for i in range(AGENTS)]
         # `busy`: instances that an event is at work on.
@@ -45,10 +55,20 @@
         self.plan = random.Random(seed)
         self.services = {(f"198.18.0.{i}", 443): f"service-{i}" for i in (1, 2)}
         self.version = 0
-        self.dropped = {}
+        # The route that comes and goes, and since when it is as it is.
+        self.probed = ("198.18.0.3", 443)
+        self.probed_there, self.probed_since = False, 0.0
+        # When the store, and each instance, last had an excuse.
+        self.store_troubled, self.disturbed = 0.0, {}
+
+    def sabotages(self, how):
+        """Whether this time a stand-in breaks the promise `how`."""
+        return self.sabotage == how and random.random() < 0.05
 
     def service_of(self, target):
         """The service that any version of the rules sends `target` to."""
+        if target == self.probed:
+            return "service-1"
         return self.services.get(target)
 
     def balancer_for(self, source):
@@ -59,13 +79,23 @@
             return None
         return up[zlib.crc32(repr(source).encode()) % len(up)]
 
-    def write_rules(self):
-        """The next version, as the operator writes it."""
-        self.version += random.randint(1, 3)
+    def write_rules(self, there=None):
+        """The next version, as the operator writes it; the probed route comes
+        or goes unless `there` says where it is."""
+        self.version += self.plan.randint(1, 3)
+        there = dict(self.services)
+        if self.version > 3:
+            self.probed_there = (not self.probed_there if there is None
+                                 else there)
+            self.probed_since = time.monotonic()
+        if self.probed_there:
+            there[self.probed] = "service-1"
         routes = [{"name": f"r{i}", "host": t[0], "path_prefix": f"/{t[1]}/",
                    "type": "safe", "timeout_ms": 3000,
                    "target_latency_ms": 200, "priority": 1, "service": s}
-                  for i, (t, s) in enumerate(self.services.items())]
+                  for i, (t, s) in enumerate(there.items())]
+        if self.sabotage == "rules" and self.version > 3:
+            return
         self.store.write(("config", "main"), {
             "version": self.version, "routes": routes, "services": [],
             "limits": {"idle_timeout_ms": 15000}})
@@ -86,7 +116,7 @@
             f'internal_ports:\n  - {p["first"]}\n  - {p["last"]}\n'
             f'seeds:\n{seeds}bootstrap: false\nheartbeat_ms: 500\n'
             f'bounds:\n  grace_s: 4\nplatform:\n'
-            f'  address: "{NET}.0.1:{p["store"]}"\n{tail}')
+            f'  address: "{NET}.0.2:{p["store"]}"\n{tail}')
         return path
 
     def start(self, host):
@@ -104,6 +134,7 @@
         """Stand-ins first, then the programs."""
         loop, p = asyncio.get_running_loop(), self.ports
         await self.store.listen(f"{NET}.0.1", p["store"])
+        await self.proxy.listen(f"{NET}.0.2", p["store"])
         self.write_rules()
         self.upstreams = [Upstream(self, self.record, h, f"service-{i % 2 + 1}")
                           for i, h in enumerate(self.agents)]
@@ -136,8 +167,11 @@
             self.record.fail(f"{host} answered SIGTERM with "
                              f"{process.returncode}")
         await asyncio.sleep(pause)
+        if self.sabotage == "ended":
+            return
         self.start(host)
         self.busy.discard(host)
+        self.disturbed[host] = time.monotonic()
 
     async def freeze(self, host, seconds):
         """Stops a program for a while."""
@@ -149,6 +183,7 @@
         await asyncio.sleep(seconds)
         process.send_signal(signal.SIGCONT)
         self.busy.discard(host)
+        self.disturbed[host] = time.monotonic()
 
     async def crash_upstream(self, seconds, pick):
         """An upstream ends without a word and starts again."""
@@ -171,16 +206,30 @@
             victim.start()
 
     async def trouble_store(self, how, seconds):
-        """The store is down, slow or loses answers, or forgets."""
+        """The store is down, slow, loses answers, forgets, or its watches hear
+        nothing until it forgets."""
         if how == "forget":
             self.store.compact()
             return
+        if how == "deaf":
+            # No excuse: a read tells what watches do not.
+            self.store.deaf = True
+            await asyncio.sleep(3 * seconds)
+            self.store.deaf = False
+            self.store.compact()
+            return
         self.store.delay = 0.25 if how == "slow" else 0.0
         self.store.down = how == "down"
         self.store.lose_answers = how == "lost"
         await asyncio.sleep(seconds)
         self.store.delay, self.store.down = 0.0, False
         self.store.lose_answers = False
+        self.store_troubled = time.monotonic()
+
+    async def trouble_links(self, how, seconds):
+        """Some of the programs' connections to the store are harmed."""
+        await self.proxy.trouble(how, seconds, lambda: self.plan.random() < 0.5)
+        self.store_troubled = time.monotonic()
 
     def event(self):
         """Draws one event of the plan: its name, details and action."""
@@ -188,7 +237,8 @@
         host = plan.choice(self.balancers + self.agents)
         pause, length = plan.uniform(0.05, 0.8), plan.uniform(0.3, 2.0)
         pick = plan.random()
-        how = plan.choice(["down", "slow", "lost", "forget"])
+        how = plan.choice(["down", "slow", "lost", "forget", "deaf"])
+        fault = plan.choice(FAULTS)
         return plan.choice([
             ("kill", f"{host} {pause:.2f}",
              lambda: self.restart(host, signal.SIGKILL, pause)),
@@ -202,6 +252,8 @@
              lambda: self.drain_upstream(length, pick)),
             ("store", f"{how} {length:.2f}",
              lambda: self.trouble_store(how, length)),
+            ("links", f"{fault} {length:.2f}",
+             lambda: self.trouble_links(fault, length)),
             ("rules", "", lambda: asyncio.sleep(0, self.write_rules())),
         ])
 
@@ -216,12 +268,30 @@
             await asyncio.sleep(random.expovariate(REQUESTS_PER_SECOND))
         await asyncio.gather(*tasks)
 
+    def rules_due(self, source):
+        """Whether the balancer of `source` must have the probed route as it
+        is now."""
+        host = self.balancer_for(source)
+        excuses = [self.probed_since, self.store_troubled,
+                   self.disturbed.get(host, 0.0)]
+        return (host is not None and host not in self.busy
+                and time.monotonic() > max(excuses) + RULE_SECONDS)
+
+    async def probe(self):
+        """Asks for the route that comes and goes."""
+        tasks = []
+        while not self.load_over:
+            tasks.append(asyncio.ensure_future(
+                random.choice(self.callers).probe(self.probed)))
+            await asyncio.sleep(random.expovariate(PROBES_PER_SECOND))
+        await asyncio.gather(*tasks)
+
     async def play(self, seconds):
         """Set-up, faults in series and overlapping, then calm."""
         await self.set_up()
         await asyncio.sleep(3)
         begun = time.monotonic()
-        load = asyncio.ensure_future(self.load())
+        load = asyncio.gather(self.load(), self.probe())
         events = []
         while time.monotonic() < begun + seconds:
             name, details, act = self.event()
@@ -230,6 +300,8 @@
             await asyncio.sleep(self.plan.expovariate(1.2))
         await asyncio.gather(*events)
         calm = time.monotonic() + CALM_SECONDS / 2
+        self.record.calm = calm
+        self.write_rules(there=True)
         await asyncio.sleep(CALM_SECONDS)
         self.load_over = True
         await load
@@ -263,11 +335,12 @@
     arguments.add_argument("--seed", type=int, default=1)
     arguments.add_argument("--seconds", type=float, default=12)
     arguments.add_argument("--keep")
+    arguments.add_argument("--sabotage", choices=SABOTAGES)
     options = arguments.parse_args()
     random.seed(options.seed)
     folder = options.keep or tempfile.mkdtemp()
     pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
-    fleet = Fleet(options.bin, folder, options.seed)
+    fleet = Fleet(options.bin, folder, options.seed, options.sabotage)
     try:
         asyncio.run(fleet.play(options.seconds))
     finally:
--- a/testsuite/soak/store.py
+++ b/testsuite/soak/store.py
@@ -19,6 +19,8 @@
         self.down = False
         self.delay = 0.0
         self.lose_answers = False
+        # Watches neither hear of changes nor end in time.
+        self.deaf = False
         self.changed = asyncio.Event()
         self.calls = 0
 
@@ -64,7 +66,9 @@
                 return 410, {"error": "history is gone"}
             events = [e for r, k, e in self.history if k == kind and r > since]
             left = end - asyncio.get_running_loop().time()
-            if events or left <= 0:
+            if self.deaf:
+                left = 0.1
+            elif events or left <= 0:
                 return 200, {"events": events, "as_of": self.revision}
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
