galenactl flow: a flow's decisions in order, out of several logs

Need: OPERATIONS.md told operators to grep and sort, but lines are written up to some tenths of a second after their decision, so sorted files show effects before causes. Steps are ordered by the line's time less its ago_us. Tests: flow_life_test (order, a part of the id, another port).

--- a/src/galenactl/arguments.cpp
+++ b/src/galenactl/arguments.cpp
@@ -26,6 +26,9 @@
   undrain SERVICE INSTANCE   give it new flows again
   explain CALLER ADDRESS     say where flows from CALLER (IP:PORT) to the
                              service address ADDRESS (IP:PORT) go, and why
+  flow FLOW LOG...           print what logs say of a passthrough flow, in order
+                             (CALLER>ADDRESS#SEQUENCE or a part before > or #;
+                             - reads standard input); asks nobody
 )";
 
 constexpr const char* exit_text =
--- a/src/galenactl/commands.h
+++ b/src/galenactl/commands.h
@@ -32,6 +32,9 @@
 /// `undrain SERVICE INSTANCE`
 exit_status undrain(const arguments& given, session& s);
 
+/// `flow FLOW LOG...`
+exit_status show_life(const arguments& given);
+
 /// `explain CALLER ADDRESS`
 exit_status explain(const arguments& given, session& s);
 
--- a/src/galenactl/main.cpp
+++ b/src/galenactl/main.cpp
@@ -46,6 +46,11 @@
     return words.size() == 3 && words[0] == "rules" && words[1] == "check";
 }
 
+bool is_life(const std::vector<std::string>& words)
+{
+    return words.size() >= 3 && words[0] == "flow";
+}
+
 exit_status usage_fault(const std::string& reason)
 {
     std::cerr << "galenactl: " << reason << '\n' << usage_line() << '\n';
@@ -58,6 +63,10 @@
     {
         return check_rules(given);
     }
+    if (is_life(given.words_))
+    {
+        return show_life(given);
+    }
     for (const command& c : commands)
     {
         if (!matches(c, given.words_))
--- /dev/null
+++ b/src/include/galenafork/flow_life.h
@@ -0,0 +1,38 @@
+/// \file
+/// One flow's life out of the logs of several processes.
+
+#ifndef GALENAFORK_FLOW_LIFE_H
+#define GALENAFORK_FLOW_LIFE_H
+
+#include <galenafork/time.h>
+
+#include <istream>
+#include <string>
+#include <vector>
+
+namespace galenafork
+{
+
+/// One decision about a flow, as a process logged it.
+struct life_step
+{
+    /// When it was decided: the line's time less the `ago_us` that it waited to
+    /// be written. Microseconds of Unix time by its instance's clock.
+    duration at_{0};
+    /// The log that it stands in.
+    std::string source_;
+    /// The line without its time.
+    std::string text_;
+};
+
+/// Adds the lines of `log` whose `flow` field is `flow`, or begins with it up
+/// to `>` or `#`. Lines that are none of ours are passed over.
+void collect_life(std::istream& log, const std::string& source,
+                  const std::string& flow, std::vector<life_step>& steps);
+
+/// The steps by time, one a line: milliseconds since the first, source, text.
+std::string life_text(std::vector<life_step> steps);
+
+} // namespace galenafork
+
+#endif
--- /dev/null
+++ b/src/libdaemon/flow_life_test.cpp
@@ -0,0 +1,54 @@
+#include <galenafork/flow_life.h>
+
+#include <doctest/doctest.h>
+#include <sstream>
+
+using namespace galenafork;
+
+namespace
+{
+
+constexpr const char* balancer_log =
+    "time=2026-12-04T12:17:24.665Z level=info program=galena-pass-balancer "
+    "event=placed flow=100.66.0.32:1174>198.18.0.1:8443#77 reason=- "
+    "peer=10.2.0.19 ago_us=1000\n"
+    "Starting up\n"
+    "time=2026-12-04T12:17:24.665Z level=info program=galena-pass-balancer "
+    "event=placed flow=100.66.0.32:11740>198.18.0.1:8443#78 ago_us=0\n";
+
+// Written before the balancer's line though decided after it.
+constexpr const char* agent_log =
+    "time=2026-12-04T12:17:24.700Z level=info program=galena-pass-agent "
+    "event=refused flow=100.66.0.32:1174>198.18.0.1:8443#77 "
+    "reason=overloaded ago_us=35500\n";
+
+std::vector<life_step> steps_of(const std::string& flow)
+{
+    std::vector<life_step> steps;
+    std::istringstream agent(agent_log);
+    collect_life(agent, "agent.log", flow, steps);
+    std::istringstream balancer(balancer_log);
+    collect_life(balancer, "balancer.log", flow, steps);
+    return steps;
+}
+
+} // namespace
+
+TEST_CASE("a flow's life is told in the order of the decisions")
+{
+    const std::string text =
+        life_text(steps_of("100.66.0.32:1174>198.18.0.1:8443#77"));
+    const std::size_t placed = text.find("0.000 ms  balancer.log  program=");
+    const std::size_t refused = text.find("0.500 ms  agent.log  program=");
+    REQUIRE(placed != std::string::npos);
+    REQUIRE(refused != std::string::npos);
+    CHECK(placed < refused);
+    CHECK(text.find("reason=overloaded") != std::string::npos);
+}
+
+TEST_CASE("a caller's address and port are enough, another port is not meant")
+{
+    CHECK(steps_of("100.66.0.32:1174").size() == 2);
+    CHECK(steps_of("100.66.0.32:117").empty());
+    CHECK(life_text({}).empty());
+}
