A refusal never resets a flow that another agent may have opened

Copies that come closer together than callers send them go to one agent, and an agent that got a copy because another seemed silent drops it instead of a reset. One function refuses, where three places did. Tests that failed before: 'copies that waited here together go to one agent', 'a copy that another agent may have opened is dropped, not reset'.

--- a/src/include/galenafork/pass_balancer.h
+++ b/src/include/galenafork/pass_balancer.h
@@ -34,6 +34,9 @@
     /// When an opening segment is repeated and its agent was silent for this
     /// time, the copy goes elsewhere: more than an agent's report interval.
     duration copy_silence_ = std::chrono::milliseconds(700);
+    /// Copies that come closer together than this have waited here, and say
+    /// nothing of their agent: callers leave 200 ms between two.
+    duration copy_gap_ = std::chrono::milliseconds(150);
     /// Share of a slot's work that a cold upstream does (the platform's
     /// servers work 1.6 times as long when cold).
     double cold_speed_ = 0.6;
--- a/src/libpass/agent_lifecycle.cpp
+++ b/src/libpass/agent_lifecycle.cpp
@@ -148,11 +148,7 @@
         if (now - flow.began_ > state.settings_.attempt_)
         {
             pvt::drop_from_held(state, key);
-            // Its caller tries again at once if it may.
-            out.reset(key, 0);
-            note(out, state, key, flow, "refused", "waited_too_long", now,
-                 true);
-            enter(flow, pass_phase::refused, now);
+            pvt::refuse(state, key, flow, "waited_too_long", now, out);
         }
     }
 }
--- a/src/libpass/agent_opening.cpp
+++ b/src/libpass/agent_opening.cpp
@@ -108,14 +108,6 @@
     note(out, state, key, flow, "passed_on", reason, now, false, next);
 }
 
-void refuse(pass_agent_state& state, const flow_key& key, agent_flow& flow,
-            const char* reason, instant now, pass_actions& out)
-{
-    enter(flow, pass_phase::refused, now);
-    out.reset(key, 0);
-    note(out, state, key, flow, "refused", reason, now, true);
-}
-
 // Time from the offer to the answer.
 duration answer_time(const pass_agent_state& state)
 {
@@ -249,6 +241,21 @@
 
 } // namespace
 
+void refuse(pass_agent_state& state, const flow_key& key, agent_flow& flow,
+            const char* reason, instant now, pass_actions& out)
+{
+    enter(flow, pass_phase::refused, now);
+    const host_address earlier = flow.place_.earlier_;
+    if (earlier != host_address())
+    {
+        note(out, state, key, flow, "dropped", "may_be_open_elsewhere", now,
+             true, earlier);
+        return;
+    }
+    out.reset(key, 0);
+    note(out, state, key, flow, "refused", reason, now, true);
+}
+
 bool send_to_next(pass_agent_state& state, const flow_key& key,
                   agent_flow& flow, const char* reason, instant now,
                   pass_actions& out)
@@ -393,6 +400,11 @@
             out.to_upstream({message.packet_.data(), message.packet_.size()});
             return;
         case pass_phase::refused:
+            if (flow.place_.earlier_ != host_address())
+            {
+                // No reset was sent: decided anew.
+                break;
+            }
             // Sent before the reset arrived, or the reset was lost.
             out.reset(key, 0);
             return;
--- a/src/libpass/agent_pvt.h
+++ b/src/libpass/agent_pvt.h
@@ -23,6 +23,12 @@
 void decide_opening(pass_agent_state& state, const flow_key& key, instant now,
                     pass_actions& out);
 
+/// Tells the caller that its segment was not offered. A copy that was sent here
+/// because the agent of an earlier one seemed silent is dropped instead: that
+/// agent may have opened the flow, which a reset would end.
+void refuse(pass_agent_state& state, const flow_key& key, agent_flow& flow,
+            const char* reason, instant now, pass_actions& out);
+
 /// Backlog of an agent whose upstream did not take an opening segment: more
 /// than any real one, so that the segment does not come back.
 constexpr double unable_backlog = 100.0;
--- a/src/libpass/agent_segments.cpp
+++ b/src/libpass/agent_segments.cpp
@@ -165,9 +165,7 @@
     flow.place_.visits_.push_back({state.settings_.host_, pvt::unable_backlog});
     if (!pvt::send_to_next(state, s.flow_, flow, "bounced", now, out))
     {
-        enter(flow, pass_phase::refused, now);
-        out.reset(s.flow_, 0);
-        note(out, state, s.flow_, flow, "refused", "bounced", now, true);
+        pvt::refuse(state, s.flow_, flow, "bounced", now, out);
     }
 }
 
--- a/src/libpass/agent_test.cpp
+++ b/src/libpass/agent_test.cpp
@@ -277,6 +277,28 @@
     CHECK(state.busy_ == 0);
 }
 
+TEST_CASE("a copy that another agent may have opened is dropped, not reset")
+{
+    // Soak seed 30: a balancer that was stopped placed three copies at once,
+    // the second elsewhere; its refusal met the flow that the first had opened.
+    pass_agent_state state = make_agent();
+    for (std::uint16_t port = 1; port <= 40; ++port)
+    {
+        pass_actions out;
+        take_place(state, make_place(), make_opening(port), start, out);
+    }
+    place_message copy = make_place();
+    copy.earlier_ = agent_b;
+    pass_actions out;
+    take_place(state, copy, make_opening(99), start, out);
+    CHECK(count(out, pass_target::reset) == 0);
+    CHECK(count(out, pass_target::upstream) == 0);
+    // One that was sent here first is refused.
+    pass_actions refused;
+    take_place(state, make_place(), make_opening(98), start, refused);
+    CHECK(count(refused, pass_target::reset) == 1);
+}
+
 TEST_CASE("an agent older than its upstream hands unknown flows back")
 {
     pass_agent_state state = make_agent();
--- a/src/libpass/balancer_opening.cpp
+++ b/src/libpass/balancer_opening.cpp
@@ -222,7 +222,9 @@
         context.age_ = std::max(
             context.age_,
             std::chrono::duration_cast<duration>(now - known->second.began_));
-        if (is_silent(state, owner, now))
+        const bool waited_here =
+            now - known->second.last_ < state.settings_.copy_gap_;
+        if (!waited_here && is_silent(state, owner, now))
         {
             context.earlier_ = owner;
         }
--- a/src/libpass/balancer_test.cpp
+++ b/src/libpass/balancer_test.cpp
@@ -224,6 +224,30 @@
     CHECK(state.waiting_.empty());
 }
 
+TEST_CASE("copies that waited here together go to one agent")
+{
+    // Soak seed 30: the balancer was stopped for a second, so its agents
+    // seemed silent; the copies that had come meanwhile went to three agents.
+    pass_balancer_state state = make_balancer();
+    const instant back = start + milliseconds(1200);
+    pass_actions first;
+    take_from_caller(state, make_opening(1), some_bytes(), back, first);
+    REQUIRE(first.sends_.size() == 1);
+    segment copy = make_opening(1);
+    copy.acknowledged_ = 1;
+    pass_actions second;
+    take_from_caller(state, copy, some_bytes(), back, second);
+    REQUIRE(second.sends_.size() == 1);
+    CHECK(second.sends_[0].host_ == first.sends_[0].host_);
+    // Much later it is a sign that the agent does not answer.
+    copy.acknowledged_ = 2;
+    pass_actions third;
+    take_from_caller(state, copy, some_bytes(), back + milliseconds(390),
+                     third);
+    REQUIRE(third.sends_.size() == 1);
+    CHECK(third.sends_[0].host_ != first.sends_[0].host_);
+}
+
 TEST_CASE("a balancer that has no rules yet refuses nobody")
 {
     // Recovery of zon-sacz trouble-3: restarted balancers reset what came
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -30,6 +30,7 @@
 # whatever kept a balancer or the store from work.
 RULE_SECONDS = 3
 PROBES_PER_SECOND = 4
+GRACE_SECONDS = 4
 SABOTAGES = ("reset", "answer", "twice", "service", "drain", "rules",
              "refused", "ended", "served")
 
@@ -115,7 +116,7 @@
             f'  control_plane: "{host}:{p["reports"]}"\n{upstream}'
             f'internal_ports:\n  - {p["first"]}\n  - {p["last"]}\n'
             f'seeds:\n{seeds}bootstrap: false\nheartbeat_ms: 500\n'
-            f'bounds:\n  grace_s: 4\nplatform:\n'
+            f'bounds:\n  grace_s: {GRACE_SECONDS}\nplatform:\n'
             f'  address: "{NET}.0.2:{p["store"]}"\n{tail}')
         return path
 
@@ -161,8 +162,13 @@
         if number == signal.SIGKILL:
             self.killed.add(host)
         process.send_signal(number)
+        end = time.monotonic() + GRACE_SECONDS + 1
         while process.poll() is None:
             await asyncio.sleep(0.02)
+            if time.monotonic() > end:
+                self.record.fail(f"{host} does not end after signal {number}")
+                process.kill()
+                process.wait()
         if number == signal.SIGTERM and process.returncode != 0:
             self.record.fail(f"{host} answered SIGTERM with "
                              f"{process.returncode}")
