Soak replays plans; an agent's end does not wait for the store

New event: an upstream drains, says goodbye and its instance is replaced. A process must end within its grace.

--- a/src/galena_pass_agent/pass_agent_daemon.cpp
+++ b/src/galena_pass_agent/pass_agent_daemon.cpp
@@ -265,7 +265,7 @@
             {
                 const duration passed = std::chrono::duration_cast<duration>(
                     read_monotonic_clock() - leaving_since_);
-                const bool idle = traffic_.view().idle_;
+                const bool idle = traffic_.view().idle_ && !removing_entry_;
                 if ((idle && passed >= least_drain) ||
                     passed >= settings_.stop_grace_ - grace_reserve)
                 {
@@ -284,7 +284,11 @@
     traffic_.orders().post(std::move(orders));
     if (upstream_gone_ && registered_)
     {
-        return entry_.remove().then([this] { return wait_until_idle(); });
+        // Beside the wait, which ends with the grace: the store may not answer.
+        removing_entry_ = true;
+        loop_->add_task(
+            "remove_entry",
+            entry_.remove().then([this] { removing_entry_ = false; }));
     }
     return wait_until_idle();
 }
--- a/src/galena_pass_agent/pass_agent_daemon.h
+++ b/src/galena_pass_agent/pass_agent_daemon.h
@@ -59,6 +59,8 @@
     std::thread thread_;
     bool registered_ = false;
     bool upstream_gone_ = false;
+    /// The store has not answered yet.
+    bool removing_entry_ = false;
     bool balancers_read_ = false;
     instant leaving_since_{};
     counter& reports_;
--- a/testsuite/soak/ends.py
+++ b/testsuite/soak/ends.py
@@ -149,12 +149,19 @@
             if await self._put(body) and draining and not self.acknowledged:
                 self.acknowledged = time.monotonic()
 
+    async def say_goodbye(self):
+        """Tells its agent that it ends."""
+        await self._call("DELETE", b"")
+
     async def _put(self, body):
+        return await self._call("PUT", body)
+
+    async def _call(self, method, body):
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection(
                 self.host, self.fleet.ports["reports"]), 1)
             name = self.host.replace(".", "-")
-            writer.write((f"PUT /-/instances/i-{name} HTTP/1.1\r\n"
+            writer.write((f"{method} /-/instances/i-{name} HTTP/1.1\r\n"
                           f"Host: x\r\nContent-Length: {len(body)}\r\n"
                           "Connection: close\r\n\r\n").encode() + body)
             line = await asyncio.wait_for(reader.readline(), 1)
--- a/testsuite/soak/run.sh
+++ b/testsuite/soak/run.sh
@@ -1,10 +1,7 @@
 #!/usr/bin/env bash
-# Fault soak of passthrough flows: seeds that once failed and the usual ones,
+# Fault soak of passthrough flows: two seeds, the plans that once failed, and
 # then the proof that each check can fail.
 # By hand: testsuite/soak/run.sh FIRST LAST SECONDS
-#   seed 1: reset while its upstream lives (a copy of an opening segment reached
-#           the upstream's next life)
-#   seed 2: SIGTERM ended with -6
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 
@@ -17,5 +14,9 @@
 echo "soak: $bad of $((last - first + 1)) seeds broke a promise"
 [ "$bad" -eq 0 ]
 if [ $# -eq 0 ]; then
+    for plan in testsuite/soak/plans/*.txt; do
+        timeout 120 python3 testsuite/soak/soak.py build/release/bin \
+            --plan "$plan" --seconds 8
+    done
     testsuite/soak/sabotage.sh
 fi
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -1,8 +1,10 @@
 """Fault soak of passthrough flows: the real programs as processes on loopback,
 faults from outside, promises checked from what callers and upstreams see.
 
-usage: soak.py BIN [--seed N] [--seconds S] [--keep FOLDER] [--sabotage HOW]
+usage: soak.py BIN [--seed N] [--seconds S] [--plan FILE] [--keep FOLDER]
+               [--sabotage HOW]
 
+The events are drawn from the seed, or read from a file of lines as printed.
 With --sabotage a stand-in breaks one promise on purpose: the run must be red.
 """
 
@@ -19,11 +21,14 @@
 import zlib
 
 from ends import Caller, Record, Upstream
-from proxy import FAULTS, Proxy
+from plan import draw_plan, read_plan
+from proxy import Proxy
 from store import Store
 
 NET = "127.30"
-BALANCERS, AGENTS, CALLERS = 3, 6, 3
+BALANCERS = [f"{NET}.1.{i + 1}" for i in range(3)]
+AGENTS = [f"{NET}.2.{i + 1}" for i in range(6)]
+CALLERS = 3
 REQUESTS_PER_SECOND = 60
 CALM_SECONDS = 8
 # Rules are in force this long after the operator's write, or after the end of
@@ -38,8 +43,8 @@
 class Fleet:
     """All processes and stand-ins of one run."""
 
-    def __init__(self, binaries, folder, seed, sabotage=None):
-        self.sabotage = sabotage
+    def __init__(self, binaries, folder, seed, events, sabotage=None):
+        self.sabotage, self.events = sabotage, events
         self.bin, self.folder = pathlib.Path(binaries), pathlib.Path(folder)
         base = 20000 + seed % 500 * 20
         names = ("packets", "readiness", "reports", "outbound", "app", "store",
@@ -47,12 +52,11 @@
         self.ports = {n: base + i for i, n in enumerate(names)}
         self.record, self.store = Record(), Store()
         self.proxy = Proxy((f"{NET}.0.1", self.ports["store"]))
-        self.balancers = [f"{NET}.1.{i + 1}" for i in range(BALANCERS)]
-        self.agents = [f"{NET}.2.{i + 1}" for i in range(AGENTS)]
+        self.balancers, self.agents = BALANCERS, AGENTS
         # `busy`: instances that an event is at work on.
         self.processes, self.killed, self.busy = {}, set(), set()
         self.load_over = False
-        # The plan of events has its own numbers, so that a seed replays it.
+        # What the events draw has its own numbers, so that they replay.
         self.plan = random.Random(seed)
         self.services = {(f"198.18.0.{i}", 443): f"service-{i}" for i in (1, 2)}
         self.version = 0
@@ -162,7 +166,7 @@
         if number == signal.SIGKILL:
             self.killed.add(host)
         process.send_signal(number)
-        end = time.monotonic() + GRACE_SECONDS + 1
+        end = time.monotonic() + GRACE_SECONDS + 0.2
         while process.poll() is None:
             await asyncio.sleep(0.02)
             if time.monotonic() > end:
@@ -211,6 +215,19 @@
             await asyncio.sleep(0.3)
             victim.start()
 
+    async def replace_upstream(self, pause, pick):
+        """An upstream drains, says goodbye and ends; its instance is stopped
+        after it and comes back with another."""
+        up = [u for u in self.upstreams if u.alive and not u.draining_since]
+        if len(up) > 4:
+            victim = up[int(pick * len(up))]
+            victim.draining_since = time.monotonic()
+            await asyncio.sleep(3.5)
+            await victim.say_goodbye()
+            victim.crash()
+            await self.restart(victim.host, signal.SIGTERM, pause)
+            victim.start()
+
     async def trouble_store(self, how, seconds):
         """The store is down, slow, loses answers, forgets, or its watches hear
         nothing until it forgets."""
@@ -237,31 +254,20 @@
         await self.proxy.trouble(how, seconds, lambda: self.plan.random() < 0.5)
         self.store_troubled = time.monotonic()
 
-    def event(self):
-        """Draws one event of the plan: its name, details and action."""
-        plan = self.plan
-        host = plan.choice(self.balancers + self.agents)
-        pause, length = plan.uniform(0.05, 0.8), plan.uniform(0.3, 2.0)
-        pick = plan.random()
-        how = plan.choice(["down", "slow", "lost", "forget", "deaf"])
-        fault = plan.choice(FAULTS)
-        return plan.choice([
-            ("kill", f"{host} {pause:.2f}",
-             lambda: self.restart(host, signal.SIGKILL, pause)),
-            ("term", f"{host} {pause:.2f}",
-             lambda: self.restart(host, signal.SIGTERM, pause)),
-            ("freeze", f"{host} {length:.2f}",
-             lambda: self.freeze(host, length)),
-            ("crash", f"{length:.2f}",
-             lambda: self.crash_upstream(length, pick)),
-            ("drain", f"{length:.2f}",
-             lambda: self.drain_upstream(length, pick)),
-            ("store", f"{how} {length:.2f}",
-             lambda: self.trouble_store(how, length)),
-            ("links", f"{fault} {length:.2f}",
-             lambda: self.trouble_links(fault, length)),
-            ("rules", "", lambda: asyncio.sleep(0, self.write_rules())),
-        ])
+    def act(self, event):
+        """The action of one event of the plan."""
+        host, pause, length = event.host, event.pause, event.length
+        return {
+            "kill": lambda: self.restart(host, signal.SIGKILL, pause),
+            "term": lambda: self.restart(host, signal.SIGTERM, pause),
+            "freeze": lambda: self.freeze(host, length),
+            "crash": lambda: self.crash_upstream(length, event.pick),
+            "drain": lambda: self.drain_upstream(length, event.pick),
+            "replace": lambda: self.replace_upstream(pause, event.pick),
+            "store": lambda: self.trouble_store(event.how, length),
+            "links": lambda: self.trouble_links(event.fault, length),
+            "rules": lambda: asyncio.sleep(0, self.write_rules()),
+        }[event.name]()
 
     async def load(self):
         """Asks at a steady rate until the run is over."""
@@ -299,11 +305,11 @@
         begun = time.monotonic()
         load = asyncio.gather(self.load(), self.probe())
         events = []
-        while time.monotonic() < begun + seconds:
-            name, details, act = self.event()
-            print(f"{time.monotonic() - begun:6.2f} s {name} {details}")
-            events.append(asyncio.ensure_future(act()))
-            await asyncio.sleep(self.plan.expovariate(1.2))
+        for event in self.events:
+            await asyncio.sleep(max(0.0, begun + event.at - time.monotonic()))
+            print(event.line())
+            events.append(asyncio.ensure_future(self.act(event)))
+        await asyncio.sleep(max(0.0, begun + seconds - time.monotonic()))
         await asyncio.gather(*events)
         calm = time.monotonic() + CALM_SECONDS / 2
         self.record.calm = calm
@@ -340,13 +346,16 @@
     arguments.add_argument("bin")
     arguments.add_argument("--seed", type=int, default=1)
     arguments.add_argument("--seconds", type=float, default=12)
+    arguments.add_argument("--plan")
     arguments.add_argument("--keep")
     arguments.add_argument("--sabotage", choices=SABOTAGES)
     options = arguments.parse_args()
     random.seed(options.seed)
     folder = options.keep or tempfile.mkdtemp()
     pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
-    fleet = Fleet(options.bin, folder, options.seed, options.sabotage)
+    events = (read_plan(options.plan) if options.plan else
+              draw_plan(options.seed, options.seconds, BALANCERS + AGENTS))
+    fleet = Fleet(options.bin, folder, options.seed, events, options.sabotage)
     try:
         asyncio.run(fleet.play(options.seconds))
     finally:
