A refusal after waiting reaches the balancer, so that copies repeat it

The agent tells the balancer now, and the next copy brings the reset again. Test: 'the balancer learns that a held segment was refused' failed before (0 told).

--- a/src/libpass/agent_lifecycle.cpp
+++ b/src/libpass/agent_lifecycle.cpp
@@ -37,11 +37,11 @@
             report.instance_ != known.instance_);
 }
 
-// The upstream's life that has the flow, or was last offered it, is younger
-// than `life`: a copy of the opening segment may have reached the next life.
-bool belongs_to(const agent_flow& flow, instant life)
+// The upstream got the opening segment, or answered on the flow, after its new
+// life began: a copy of the segment may have opened the flow there.
+bool belongs_to(const agent_flow& flow, instant new_life)
 {
-    return std::max(flow.offered_, flow.answered_) >= life;
+    return std::max(flow.offered_, flow.answered_) >= new_life;
 }
 
 // Flows of a life that is over: callers are told at once, so that those who
--- a/src/libpass/agent_opening.cpp
+++ b/src/libpass/agent_opening.cpp
@@ -244,7 +244,15 @@
 void refuse(pass_agent_state& state, const flow_key& key, agent_flow& flow,
             const char* reason, instant now, pass_actions& out)
 {
+    // A new flow has this phase before it is decided.
+    const bool was_held =
+        flow.phase_ == pass_phase::held && flow.phase_since_ != instant();
     enter(flow, pass_phase::refused, now);
+    if (was_held)
+    {
+        // Copies must come here again: the reset may be lost.
+        tell_balancer(state, key, flow, out);
+    }
     const host_address earlier = flow.place_.earlier_;
     if (earlier != host_address())
     {
--- a/src/libpass/agent_test.cpp
+++ b/src/libpass/agent_test.cpp
@@ -299,6 +299,41 @@
     CHECK(count(refused, pass_target::reset) == 1);
 }
 
+TEST_CASE("the balancer learns that a held segment was refused")
+{
+    // It keeps copies of held segments back; a lost reset was never repeated.
+    pass_agent_state state = make_agent();
+    place_message settled = make_place();
+    settled.settled_ = true;
+    for (std::uint16_t port = 1; port <= 6; ++port)
+    {
+        pass_actions out;
+        take_place(state, settled, make_opening(port), start, out);
+    }
+    REQUIRE_FALSE(state.held_.empty());
+    const flow_key held = state.held_.front();
+    // The upstream answers nothing for the rest of the attempt.
+    state.busy_ = 100;
+    pass_actions out;
+    take_report(state, make_report(1000, 2), start + milliseconds(1299), out);
+    take_tick(state, start + milliseconds(1350), out);
+    const auto told = std::count_if(
+        out.sends_.begin(), out.sends_.end(),
+        [&](const pass_action& a)
+        {
+            const auto* moved = a.target_ == pass_target::peer
+                                    ? std::get_if<moved_message>(&*a.message_)
+                                    : nullptr;
+            return moved != nullptr && moved->flow_ == held && !moved->held_;
+        });
+    CHECK(told == 1);
+    pass_actions copy;
+    segment again = make_opening(held.caller_.port_);
+    again.acknowledged_ = 2;
+    take_place(state, settled, again, start + milliseconds(1360), copy);
+    CHECK(count(copy, pass_target::reset) == 1);
+}
+
 TEST_CASE("an agent older than its upstream hands unknown flows back")
 {
     pass_agent_state state = make_agent();
