Soak: the probed route goes as well as comes

And a local name hid the parameter, so that the route never went away again. The first write is told by itself now, and the name is its own.

--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -89,19 +89,20 @@
     def write_rules(self, there=None):
         """The next version, as the operator writes it; the probed route comes
         or goes unless `there` says where it is."""
+        first = self.version == 0
         self.version += self.draws.randint(1, 3)
-        there = dict(self.services)
-        if self.version > 3:
+        targets = dict(self.services)
+        if not first:
             self.probed_there = (not self.probed_there if there is None
                                  else there)
             self.probed_since = time.monotonic()
         if self.probed_there:
-            there[self.probed] = "service-1"
+            targets[self.probed] = "service-1"
         routes = [{"name": f"r{i}", "host": t[0], "path_prefix": f"/{t[1]}/",
                    "type": "safe", "timeout_ms": 3000,
                    "target_latency_ms": 200, "priority": 1, "service": s}
-                  for i, (t, s) in enumerate(there.items())]
-        if self.sabotage == "rules" and self.version > 3:
+                  for i, (t, s) in enumerate(targets.items())]
+        if self.sabotage == "rules" and not first:
             return
         self.store.write(("config", "main"), {
             "version": self.version, "routes": routes, "services": [],
