--- a/src/libpass/agent_lifecycle.cpp
+++ b/src/libpass/agent_lifecycle.cpp
@@ -122,9 +122,7 @@
             note_upstream(out, state, "upstream_suspect",
                           "openings_unanswered");
         }
-        flow.place_.visits_.push_back(
-            {state.settings_.host_, pvt::unable_backlog});
-        pvt::send_to_next(state, key, flow, "unanswered", now, out);
+        pvt::send_past_upstream(state, key, flow, "unanswered", now, out);
         return;
     }
     if (flow.upstream_sequence_ && waited > state.settings_.handshake_)
--- a/src/libpass/agent_opening.cpp
+++ b/src/libpass/agent_opening.cpp
@@ -17,6 +17,10 @@
 namespace
 {
 
+// Backlog of an agent whose upstream did not take a segment: more than any real
+// one, so that the segment does not come back.
+constexpr double unable_backlog = 100.0;
+
 // Weight of the newest sample of a smoothed time.
 constexpr double sample_weight = 0.1;
 
@@ -108,6 +112,22 @@
     note(out, state, key, flow, "passed_on", reason, now, false, next);
 }
 
+// Sends the segment to its next candidate. False if none is left.
+bool send_to_next(pass_agent_state& state, const flow_key& key,
+                  agent_flow& flow, const char* reason, instant now,
+                  pass_actions& out)
+{
+    auto& candidates = flow.place_.candidates_;
+    if (candidates.empty())
+    {
+        return false;
+    }
+    const host_address next = candidates.front();
+    candidates.erase(candidates.begin());
+    send_on(state, key, flow, next, reason, now, out);
+    return true;
+}
+
 // Time from the offer to the answer.
 duration answer_time(const pass_agent_state& state)
 {
@@ -264,19 +284,12 @@
     note(out, state, key, flow, "refused", reason, now, true);
 }
 
-bool send_to_next(pass_agent_state& state, const flow_key& key,
-                  agent_flow& flow, const char* reason, instant now,
-                  pass_actions& out)
+bool send_past_upstream(pass_agent_state& state, const flow_key& key,
+                        agent_flow& flow, const char* reason, instant now,
+                        pass_actions& out)
 {
-    auto& candidates = flow.place_.candidates_;
-    if (candidates.empty())
-    {
-        return false;
-    }
-    const host_address next = candidates.front();
-    candidates.erase(candidates.begin());
-    send_on(state, key, flow, next, reason, now, out);
-    return true;
+    flow.place_.visits_.push_back({state.settings_.host_, unable_backlog});
+    return send_to_next(state, key, flow, reason, now, out);
 }
 
 void smooth(duration& smoothed, duration sample)
--- a/src/libpass/agent_pvt.h
+++ b/src/libpass/agent_pvt.h
@@ -29,15 +29,11 @@
 void refuse(pass_agent_state& state, const flow_key& key, agent_flow& flow,
             const char* reason, instant now, pass_actions& out);
 
-/// Backlog of an agent whose upstream did not take an opening segment: more
-/// than any real one, so that the segment does not come back.
-constexpr double unable_backlog = 100.0;
-
-/// Sends the opening segment of `flow` to its next candidate. False if none is
-/// left.
-bool send_to_next(pass_agent_state& state, const flow_key& key,
-                  agent_flow& flow, const char* reason, instant now,
-                  pass_actions& out);
+/// The upstream did not take the opening segment of `flow`: sends it to its
+/// next candidate, never back here. False if no candidate is left.
+bool send_past_upstream(pass_agent_state& state, const flow_key& key,
+                        agent_flow& flow, const char* reason, instant now,
+                        pass_actions& out);
 
 /// Gives free slots to waiting segments, the most important and then the
 /// oldest first.
--- a/src/libpass/agent_segments.cpp
+++ b/src/libpass/agent_segments.cpp
@@ -162,8 +162,7 @@
     agent_flow& flow = it->second;
     set_counted(state, flow, false);
     note(out, state, s.flow_, flow, "bounced", "upstream_refused", now, true);
-    flow.place_.visits_.push_back({state.settings_.host_, pvt::unable_backlog});
-    if (!pvt::send_to_next(state, s.flow_, flow, "bounced", now, out))
+    if (!pvt::send_past_upstream(state, s.flow_, flow, "bounced", now, out))
     {
         pvt::refuse(state, s.flow_, flow, "bounced", now, out);
     }
--- a/src/libpass/agent_test.cpp
+++ b/src/libpass/agent_test.cpp
@@ -207,11 +207,7 @@
     pass_actions out;
     take_place(state, make_place(), make_opening(1), start, out);
     const instant back = start + milliseconds(700);
-    take_place(state, make_place(), make_opening(1), back, out);
-    take_from_upstream(state, make_opening_answer(1, 9000), some_bytes(), back,
-                       out);
-    take_from_caller(state, make_request(1, 9000), some_bytes(), balancer_x,
-                     back, out);
+    open_flow(state, 1, back);
     upstream_report report = make_report(5000, 1);
     report.began_ = back - milliseconds(200);
     pass_actions later;
--- a/src/libvirtual/service_fixture.cpp
+++ b/src/libvirtual/service_fixture.cpp
@@ -124,19 +124,19 @@
 
 void service_fixture::send(const flow_key& flow,
                            std::optional<request_info> request,
-                           const roster& as_of)
+                           const roster& known)
 {
     const member* home =
-        effective_home_of(as_of, balancer_lapsed_, bucket_of(flow));
+        effective_home_of(known, balancer_lapsed_, bucket_of(flow));
     if (home == nullptr)
     {
         ++dropped_;
         return;
     }
     forwarded_packet packet;
-    packet.service_ = as_of.service_;
+    packet.service_ = known.service_;
     packet.target_ = life_of(*home);
-    packet.epoch_ = as_of.epoch_;
+    packet.epoch_ = known.epoch_;
     packet.flow_ = flow;
     if (request)
     {
--- a/src/libvirtual/service_fixture.h
+++ b/src/libvirtual/service_fixture.h
@@ -43,9 +43,9 @@
     /// Lets `span` of virtual time pass in steps of `tick_`.
     void run_for(duration span);
 
-    /// A caller's packet reaches a balancer that knows roster `as_of`.
+    /// A caller's packet reaches a balancer that knows roster `known`.
     void send(const flow_key& flow, std::optional<request_info> request,
-              const roster& as_of);
+              const roster& known);
 
     /// As above with the newest roster.
     void send(const flow_key& flow, std::optional<request_info> request = {});
