--- a/src/bench/allocations.h
+++ b/src/bench/allocations.h
@@ -1,5 +1,5 @@
 /// \file
-/// Counts allocations of this program.
+/// Counter of the memory allocations of this program.
 
 #ifndef GALENAFORK_BENCH_ALLOCATIONS_H
 #define GALENAFORK_BENCH_ALLOCATIONS_H
@@ -9,7 +9,7 @@
 namespace galenafork::bench
 {
 
-/// Calls of `operator new` so far, in all threads.
+/// Returns the number of calls of `operator new` so far, in all threads.
 std::uint64_t allocations();
 
 } // namespace galenafork::bench
--- a/src/bench/blast/main.cpp
+++ b/src/bench/blast/main.cpp
@@ -1,8 +1,8 @@
 /// \file
-/// Sends datagrams as the fabric does, as fast as the kernel takes them, from
-/// one thread, and counts on another what arrives at a sink. Prints
-/// `sent_per_s=N received_per_s=N`. With --roster it prints the roster of a
-/// service whose one member is the sink.
+/// Load generator. One thread sends datagrams as the fabric does, as fast as
+/// the kernel accepts them, and another counts the datagrams that arrive at a
+/// sink. Prints `sent_per_s=N received_per_s=N`. With --roster it prints
+/// instead the roster of a service whose only member is the sink.
 
 #include <galenafork/proxy_protocol.h>
 #include <galenafork/roster.h>
@@ -23,9 +23,9 @@
 namespace
 {
 
-constexpr int poll_ms = 50;
-constexpr std::size_t flows = 1000;
-constexpr std::uint16_t first_port = 10000;
+constexpr int poll_timeout_ms = 50;
+constexpr std::size_t flow_count = 1000;
+constexpr std::uint16_t first_caller_port = 10000;
 
 struct arguments
 {
@@ -38,7 +38,7 @@
     bool roster_ = false;
 };
 
-endpoint endpoint_of(const std::string& text)
+endpoint parse_endpoint_or_throw(const std::string& text)
 {
     const auto parsed = parse_endpoint(text);
     if (!parsed)
@@ -48,9 +48,9 @@
     return *parsed;
 }
 
-unique_fd open_or_throw(const endpoint& at)
+unique_fd open_udp_or_throw(const endpoint& address)
 {
-    auto fd = open_udp(at, false);
+    auto fd = open_udp(address, false);
     if (!fd)
     {
         throw std::runtime_error(fd.error().message_);
@@ -64,28 +64,28 @@
     join.member_.instance_ = instance_id("sink");
     join.member_.incarnation_ = incarnation(1);
     join.member_.data_centre_ = data_centre("gorlice");
-    join.member_.packet_endpoint_ = endpoint_of(a.sink_);
-    join.member_.control_endpoint_ = endpoint_of(a.sink_);
+    join.member_.packet_endpoint_ = parse_endpoint_or_throw(a.sink_);
+    join.member_.control_endpoint_ = parse_endpoint_or_throw(a.sink_);
     join.member_.slots_ = slot_count(1);
     join.member_.state_ = member_state::serving;
     join.write_ = write_id("blast");
     roster empty;
     empty.service_ = service_name(a.service_);
-    const auto made = apply(empty, join);
-    if (!made)
+    const auto joined = apply(empty, join);
+    if (!joined)
     {
-        throw std::runtime_error(made.error().message_);
+        throw std::runtime_error(joined.error().message_);
     }
-    std::cout << to_json(*made) << std::endl;
+    std::cout << to_json(*joined) << std::endl;
 }
 
 std::vector<byte_buffer> make_datagrams(const arguments& a)
 {
-    const endpoint service = endpoint_of(a.service_address_);
+    const endpoint service = parse_endpoint_or_throw(a.service_address_);
     std::vector<byte_buffer> datagrams;
-    for (std::size_t i = 0; i < flows; ++i)
+    for (std::size_t i = 0; i < flow_count; ++i)
     {
-        const auto port = static_cast<std::uint16_t>(first_port + i);
+        const auto port = static_cast<std::uint16_t>(first_caller_port + i);
         datagrams.push_back(make_proxy_datagram(
             {{make_v4(192, 0, 2, 7), port}, service}, byte_buffer(a.payload_)));
     }
@@ -94,8 +94,8 @@
 
 std::uint64_t send_all(const arguments& a, const std::atomic<bool>& stop)
 {
-    const unique_fd out = open_or_throw({make_v4(127, 0, 0, 1), 0});
-    const endpoint to = endpoint_of(a.to_);
+    const unique_fd out = open_udp_or_throw({make_v4(127, 0, 0, 1), 0});
+    const endpoint to = parse_endpoint_or_throw(a.to_);
     const std::vector<byte_buffer> datagrams = make_datagrams(a);
     send_batch batch(max_datagram_bytes);
     std::uint64_t sent = 0;
@@ -103,7 +103,7 @@
     {
         while (!batch.full())
         {
-            const byte_buffer& datagram = datagrams[sent % flows];
+            const byte_buffer& datagram = datagrams[sent % flow_count];
             std::memcpy(batch.next(), datagram.data(), datagram.size());
             batch.add(to, datagram.size());
             ++sent;
@@ -120,15 +120,15 @@
     std::uint64_t received = 0;
     while (!stop)
     {
-        ::poll(&readable, 1, poll_ms);
+        ::poll(&readable, 1, poll_timeout_ms);
         received += batch.receive(sink);
     }
     return received;
 }
 
-void blast(const arguments& a)
+void measure_throughput(const arguments& a)
 {
-    const unique_fd sink = open_or_throw(endpoint_of(a.sink_));
+    const unique_fd sink = open_udp_or_throw(parse_endpoint_or_throw(a.sink_));
     std::atomic<bool> stop{false};
     std::uint64_t sent = 0;
     std::uint64_t received = 0;
@@ -154,13 +154,15 @@
     arguments a;
     po::options_description options("blast");
     auto add = options.add_options();
-    add("to", po::value(&a.to_), "IP:PORT that datagrams are sent to");
-    add("sink", po::value(&a.sink_)->required(), "IP:PORT that counts them");
-    add("service-address", po::value(&a.service_address_), "IP:PORT");
-    add("service", po::value(&a.service_), "service of the roster");
-    add("seconds", po::value(&a.seconds_), "length of the run");
-    add("payload", po::value(&a.payload_), "payload bytes");
-    add("roster", po::bool_switch(&a.roster_), "print the roster and end");
+    add("to", po::value(&a.to_), "IP:PORT to send datagrams to");
+    add("sink", po::value(&a.sink_)->required(),
+        "IP:PORT of the sink, which counts datagrams");
+    add("service-address", po::value(&a.service_address_),
+        "IP:PORT of the service");
+    add("service", po::value(&a.service_), "name of the service, for --roster");
+    add("seconds", po::value(&a.seconds_), "length of the run in seconds");
+    add("payload", po::value(&a.payload_), "payload bytes of each datagram");
+    add("roster", po::bool_switch(&a.roster_), "print the roster and exit");
     try
     {
         po::variables_map values;
@@ -171,7 +173,7 @@
             print_roster(a);
             return 0;
         }
-        blast(a);
+        measure_throughput(a);
         return 0;
     }
     catch (const std::exception& e)
--- a/src/bench/forward_bench.cpp
+++ b/src/bench/forward_bench.cpp
@@ -1,7 +1,7 @@
 /// \file
-/// Cost of the balancer's work on one packet, with 1,100 rules.
+/// Benchmarks of the balancer's work on one packet, with 1,100 rules.
 
-#include "counted.h"
+#include "counting_allocations.h"
 
 #include <galenafork/forwarder.h>
 #include <galenafork/proxy_protocol.h>
@@ -17,7 +17,7 @@
 
 constexpr int rule_count = 1100;
 constexpr int member_count = 7;
-// A prime, so that flows meet services in a scattered order.
+// Flows go to the services in turn, so each service has three or four flows.
 constexpr std::size_t flow_count = 4093;
 
 endpoint service_address(int number)
@@ -27,7 +27,7 @@
             5683};
 }
 
-service_name name_of_service(int number)
+service_name make_service_name(int number)
 {
     return service_name("service-" + std::to_string(number));
 }
@@ -48,7 +48,7 @@
 roster make_roster(int service)
 {
     roster r;
-    r.service_ = name_of_service(service);
+    r.service_ = make_service_name(service);
     for (int i = 0; i < member_count; ++i)
     {
         const auto next = apply(r, {roster_change_kind::join, make_member(i),
@@ -65,7 +65,7 @@
     {
         rule r;
         r.address_ = service_address(i);
-        r.service_ = name_of_service(i);
+        r.service_ = make_service_name(i);
         rules.rules_.push_back(r);
     }
     routing_snapshot snapshot;
@@ -79,8 +79,8 @@
 
 const routing_snapshot& snapshot()
 {
-    static const routing_snapshot made = make_snapshot();
-    return made;
+    static const routing_snapshot shared_snapshot = make_snapshot();
+    return shared_snapshot;
 }
 
 std::vector<flow_key> make_flows()
@@ -99,18 +99,18 @@
 {
     const routing_snapshot& s = snapshot();
     const std::vector<flow_key> flows = make_flows();
-    std::size_t next = 0;
-    if (select_target(s, flows[next]).refusal_ != refusal::none)
+    std::size_t next_flow = 0;
+    if (select_target(s, flows[next_flow]).refusal_ != refusal::none)
     {
-        state.SkipWithError("refused");
+        state.SkipWithError("the balancer refused the first flow");
     }
-    bench::run_counted(state,
-                       [&]
-                       {
-                           benchmark::DoNotOptimize(
-                               select_target(s, flows[next]));
-                           next = (next + 1) % flow_count;
-                       });
+    bench::run_counting_allocations(
+        state,
+        [&]
+        {
+            benchmark::DoNotOptimize(select_target(s, flows[next_flow]));
+            next_flow = (next_flow + 1) % flow_count;
+        });
 }
 BENCHMARK(forwarding_decision_1100_rules);
 
@@ -125,18 +125,19 @@
             {flow.caller_, flow.service_address_}, payload));
     }
     forwarder f(*parse_endpoint("10.1.0.1:7000"), trace_sampler(1, 0));
-    const endpoint answers = *parse_endpoint("10.1.0.2:7001");
+    const endpoint answer_endpoint = *parse_endpoint("10.1.0.2:7001");
     alignas(wire_alignment) std::array<std::uint8_t, 4096> out;
-    std::size_t next = 0;
-    bench::run_counted(state,
-                       [&]
-                       {
-                           const byte_buffer& in = datagrams[next];
-                           benchmark::DoNotOptimize(
-                               f.forward(s, {in.data(), in.size(), answers},
-                                         out.data(), out.size()));
-                           next = (next + 1) % flow_count;
-                       });
+    std::size_t next_flow = 0;
+    bench::run_counting_allocations(
+        state,
+        [&]
+        {
+            const byte_buffer& in = datagrams[next_flow];
+            benchmark::DoNotOptimize(
+                f.forward(s, {in.data(), in.size(), answer_endpoint},
+                          out.data(), out.size()));
+            next_flow = (next_flow + 1) % flow_count;
+        });
 }
 BENCHMARK(forward_packet_1100_rules)->Arg(64)->Arg(1200);
 
--- a/src/bench/relay/main.cpp
+++ b/src/bench/relay/main.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// A bare UDP relay: the baseline of the balancer's throughput. It uses the
-/// same batched system calls and does nothing else.
+/// Bare UDP relay, the baseline of the balancer's throughput. It uses the same
+/// batched system calls as the balancer and forwards datagrams unchanged.
 
 #include <galenafork/udp_socket.h>
 #include <galenafork/wire.h>
@@ -20,7 +20,7 @@
 void relay(const unique_fd& in, const unique_fd& out, const endpoint& to)
 {
     receive_batch received(max_datagram_bytes);
-    send_batch sending(max_datagram_bytes);
+    send_batch outgoing(max_datagram_bytes);
     pollfd readable{in.get(), POLLIN, 0};
     while (::poll(&readable, 1, -1) >= 0)
     {
@@ -28,30 +28,30 @@
         for (std::size_t i = 0; i < count; ++i)
         {
             const datagram_view view = received.view(i);
-            std::memcpy(sending.next(), view.bytes_, view.size_);
-            sending.add(to, view.size_);
+            std::memcpy(outgoing.next(), view.bytes_, view.size_);
+            outgoing.add(to, view.size_);
         }
-        sending.flush(out);
+        outgoing.flush(out);
     }
 }
 
 int run(const std::string& listen, const std::string& target)
 {
-    const auto at = parse_endpoint(listen);
-    const auto to = parse_endpoint(target);
-    if (!at || !to)
+    const auto listen_endpoint = parse_endpoint(listen);
+    const auto target_endpoint = parse_endpoint(target);
+    if (!listen_endpoint || !target_endpoint)
     {
-        std::cerr << "bare_relay: bad address\n";
+        std::cerr << "bare_relay: --listen and --to must be IP:PORT\n";
         return 2;
     }
-    const auto in = open_udp(*at, false);
+    const auto in = open_udp(*listen_endpoint, false);
     const auto out = open_udp({make_v4(127, 0, 0, 1), 0}, false);
     if (!in || !out)
     {
-        std::cerr << "bare_relay: no socket\n";
+        std::cerr << "bare_relay: cannot open the UDP sockets\n";
         return 1;
     }
-    relay(*in, *out, *to);
+    relay(*in, *out, *target_endpoint);
     return 0;
 }
 
@@ -63,8 +63,10 @@
     std::string target;
     po::options_description options("bare_relay");
     auto add = options.add_options();
-    add("listen", po::value(&listen)->required(), "IP:PORT");
-    add("to", po::value(&target)->required(), "IP:PORT");
+    add("listen", po::value(&listen)->required(),
+        "IP:PORT to receive datagrams at");
+    add("to", po::value(&target)->required(),
+        "IP:PORT to forward datagrams to");
     try
     {
         po::variables_map values;
--- a/src/bench/wire_bench.cpp
+++ b/src/bench/wire_bench.cpp
@@ -1,7 +1,7 @@
 /// \file
-/// Cost of the codecs.
+/// Benchmarks of the codecs: wire format, PROXY protocol and CoAP.
 
-#include "counted.h"
+#include "counting_allocations.h"
 
 #include <galenafork/coap.h>
 #include <galenafork/proxy_protocol.h>
@@ -31,19 +31,20 @@
 {
     const forwarded_packet packet = make_packet(state.range(0));
     alignas(wire_alignment) std::array<std::uint8_t, 4096> buffer;
-    bench::run_counted(state,
-                       [&]
-                       {
-                           benchmark::DoNotOptimize(encode_into(
-                               packet, buffer.data(), buffer.size()));
-                       });
+    bench::run_counting_allocations(
+        state,
+        [&]
+        {
+            benchmark::DoNotOptimize(
+                encode_into(packet, buffer.data(), buffer.size()));
+        });
 }
 BENCHMARK(encode_forwarded_packet)->Arg(64)->Arg(1200);
 
 void decode_forwarded_packet(benchmark::State& state)
 {
     const byte_buffer bytes = encode(make_packet(state.range(0)));
-    bench::run_counted(
+    bench::run_counting_allocations(
         state,
         [&] { benchmark::DoNotOptimize(decode(bytes.data(), bytes.size())); });
 }
@@ -58,8 +59,8 @@
                       epoch(1),
                       {}},
                      heartbeat{}};
-    bench::run_counted(state,
-                       [&] { benchmark::DoNotOptimize(encode(message)); });
+    bench::run_counting_allocations(
+        state, [&] { benchmark::DoNotOptimize(encode(message)); });
 }
 BENCHMARK(encode_heartbeat);
 
@@ -68,11 +69,12 @@
     const byte_buffer bytes = make_proxy_datagram(
         {*parse_endpoint("192.0.2.7:4711"), *parse_endpoint("10.9.0.1:5683")},
         byte_buffer(64));
-    bench::run_counted(state,
-                       [&] {
-                           benchmark::DoNotOptimize(
-                               parse_proxy_header(bytes.data(), bytes.size()));
-                       });
+    bench::run_counting_allocations(
+        state,
+        [&] {
+            benchmark::DoNotOptimize(
+                parse_proxy_header(bytes.data(), bytes.size()));
+        });
 }
 BENCHMARK(proxy_header_parse);
 
@@ -89,7 +91,7 @@
 void coap_parse(benchmark::State& state)
 {
     const byte_buffer bytes = *encode_coap(make_request());
-    bench::run_counted(
+    bench::run_counting_allocations(
         state, [&]
         { benchmark::DoNotOptimize(parse_coap(bytes.data(), bytes.size())); });
 }
@@ -98,8 +100,8 @@
 void coap_encode(benchmark::State& state)
 {
     const coap_message request = make_request();
-    bench::run_counted(state,
-                       [&] { benchmark::DoNotOptimize(encode_coap(request)); });
+    bench::run_counting_allocations(
+        state, [&] { benchmark::DoNotOptimize(encode_coap(request)); });
 }
 BENCHMARK(coap_encode);
 
--- a/src/galena_agent/agent_app.h
+++ b/src/galena_agent/agent_app.h
@@ -30,7 +30,7 @@
     agent_app(const agent_app&) = delete;
     agent_app& operator=(const agent_app&) = delete;
 
-    /// Runs until the drain that SIGTERM or SIGINT starts is over.
+    /// Runs until the drain started by SIGTERM or SIGINT is over.
     exit_code run();
 
 private:
--- a/src/galena_agent/agent_config.h
+++ b/src/galena_agent/agent_config.h
@@ -51,7 +51,7 @@
 /// Reads all settings; errors are added to `top`.
 void read_settings(settings_section& top, agent_config& config);
 
-/// The level that `config.log_level_` names.
+/// Returns the level that `config.log_level_` names.
 log_level level_of(const agent_config& config);
 
 } // namespace galenafork
--- a/src/galena_agent/agent_messages.h
+++ b/src/galena_agent/agent_messages.h
@@ -18,8 +18,8 @@
     instance_incarnation self_;
     /// A roster that contains this member.
     roster initial_roster_;
-    /// When the joining write was sent.
-    instant join_sent_at_;
+    /// When the write that added this member to the roster was sent.
+    instant join_requested_at_;
 };
 
 /// Control thread to traffic thread; a roster is one that was read from the
@@ -37,8 +37,8 @@
     /// The roster lets this agent open flows.
     bool serving_ = false;
     bool fenced_ = false;
-    /// The roster has this agent as draining, and no flow and no request of
-    /// its own is left.
+    /// The roster lists this agent as draining, and the agent owns no flow and
+    /// no journal entry.
     bool may_leave_ = false;
     /// This agent has the lowest instance id of the live members and therefore
     /// watches the roster in the platform.
@@ -49,7 +49,7 @@
     /// Those of `homes_` whose directory is complete.
     std::size_t open_homes_ = 0;
     std::size_t journal_entries_ = 0;
-    /// Requests at the upstream.
+    /// Requests in flight at the upstream.
     std::uint32_t in_flight_ = 0;
 };
 
--- a/src/galena_agent/agent_metrics.h
+++ b/src/galena_agent/agent_metrics.h
@@ -16,7 +16,7 @@
 class agent_metrics
 {
 public:
-    /// Adds the metrics to `registry`, which must outlive this.
+    /// Adds the metrics to `registry`, which must outlive this object.
     explicit agent_metrics(metrics_registry& registry);
 
     /// Counts a refused packet: as refused if the caller got an answer, as
--- a/src/galena_agent/agent_worker.cpp
+++ b/src/galena_agent/agent_worker.cpp
@@ -118,8 +118,9 @@
 {
     upstream_flows_.close_all();
     requests_ = request_tracker();
-    state_ = make_agent(config_.agent_settings_, command.self_,
-                        command.initial_roster_, command.join_sent_at_, seed_);
+    state_ =
+        make_agent(config_.agent_settings_, command.self_,
+                   command.initial_roster_, command.join_requested_at_, seed_);
     state_->choose_owner_ = choose_by_load;
     state_->load_settings_ = config_.load_;
 }
--- a/src/galena_agent/agent_worker.h
+++ b/src/galena_agent/agent_worker.h
@@ -96,7 +96,7 @@
     std::optional<agent_state> state_;
     request_tracker requests_;
     retry_budget retry_budget_;
-    /// Smoothed time that the upstream takes for one request.
+    /// Smoothed service time of one request at the upstream.
     double service_time_s_ = 0;
     instant started_at_;
     instant last_status_sent_at_;
--- a/src/galena_agent/membership.cpp
+++ b/src/galena_agent/membership.cpp
@@ -88,10 +88,11 @@
 membership::change(roster_change wanted,
                    std::optional<instance_incarnation> requester)
 {
-    return try_change(request{std::move(wanted), std::move(requester), 0});
+    return try_change(
+        change_request{std::move(wanted), std::move(requester), 0});
 }
 
-kj::Promise<change_result> membership::try_change(request r)
+kj::Promise<change_result> membership::try_change(change_request r)
 {
     return dependencies_.store_.get(object_).then(
         [this,
@@ -117,7 +118,8 @@
         });
 }
 
-kj::Promise<change_result> membership::write(request r, const roster& current,
+kj::Promise<change_result> membership::write(change_request r,
+                                             const roster& current,
                                              object_version version)
 {
     if (r.requester_ && !is_member(current, *r.requester_))
@@ -179,7 +181,7 @@
     return written_change{std::move(*read), sent_at};
 }
 
-kj::Promise<change_result> membership::retry_change(request r)
+kj::Promise<change_result> membership::retry_change(change_request r)
 {
     if (++r.attempt_ >= max_attempts)
     {
--- a/src/galena_agent/membership.h
+++ b/src/galena_agent/membership.h
@@ -65,20 +65,20 @@
     kj::Promise<void> watch(duration wait);
 
 private:
-    struct request
+    struct change_request
     {
         roster_change wanted_;
         std::optional<instance_incarnation> requester_;
         int attempt_ = 0;
     };
 
-    kj::Promise<change_result> try_change(request r);
-    kj::Promise<change_result> write(request r, const roster& current,
+    kj::Promise<change_result> try_change(change_request r);
+    kj::Promise<change_result> write(change_request r, const roster& current,
                                      object_version version);
     change_result confirm_change(const roster_change& wanted,
                                  const platform_object& object,
                                  instant sent_at);
-    kj::Promise<change_result> retry_change(request r);
+    kj::Promise<change_result> retry_change(change_request r);
     void apply_object(const platform_object& object);
 
     service_name service_;
--- a/src/galena_agent/placement_adapter.cpp
+++ b/src/galena_agent/placement_adapter.cpp
@@ -8,11 +8,12 @@
 namespace
 {
 
-// Number of values of a random number of 32 bits.
-constexpr double values_per_draw = 4294967296.0;
+// Number of values of a 32-bit integer. Dividing a random one by it gives a
+// number in [0, 1).
+constexpr double uint32_value_count = 4294967296.0;
 
-// A load report says only whether a member is cold. A cold member is taken to
-// have completed one part in this many of its slow start.
+// A load report says whether a member is cold, but not since when. A cold
+// member counts as having completed 1 / cold_start_divisor of its slow start.
 constexpr int cold_start_divisor = 2;
 
 load_candidate make_candidate(const agent_state& state, const member& m,
@@ -67,11 +68,11 @@
         candidates.push_back(make_candidate(state, *peer, *self));
         incarnations.push_back(incarnation_of(*peer));
     }
-    const placement_draws draws{
-        static_cast<double>(random_bits & 0xffffffffU) / values_per_draw,
-        static_cast<double>(random_bits >> 32U) / values_per_draw};
+    const placement_random_values random_values{
+        static_cast<double>(random_bits & 0xffffffffU) / uint32_value_count,
+        static_cast<double>(random_bits >> 32U) / uint32_value_count};
     const auto chosen =
-        choose_owner(candidates, 0, state.load_settings_, draws);
+        choose_owner(candidates, 0, state.load_settings_, random_values);
     return chosen ? incarnations[chosen->index_] : state.self_;
 }
 
--- a/src/galena_agent/request_tracker.h
+++ b/src/galena_agent/request_tracker.h
@@ -46,10 +46,10 @@
     /// Removes all requests of a flow.
     void remove_flow(const flow_key& flow);
 
-    /// Removes the requests sent before `limit`; returns how many.
+    /// Removes the requests sent before `limit` and returns their number.
     std::size_t expire(instant limit);
 
-    /// Number of requests in flight.
+    /// Returns the number of requests in flight.
     std::size_t size() const
     {
         return size_;
--- a/src/galena_agent/upstream_flows.h
+++ b/src/galena_agent/upstream_flows.h
@@ -34,8 +34,9 @@
     upstream_flows& operator=(const upstream_flows&) = delete;
 
     /// Sends a datagram on the flow's socket and opens the socket if there is
-    /// none. False if the process has no descriptor left or the kernel does not
-    /// send the datagram.
+    /// none. False if the socket can't be opened, for example because the
+    /// process has no descriptor left, or the kernel does not send the
+    /// datagram.
     bool send(const flow_key& flow, const byte_buffer& bytes);
 
     /// Closes the flow's socket, if there is one.
@@ -44,7 +45,7 @@
     /// Closes every socket.
     void close_all();
 
-    /// Number of open sockets.
+    /// Returns the number of open sockets.
     std::size_t size() const
     {
         return flows_.size();
--- a/src/galena_balancer/balancer_app.cpp
+++ b/src/galena_balancer/balancer_app.cpp
@@ -79,7 +79,7 @@
 
 balancer_app::~balancer_app()
 {
-    // Stops the traffic threads before any member is destroyed.
+    // Stops the traffic threads before any member that they use is destroyed.
     traffic_threads_.clear();
 }
 
--- a/src/galena_balancer/balancer_app.h
+++ b/src/galena_balancer/balancer_app.h
@@ -24,8 +24,8 @@
 class balancer_app
 {
 public:
-    /// Opens all sockets. Fails with `unavailable` if an address is in use,
-    /// `bad_setting` if the trace file can't be opened.
+    /// Opens all sockets. Fails with `unavailable` if an address can't be
+    /// bound, and with `bad_setting` if the trace file can't be opened.
     static tl::expected<std::unique_ptr<balancer_app>, error>
     open(const balancer_settings& settings);
 
--- a/src/galena_balancer/balancer_server.h
+++ b/src/galena_balancer/balancer_server.h
@@ -46,8 +46,8 @@
     server_dependencies dependencies_;
 };
 
-/// Explains as JSON where `snapshot` sends a packet of `flow`, and why.
-/// `snapshot` is null while no rules are known.
+/// Returns JSON that explains where `snapshot` sends a packet of `flow`, and
+/// why. `snapshot` is null while the balancer has no rules.
 std::string explain_flow(const routing_snapshot* snapshot,
                          const flow_key& flow);
 
--- a/src/galena_balancer/balancer_settings.h
+++ b/src/galena_balancer/balancer_settings.h
@@ -37,8 +37,8 @@
     relay_settings relay_;
 };
 
-/// Allows more calls than other processes get, because a relay watches many
-/// rosters.
+/// Returns settings that allow more calls than other processes get, because a
+/// relay watches many rosters.
 inline platform_settings default_platform_settings()
 {
     constexpr double calls_per_second = 100;
@@ -67,7 +67,7 @@
 /// Reads all settings; errors are added to `top`.
 void read_settings(settings_section& top, balancer_settings& s);
 
-/// The level that `s.log_level_` names.
+/// Returns the level that `s.log_level_` names.
 log_level level_of(const balancer_settings& s);
 
 } // namespace galenafork
--- a/src/galena_balancer/peers.cpp
+++ b/src/galena_balancer/peers.cpp
@@ -15,10 +15,13 @@
 constexpr std::size_t max_peers = 64;
 constexpr std::size_t peer_sample_size = 8;
 constexpr unsigned max_consecutive_failures = 3;
+
+// Time limit of a digest exchange, including the pull that follows, and of a
+// gossip call.
 constexpr auto exchange_timeout = 3 * kj::SECONDS;
 
-// Random peers that a balancer sends a new update to. All balancers have the
-// update after a few rounds with high probability.
+// Number of random peers that a balancer sends a new update to. All balancers
+// have the update after a few rounds with high probability.
 constexpr std::size_t gossip_fan_out = 3;
 
 // A larger batch comes from a start or a catch-up and is not gossiped, because
--- a/src/galena_balancer/peers.h
+++ b/src/galena_balancer/peers.h
@@ -38,7 +38,7 @@
     /// them.
     void end_subscriptions();
 
-    /// Number of subscribers.
+    /// Returns the number of subscribers.
     std::size_t count() const
     {
         return clients_.size();
@@ -84,9 +84,9 @@
     event_handlers handlers_;
 };
 
-/// The other balancers that are known. An update is gossiped to a few random
-/// peers at once; a periodic digest exchange with a random peer recovers what
-/// the gossip missed.
+/// The other balancers whose addresses this balancer has. An update is gossiped
+/// to a few random peers at once; a periodic digest exchange with a random peer
+/// recovers what the gossip missed.
 class peers
 {
 public:
@@ -102,7 +102,8 @@
     /// calls; an exchange that succeeds resets the count.
     void add(const endpoint& peer);
 
-    /// Random peers for another balancer to add; a peer may occur twice.
+    /// Returns random peers for another balancer to add; a peer may occur
+    /// twice.
     std::vector<endpoint> sample();
 
     /// Reads the digest of a random peer and pulls the updates that are missing
@@ -114,11 +115,11 @@
     kj::Promise<void> exchange_with(rpc::Balancer::Client peer,
                                     const std::string& source);
 
-    /// All known peers.
+    /// Returns the addresses of all peers.
     std::vector<endpoint> all() const;
 
-    /// Why the last call to a peer failed; empty if an exchange has succeeded
-    /// since.
+    /// Returns why the last call to a peer failed; empty if an exchange has
+    /// succeeded since.
     const std::string& last_failure() const
     {
         return last_failure_;
--- a/src/galena_balancer/platform_watch.cpp
+++ b/src/galena_balancer/platform_watch.cpp
@@ -10,7 +10,8 @@
 
 constexpr const char* source_name = "platform";
 
-// Each read in progress uses a connection of its own.
+// Limits the number of connections, because each read in progress uses one of
+// its own.
 constexpr std::size_t max_concurrent_reads = 16;
 
 // A relay watches many rosters; long watches keep its rate of calls low.
@@ -154,8 +155,8 @@
         store_, loop_.timer(), random_, callbacks,
         follow_settings{watch_duration, follow_settings().mean_pause_});
     object_follower& follower = *result.follower_;
-    // Read first: a watch of an absent object returns only when its time is
-    // over.
+    // Reads the object first, because a watch of an absent object returns only
+    // at the end of its wait.
     result.following_ =
         read(name)
             .then(
--- a/src/galena_balancer/platform_watch.h
+++ b/src/galena_balancer/platform_watch.h
@@ -28,12 +28,13 @@
     platform_watch(control_loop& loop, platform_store& store,
                    state_replica& replica, std::function<double()> random);
 
-    /// True if this balancer watches the roster of the service.
+    /// Returns true if this balancer is to watch the roster of a service.
     using assignment_function = std::function<bool(const service_name&)>;
 
     /// Starts to follow the rules and the rosters of those services in the
-    /// rules for which `is_assigned` is true. Reads each of the
-    /// other rosters once. A further call only changes the assignment.
+    /// rules for which `is_assigned` is true. Reads each of the other rosters
+    /// once, unless it has been looked up. A further call only changes the
+    /// assignment.
     void start(assignment_function is_assigned);
 
     /// True between `start` and `stop`.
@@ -48,8 +49,8 @@
     /// Reads the roster of `service` once, unless a read of it is in progress.
     void fetch(const service_name& service);
 
-    /// Why the last request failed; empty if a request for a followed object
-    /// has had a response since.
+    /// Returns why the last request failed; empty if a request for a followed
+    /// object has had a response since.
     const std::string& last_failure() const
     {
         return last_failure_;
--- a/src/galena_balancer/relay_role.cpp
+++ b/src/galena_balancer/relay_role.cpp
@@ -9,13 +9,16 @@
 {
 
 constexpr duration tick_interval = std::chrono::milliseconds(250);
+
+// Time limit for opening a link, and for a digest exchange over it.
 constexpr auto link_timeout = 2 * kj::SECONDS;
 
-// Relays that a balancer subscribes to. With two, updates still arrive when one
-// relay is lost.
+// Number of relays that a balancer subscribes to. With two, updates still
+// arrive when one relay is lost.
 constexpr std::size_t target_link_count = 2;
 
-// Reads or writes of the relay list within one lease, on average.
+// Average number of times within one lease that a balancer reads the relay list
+// or, as a relay, checks whether the renewal of its entry is due.
 constexpr int list_calls_per_lease = 3;
 
 constexpr unsigned max_write_attempts = 3;
@@ -106,8 +109,8 @@
                 }
                 else if (result.current_)
                 {
-                    // Another relay has written in between: retry from its
-                    // list.
+                    // Another balancer has updated the list in the meantime, so
+                    // the write is retried on the basis of its list.
                     const auto winner =
                         relay_list_from_json(result.current_->value_);
                     handle_relay_list(result.current_->version_,
--- a/src/galena_balancer/relay_role.h
+++ b/src/galena_balancer/relay_role.h
@@ -17,7 +17,7 @@
 namespace galenafork
 {
 
-/// How this balancer enters the relay list.
+/// This balancer's data centre and its entry in the relay list.
 struct relay_identity
 {
     data_centre data_centre_;
@@ -37,9 +37,9 @@
     std::function<std::uint64_t()> random_bits_;
 };
 
-/// As a relay, follows the platform and subscribes to the other relays; else
-/// subscribes to relays only. Calls the platform only while this balancer is a
-/// relay or lacks subscriptions.
+/// As a relay, follows the platform and subscribes to the other relays;
+/// otherwise subscribes to relays only. Calls the platform only while this
+/// balancer is a relay or lacks subscriptions.
 class relay_role
 {
 public:
@@ -55,15 +55,15 @@
         return is_relay_;
     }
 
-    /// Number of relays that this balancer is connected to.
+    /// Returns the number of relays that this balancer is connected to.
     std::size_t link_count() const
     {
         return links_.size();
     }
 
-    /// Gets the newest roster of `service` after an agent has sent a notice of
-    /// one: from the platform if this balancer is a relay or connected to none,
-    /// else from a relay.
+    /// Gets the newest roster of `service` after an agent's notice that the one
+    /// here is stale: from the platform if this balancer is a relay or
+    /// connected to none, otherwise from a relay.
     void catch_up(const service_name& service);
 
 private:
@@ -97,7 +97,8 @@
     std::map<endpoint, std::unique_ptr<link>> links_;
     /// Relays whose connection is being opened.
     std::set<endpoint> connecting_;
-    /// On a relay: the relays among which the rosters are distributed now.
+    /// On a relay: the relays among which the rosters are currently
+    /// distributed.
     std::vector<relay_entry> assigned_relays_;
     bool is_relay_ = false;
     bool list_call_pending_ = false;
--- a/src/galena_balancer/state_replica.cpp
+++ b/src/galena_balancer/state_replica.cpp
@@ -108,9 +108,9 @@
 bool state_replica::is_looked_up(const service_name& service) const
 {
     const auto at = state_.services_.find(service);
-    const bool known =
+    const bool has_roster =
         at != state_.services_.end() && at->second.roster_ != nullptr;
-    return known || looked_up_.count(service) != 0;
+    return has_roster || looked_up_.count(service) != 0;
 }
 
 void state_replica::mark_all_looked_up()
--- a/src/galena_balancer/state_replica.h
+++ b/src/galena_balancer/state_replica.h
@@ -43,29 +43,29 @@
     /// not it had one.
     void mark_looked_up(const service_name& service);
 
-    /// True if the roster of `service` is known or was looked up.
+    /// True if the roster of `service` is in the state or was looked up.
     bool is_looked_up(const service_name& service) const;
 
-    /// Calls `mark_looked_up` for each service in `services`.
+    /// Calls `mark_looked_up` for each service of `services()`.
     void mark_all_looked_up();
 
-    /// Whether the state is complete enough to forward packets; the reason says
-    /// what is missing.
+    /// Returns ready if there are rules and a snapshot, and the roster of every
+    /// service was looked up; otherwise the reason says what is missing.
     readiness check_readiness() const;
 
-    /// The replicated state.
+    /// Returns the replicated state.
     const replicated_state& state() const
     {
         return state_;
     }
 
-    /// The snapshot last published; null until rules are known.
+    /// Returns the last published snapshot; null if there is none yet.
     const std::shared_ptr<const routing_snapshot>& snapshot() const
     {
         return snapshot_;
     }
 
-    /// Services that active or retired rules name.
+    /// Returns the services that active or retired rules name.
     std::vector<service_name> services() const;
 
 private:
--- a/src/galena_balancer/traffic_thread.cpp
+++ b/src/galena_balancer/traffic_thread.cpp
@@ -15,10 +15,11 @@
 namespace
 {
 
-// Batches received from the fabric before other events are handled.
+// Maximum number of batches received from the fabric before other events are
+// handled.
 constexpr int max_batches_per_turn = 8;
 
-// The forwarding decision of one packet in this many is timed.
+// The forwarding decision is timed for one packet in `timing_sample_interval`.
 constexpr std::uint64_t timing_sample_interval = 256;
 
 constexpr std::size_t snapshot_inbox_capacity = 64;
--- a/src/galena_balancer/traffic_thread.h
+++ b/src/galena_balancer/traffic_thread.h
@@ -37,7 +37,8 @@
 class traffic_thread
 {
 public:
-    /// Opens the sockets. Fails with `unavailable` if an address is in use.
+    /// Opens the sockets. Fails with `unavailable` if an address can't be
+    /// bound.
     static tl::expected<std::unique_ptr<traffic_thread>, error>
     open(const packet_settings& settings, std::uint64_t thread_number,
          traffic_dependencies dependencies);
@@ -50,7 +51,7 @@
     /// Starts the thread.
     void start();
 
-    /// Passes a newer snapshot to the thread. For the control thread.
+    /// Passes a newer snapshot to the thread. Called by the control thread.
     void publish(std::shared_ptr<const routing_snapshot> snapshot);
 
 private:
--- a/src/galena_balancer_capacity/main.cpp
+++ b/src/galena_balancer_capacity/main.cpp
@@ -1,6 +1,7 @@
 /// \file
-/// State, messages and CPU of a balancer's control part against the number of
-/// services and changes: one JSON line a size, for docs/CAPACITY.md.
+/// Measures memory, message sizes and CPU time of a balancer's control logic
+/// for different numbers of services, missed changes and subscribers, and
+/// prints a JSON line for each size, for docs/CAPACITY.md.
 
 #include <galenafork/relay.h>
 #include <galenafork/replicated_state_codec.h>
@@ -20,8 +21,8 @@
 {
 
 constexpr std::array<std::size_t, 5> service_counts{50, 200, 600, 1100, 2200};
-constexpr std::uint16_t members = 4;
-constexpr int repeats = 20;
+constexpr std::uint16_t members_per_service = 4;
+constexpr int repetitions = 20;
 
 double cpu_seconds()
 {
@@ -32,17 +33,18 @@
            static_cast<double>(now.tv_nsec) * seconds_per_ns;
 }
 
-/// CPU time in microseconds of one call of `act`, the mean of `repeats`.
-template <class Act>
-double cpu_us(Act act)
+/// Calls `operation` with each number below `repetitions` and returns the mean
+/// CPU time of one call, in microseconds.
+template <class Operation>
+double mean_cpu_us(Operation operation)
 {
     constexpr double us_per_second = 1e6;
     const double start = cpu_seconds();
-    for (int i = 0; i < repeats; ++i)
+    for (int i = 0; i < repetitions; ++i)
     {
-        act(i);
+        operation(i);
     }
-    return (cpu_seconds() - start) * us_per_second / repeats;
+    return (cpu_seconds() - start) * us_per_second / repetitions;
 }
 
 std::size_t heap_bytes()
@@ -68,80 +70,85 @@
     return bytes;
 }
 
-/// One roster change in a balancer that knows `services` services.
+/// Measures the state of a balancer with `services` services, its messages and
+/// the cost of one roster change.
 void measure_services(std::size_t services)
 {
     const std::size_t heap_before = heap_bytes();
-    replicated_state state = make_state(services, members);
+    replicated_state state = make_state(services, members_per_service);
     const std::size_t state_bytes = heap_bytes() - heap_before;
     auto snapshot = build_snapshot(state, nullptr);
-    const std::size_t all_bytes = heap_bytes() - heap_before;
+    const std::size_t state_and_table_bytes = heap_bytes() - heap_before;
 
-    const roster before = *state.services_.at(make_service(0)).roster_;
-    const roster_delta change{before.service_, epoch(before.epoch_.value() + 1),
-                              make_join(members)};
-    const double merge_us = cpu_us(
+    const roster old_roster = *state.services_.at(make_service(0)).roster_;
+    const roster_delta base_delta{old_roster.service_,
+                                  epoch(old_roster.epoch_.value() + 1),
+                                  make_join(members_per_service)};
+    const double merge_us = mean_cpu_us(
         [&](int i)
         {
-            const auto at = static_cast<std::size_t>(i) % services;
-            roster_delta step = change;
-            step.service_ = make_service(at);
-            step.epoch_ = epoch(
-                state.services_.at(step.service_).roster_->epoch_.value() + 1);
-            step.change_ = make_join(static_cast<std::uint16_t>(members + i));
-            merge(state, step);
+            const auto index = static_cast<std::size_t>(i) % services;
+            roster_delta delta = base_delta;
+            delta.service_ = make_service(index);
+            delta.epoch_ = epoch(
+                state.services_.at(delta.service_).roster_->epoch_.value() + 1);
+            delta.change_ =
+                make_join(static_cast<std::uint16_t>(members_per_service + i));
+            merge(state, delta);
         });
-    const double snapshot_us =
-        cpu_us([&](int) { snapshot = build_snapshot(state, snapshot.get()); });
-    const double digest_us = cpu_us([&](int) { digest_of(state); });
-
-    const state_update step(change);
-    const state_update whole(before);
-    const rules_delta rule_step{rules_version(2),
-                                {0,
-                                 {format_rules({state.rules_->rules_[0]})},
-                                 {format_rules({state.rules_->rules_[1]})}}};
-    const expired_members_update lapse{before.service_,
-                                       {{instance_id("m-0"), incarnation(1)}}};
-    std::cout << "{\"measure\":\"services\",\"services\":" << services
-              << ",\"members\":" << services * members
-              << ",\"state_bytes\":" << state_bytes
-              << ",\"state_and_table_bytes\":" << all_bytes
-              << ",\"digest_bytes\":"
-              << encoded_bytes<rpc::Digest>(digest_of(state))
-              << ",\"change_bytes\":" << encoded_bytes<rpc::Update>(step)
-              << ",\"lapse_bytes\":"
-              << encoded_bytes<rpc::Update>(state_update(lapse))
-              << ",\"roster_bytes\":" << encoded_bytes<rpc::Update>(whole)
-              << ",\"rules_bytes\":"
-              << encoded_bytes<rpc::Update>(state_update(*state.rules_))
-              << ",\"rules_change_bytes\":"
-              << encoded_bytes<rpc::Update>(state_update(rule_step))
-              << ",\"full_pull_bytes\":"
-              << encoded_bytes(
-                     updates_since(state, all_versions(replicated_state())))
-              << ",\"merge_change_us\":" << merge_us
-              << ",\"rebuild_table_us\":" << snapshot_us
-              << ",\"digest_us\":" << digest_us << "}\n";
+    const double snapshot_us = mean_cpu_us(
+        [&](int) { snapshot = build_snapshot(state, snapshot.get()); });
+    const double digest_us = mean_cpu_us([&](int) { digest_of(state); });
+
+    const state_update delta_update(base_delta);
+    const state_update full_roster_update(old_roster);
+    const rules_delta changed_rules{
+        rules_version(2),
+        {0,
+         {format_rules({state.rules_->rules_[0]})},
+         {format_rules({state.rules_->rules_[1]})}}};
+    const expired_members_update expired_update{
+        old_roster.service_, {{instance_id("m-0"), incarnation(1)}}};
+    std::cout
+        << "{\"measure\":\"services\",\"services\":" << services
+        << ",\"members\":" << services * members_per_service
+        << ",\"state_bytes\":" << state_bytes
+        << ",\"state_and_table_bytes\":" << state_and_table_bytes
+        << ",\"digest_bytes\":" << encoded_bytes<rpc::Digest>(digest_of(state))
+        << ",\"change_bytes\":" << encoded_bytes<rpc::Update>(delta_update)
+        << ",\"lapse_bytes\":"
+        << encoded_bytes<rpc::Update>(state_update(expired_update))
+        << ",\"roster_bytes\":"
+        << encoded_bytes<rpc::Update>(full_roster_update) << ",\"rules_bytes\":"
+        << encoded_bytes<rpc::Update>(state_update(*state.rules_))
+        << ",\"rules_change_bytes\":"
+        << encoded_bytes<rpc::Update>(state_update(changed_rules))
+        << ",\"full_pull_bytes\":"
+        << encoded_bytes(updates_since(state, all_versions(replicated_state())))
+        << ",\"merge_change_us\":" << merge_us
+        << ",\"rebuild_table_us\":" << snapshot_us
+        << ",\"digest_us\":" << digest_us << "}\n";
 }
 
-/// A pull by a balancer that missed `changes` changes, of 1,100 services.
-void measure_missed(std::size_t changes)
+/// Measures the pull of a balancer that missed `changes` roster changes, with
+/// 1,100 services.
+void measure_missed_changes(std::size_t changes)
 {
     constexpr std::size_t services = 1100;
-    replicated_state ahead = make_state(services, members);
+    replicated_state ahead = make_state(services, members_per_service);
     replicated_state behind = ahead;
     for (std::size_t i = 0; i < changes; ++i)
     {
         const service_name name = make_service(i % services);
         const epoch next(ahead.services_.at(name).roster_->epoch_.value() + 1);
-        const auto joiner = static_cast<std::uint16_t>(members + i / services);
+        const auto joiner =
+            static_cast<std::uint16_t>(members_per_service + i / services);
         merge(ahead, roster_delta{name, next, make_join(joiner)});
     }
-    const auto have = differing_versions(behind, digest_of(ahead));
+    const auto versions = differing_versions(behind, digest_of(ahead));
     std::vector<state_update> updates;
     const double answer_us =
-        cpu_us([&](int) { updates = updates_since(ahead, have); });
+        mean_cpu_us([&](int) { updates = updates_since(ahead, versions); });
     const double start = cpu_seconds();
     for (const state_update& update : updates)
     {
@@ -152,7 +159,8 @@
     std::cout << "{\"measure\":\"missed\",\"changes\":" << changes
               << ",\"digest_bytes\":"
               << encoded_bytes<rpc::Digest>(digest_of(ahead))
-              << ",\"versions_bytes\":" << encoded_bytes<rpc::Versions>(have)
+              << ",\"versions_bytes\":"
+              << encoded_bytes<rpc::Versions>(versions)
               << ",\"updates_bytes\":" << encoded_bytes(updates)
               << ",\"answer_us\":" << answer_us << ",\"merge_us\":" << merge_us
               << ",\"same_after\":"
@@ -160,22 +168,24 @@
               << "}\n";
 }
 
-/// One relay's fan-out of one change to `subscribers`.
+/// Measures a relay that sends one roster change to `subscribers` balancers.
 void measure_fan_out(std::size_t subscribers)
 {
-    const roster before = make_roster(make_service(0), members);
-    const state_update step(roster_delta{
-        before.service_, epoch(before.epoch_.value() + 1), make_join(members)});
-    const double encode_us = cpu_us(
+    const roster old_roster = make_roster(make_service(0), members_per_service);
+    const state_update delta_update(
+        roster_delta{old_roster.service_, epoch(old_roster.epoch_.value() + 1),
+                     make_join(members_per_service)});
+    const double encode_us = mean_cpu_us(
         [&](int)
         {
             for (std::size_t i = 0; i < subscribers; ++i)
             {
-                encoded_bytes<rpc::Update>(step);
+                encoded_bytes<rpc::Update>(delta_update);
             }
         });
     std::cout << "{\"measure\":\"fan_out\",\"subscribers\":" << subscribers
-              << ",\"bytes\":" << subscribers * encoded_bytes<rpc::Update>(step)
+              << ",\"bytes\":"
+              << subscribers * encoded_bytes<rpc::Update>(delta_update)
               << ",\"encode_us\":" << encode_us << "}\n";
 }
 
@@ -189,7 +199,7 @@
     }
     for (const std::size_t changes : {1UL, 10UL, 100UL, 1000UL, 3000UL})
     {
-        measure_missed(changes);
+        measure_missed_changes(changes);
     }
     for (const std::size_t subscribers : {10UL, 30UL, 60UL, 124UL, 248UL})
     {
--- a/src/galena_experiment/main.cpp
+++ b/src/galena_experiment/main.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Program that measures the load policy against baselines.
+/// Program that compares the load policy with baselines in simulated time.
 
 #include "model/plot.h"
 #include "model/results.h"
@@ -18,27 +18,29 @@
 
 constexpr int exit_ok = 0;
 constexpr int exit_target_missed = 1;
-constexpr int exit_usage = 2;
+constexpr int exit_error = 2;
 
 options::options_description make_options()
 {
     options::options_description all(
         "usage: galena-experiment [options] SETUP.toml\n"
-        "Runs every scenario of every service under the policy and the\n"
-        "baselines; prints one line of JSON for each run");
+        "Simulates every scenario of every service under the policy and the\n"
+        "baselines, and prints one line of JSON for each run");
     auto add = all.add_options();
     add("help", "print this text");
     add("version", "print the version");
     add("check", "only check the setup file");
     add("seed", options::value<std::uint64_t>()->default_value(1),
-        "seed of the trace");
+        "seed of the workload");
     add("seeds", options::value<std::uint64_t>()->default_value(1),
-        "number of seeds, from --seed on; figures are means");
+        "number of consecutive seeds, from --seed on; metrics are means, but "
+        "requests and broken_flows are sums");
     add("strategy", options::value<std::vector<std::string>>(),
-        "run this strategy only; may be given several times");
-    add("targets", "print the targets' outcomes only; exit with 1 if one is "
-                   "missed");
-    add("plot", options::value<std::string>(), "write an SVG to this file");
+        "run only this strategy; may be given more than once");
+    add("targets", "print only the outcomes of the targets; exit with 1 if one "
+                   "is missed");
+    add("plot", options::value<std::string>(),
+        "write an SVG plot to this file");
     add("setup", options::value<std::string>(), "setup file");
     return all;
 }
@@ -68,16 +70,16 @@
 
 int print_targets(const std::vector<results>& by_seed)
 {
-    int status = exit_ok;
+    int exit_code = exit_ok;
     for (const target_check& check : check_targets(by_seed))
     {
         std::cout << to_json_line(check) << '\n';
         if (check.outcome_ == target_outcome::missed)
         {
-            status = exit_target_missed;
+            exit_code = exit_target_missed;
         }
     }
-    return status;
+    return exit_code;
 }
 
 int write_plot(const std::string& path, const results& all)
@@ -87,12 +89,13 @@
     if (!file)
     {
         std::cerr << "cannot write " << path << '\n';
-        return exit_usage;
+        return exit_error;
     }
     return exit_ok;
 }
 
-// The strategies that were asked for. Throws if one is unknown.
+// Returns the strategies given with --strategy, or all strategies if none is
+// given. Throws `options::invalid_option_value` for an unknown strategy.
 std::vector<strategy> chosen_strategies(const options::variables_map& values)
 {
     if (values.count("strategy") == 0)
@@ -102,7 +105,7 @@
     std::vector<strategy> chosen;
     for (const auto& name : values["strategy"].as<std::vector<std::string>>())
     {
-        const auto found = strategy_named(name);
+        const auto found = parse_strategy(name);
         if (!found)
         {
             throw options::invalid_option_value(name);
@@ -112,16 +115,16 @@
     return chosen;
 }
 
-int experiment(const options::variables_map& values)
+int run_experiment(const options::variables_map& values)
 {
     const auto setup = read_setup(values["setup"].as<std::string>());
     if (!setup)
     {
-        for (const std::string& fault : setup.error())
+        for (const std::string& message : setup.error())
         {
-            std::cerr << fault << '\n';
+            std::cerr << message << '\n';
         }
-        return exit_usage;
+        return exit_error;
     }
     if (values.count("check") > 0)
     {
@@ -132,17 +135,17 @@
     const auto by_seed = run_seeds(*setup, values["seed"].as<std::uint64_t>(),
                                    seeds, chosen_strategies(values));
     const results all = mean_of(by_seed);
-    int status = exit_ok;
+    int exit_code = exit_ok;
     if (values.count("plot") > 0)
     {
-        status = write_plot(values["plot"].as<std::string>(), all);
+        exit_code = write_plot(values["plot"].as<std::string>(), all);
     }
     if (values.count("targets") > 0)
     {
-        return std::max(status, print_targets(by_seed));
+        return std::max(exit_code, print_targets(by_seed));
     }
     print_results(all);
-    return status;
+    return exit_code;
 }
 
 int run_program(int argc, char** argv)
@@ -162,9 +165,9 @@
     if (values.count("setup") == 0)
     {
         std::cerr << all;
-        return exit_usage;
+        return exit_error;
     }
-    return experiment(values);
+    return run_experiment(values);
 }
 
 } // namespace
@@ -178,6 +181,6 @@
     catch (const std::exception& e)
     {
         std::cerr << "galena-experiment: " << e.what() << '\n';
-        return exit_usage;
+        return exit_error;
     }
 }
--- a/src/galena_experiment/model/buckets.cpp
+++ b/src/galena_experiment/model/buckets.cpp
@@ -8,18 +8,19 @@
 namespace
 {
 
-bool may_hold(const upstream& u)
+bool can_be_home(const simulated_member& m)
 {
-    return u.alive_ && !u.draining_;
+    return m.present_ && !m.draining_;
 }
 
-// Buckets of each member: by slots, the remainder to the first members.
-std::vector<std::size_t> quotas(const std::vector<upstream>& members)
+// Returns the number of buckets of each member, in proportion to slots. The
+// remainder goes to the first members, one bucket each.
+std::vector<std::size_t> quotas(const std::vector<simulated_member>& members)
 {
     std::size_t slots = 0;
-    for (const upstream& u : members)
+    for (const simulated_member& m : members)
     {
-        slots += may_hold(u) ? u.slots_.value() : 0;
+        slots += can_be_home(m) ? m.slots_.value() : 0;
     }
     std::vector<std::size_t> quota(members.size(), 0);
     if (slots == 0)
@@ -28,29 +29,30 @@
     }
     for (std::size_t i = 0; i < members.size(); ++i)
     {
-        quota[i] = may_hold(members[i]) ? std::size_t{bucket_count} *
-                                              members[i].slots_.value() / slots
-                                        : 0;
+        quota[i] =
+            can_be_home(members[i])
+                ? std::size_t{bucket_count} * members[i].slots_.value() / slots
+                : 0;
     }
-    std::size_t rest =
+    std::size_t remainder =
         bucket_count -
         std::accumulate(quota.begin(), quota.end(), std::size_t{0});
-    for (std::size_t i = 0; rest > 0; i = (i + 1) % members.size())
+    for (std::size_t i = 0; remainder > 0; i = (i + 1) % members.size())
     {
-        if (may_hold(members[i]))
+        if (can_be_home(members[i]))
         {
             ++quota[i];
-            --rest;
+            --remainder;
         }
     }
     return quota;
 }
 
-std::size_t next_holder(const std::vector<upstream>& members,
-                        std::size_t member)
+std::size_t next_home(const std::vector<simulated_member>& members,
+                      std::size_t member)
 {
     std::size_t next = (member + 1) % members.size();
-    while (!may_hold(members[next]) && next != member)
+    while (!can_be_home(members[next]) && next != member)
     {
         next = (next + 1) % members.size();
     }
@@ -59,51 +61,53 @@
 
 } // namespace
 
-bucket_homes spread_buckets(const bucket_homes& homes,
-                            const std::vector<upstream>& members)
+bucket_homes distribute_buckets(const bucket_homes& homes,
+                                const std::vector<simulated_member>& members)
 {
-    std::vector<std::size_t> room = quotas(members);
-    if (std::accumulate(room.begin(), room.end(), std::size_t{0}) == 0)
+    std::vector<std::size_t> free_quota = quotas(members);
+    if (std::accumulate(free_quota.begin(), free_quota.end(), std::size_t{0}) ==
+        0)
     {
         return homes;
     }
     bucket_homes next = homes;
-    std::vector<std::size_t> loose;
+    std::vector<std::size_t> unassigned;
     for (std::size_t bucket = 0; bucket < next.size(); ++bucket)
     {
-        if (room[next[bucket]] > 0)
+        if (free_quota[next[bucket]] > 0)
         {
-            --room[next[bucket]];
+            --free_quota[next[bucket]];
         }
         else
         {
-            loose.push_back(bucket);
+            unassigned.push_back(bucket);
         }
     }
-    std::size_t taker = 0;
-    for (const std::size_t bucket : loose)
+    std::size_t receiver = 0;
+    for (const std::size_t bucket : unassigned)
     {
-        while (room[taker] == 0)
+        while (free_quota[receiver] == 0)
         {
-            ++taker;
+            ++receiver;
         }
-        next[bucket] = taker;
-        --room[taker];
+        next[bucket] = receiver;
+        --free_quota[receiver];
     }
     return next;
 }
 
-bucket_homes take_over(const bucket_homes& homes,
-                       const std::vector<upstream>& members, deputy_rule rule)
+bucket_homes reassign_lost_buckets(const bucket_homes& homes,
+                                   const std::vector<simulated_member>& members,
+                                   deputy_assignment deputies)
 {
-    if (rule == deputy_rule::spread)
+    if (deputies == deputy_assignment::spread)
     {
-        return spread_buckets(homes, members);
+        return distribute_buckets(homes, members);
     }
     bucket_homes next = homes;
     for (std::size_t& home : next)
     {
-        home = may_hold(members[home]) ? home : next_holder(members, home);
+        home = can_be_home(members[home]) ? home : next_home(members, home);
     }
     return next;
 }
--- a/src/galena_experiment/model/buckets.h
+++ b/src/galena_experiment/model/buckets.h
@@ -1,11 +1,11 @@
 /// \file
-/// Homes of the buckets, spread by slots with as few moves as an even spread
-/// needs.
+/// Assigns homes to the buckets in proportion to the members' slots and moves
+/// as few buckets as possible.
 
 #ifndef GALENAFORK_EXPERIMENT_BUCKETS_H
 #define GALENAFORK_EXPERIMENT_BUCKETS_H
 
-#include "upstream.h"
+#include "simulated_member.h"
 
 #include <array>
 #include <vector>
@@ -16,16 +16,20 @@
 /// Home of each bucket, as an index into the members.
 using bucket_homes = std::array<std::size_t, bucket_count>;
 
-/// `homes` after the members' `alive_` or `draining_` changed. Members that
-/// are absent or draining hold none; if nobody may hold one, nothing changes.
-bucket_homes spread_buckets(const bucket_homes& homes,
-                            const std::vector<upstream>& members);
-
-/// `homes` after members were lost, before an even spread is restored: each of
-/// their buckets goes to its deputy, chosen beforehand by `rule`. Under
-/// `deputy_rule::spread` this is `spread_buckets`.
-bucket_homes take_over(const bucket_homes& homes,
-                       const std::vector<upstream>& members, deputy_rule rule);
+/// Returns `homes` adapted to the members' current `present_` and `draining_`.
+/// Absent and draining members are home of no bucket. If all members are absent
+/// or draining, `homes` is returned unchanged.
+bucket_homes distribute_buckets(const bucket_homes& homes,
+                                const std::vector<simulated_member>& members);
+
+/// Returns `homes` after members joined, started to drain or were lost. With
+/// `deputy_assignment::spread` this is `distribute_buckets`. With
+/// `deputy_assignment::neighbour` each bucket whose home is lost or draining
+/// goes to the next member that can be a home, if there is one, and all other
+/// buckets stay. This models the time before the buckets are balanced again.
+bucket_homes reassign_lost_buckets(const bucket_homes& homes,
+                                   const std::vector<simulated_member>& members,
+                                   deputy_assignment deputies);
 
 } // namespace galenafork::pvt
 
--- a/src/galena_experiment/model/experiment_test.cpp
+++ b/src/galena_experiment/model/experiment_test.cpp
@@ -39,17 +39,17 @@
     return setup;
 }
 
-figures run_policy(fault_kind fault, double load = 0.5)
+run_metrics run_policy(fault_kind fault, double load = 0.5)
 {
     scenario sc;
     sc.name_ = "test";
     sc.load_ = load;
     sc.fault_ = fault;
     sc.fault_at_ = std::chrono::seconds(3);
-    return run_all(make_setup(sc), seed, {strategy::policy}).front().figures_;
+    return run_all(make_setup(sc), seed, {strategy::policy}).front().metrics_;
 }
 
-// A setup file that is removed with its owner.
+// A setup file that is removed when the object is destroyed.
 class temporary_file
 {
 public:
@@ -69,14 +69,14 @@
 
 } // namespace
 
-TEST_CASE("a trace offers exactly the load asked for")
+TEST_CASE("a workload offers the requested load")
 {
     const service_setup service = make_service();
     const duration length = std::chrono::seconds(10);
     double requests = 0;
-    for (const traced_flow& flow : make_trace(service, 0.5, length, seed))
+    for (const workload_flow& flow : make_workload(service, 0.5, length, seed))
     {
-        requests += flow.requests_;
+        requests += flow.request_count_;
     }
     CHECK(requests ==
           doctest::Approx(0.5 * capacity(service) * 10).epsilon(0.01));
@@ -93,101 +93,105 @@
           to_json_line(second.front(), second));
 }
 
-TEST_CASE("every request of a calm run is answered")
+TEST_CASE("every request of a run without faults is answered in time")
 {
-    const figures f = run_policy(fault_kind::none);
-    CHECK(f.failed_share_ == 0);
-    CHECK(f.broken_flows_ == 0);
-    CHECK(f.goodput_ == doctest::Approx(0.5).epsilon(0.05));
-    CHECK(f.p50_ms_ > 6);
+    const run_metrics metrics = run_policy(fault_kind::none);
+    CHECK(metrics.failed_fraction_ == 0);
+    CHECK(metrics.broken_flows_ == 0);
+    CHECK(metrics.goodput_ == doctest::Approx(0.5).epsilon(0.05));
+    CHECK(metrics.p50_ms_ > 6);
 }
 
-TEST_CASE("a drain breaks no flow and ends new work once the roster is known")
+TEST_CASE("a draining member keeps its flows, and gets no new ones after the "
+          "roster delay")
 {
-    const figures f = run_policy(fault_kind::drain);
-    CHECK(f.broken_flows_ == 0);
-    CHECK(f.failed_share_ == 0);
-    CHECK(f.last_open_after_drain_ms_ <= 500);
+    const run_metrics metrics = run_policy(fault_kind::drain);
+    CHECK(metrics.broken_flows_ == 0);
+    CHECK(metrics.failed_fraction_ == 0);
+    CHECK(metrics.last_open_after_drain_ms_ <= 500);
 }
 
-TEST_CASE("a lost member's flows are counted as broken")
+TEST_CASE("flows of a lost member are counted as broken")
 {
     CHECK(run_policy(fault_kind::member_lost).broken_flows_ > 0);
 }
 
 TEST_CASE("admitted retries stay within the budget under overload")
 {
-    const figures f = run_policy(fault_kind::none, 2);
-    CHECK(f.retries_sent_ > 0.1);
-    CHECK(f.retries_admitted_ <= 0.1);
+    const run_metrics metrics = run_policy(fault_kind::none, 2);
+    CHECK(metrics.retries_per_request_ > 0.1);
+    CHECK(metrics.admitted_retry_ratio_ <= 0.1);
 }
 
-TEST_CASE("buckets are spread by slots, and few of them move")
+TEST_CASE("buckets are distributed by slots, and only those of a draining "
+          "member move")
 {
-    std::vector<upstream> members(4);
+    std::vector<simulated_member> members(4);
     members[0].slots_ = slot_count(5);
-    bucket_homes homes = spread_buckets({}, members);
-    const auto held = [&](std::size_t member)
+    bucket_homes homes = distribute_buckets({}, members);
+    const auto bucket_count_of = [&](std::size_t member)
     { return std::count(homes.begin(), homes.end(), member); };
-    CHECK(held(0) == 160);
-    CHECK(held(1) == 32);
+    CHECK(bucket_count_of(0) == 160);
+    CHECK(bucket_count_of(1) == 32);
     members[1].draining_ = true;
-    const bucket_homes before = homes;
-    homes = spread_buckets(homes, members);
-    CHECK(held(1) == 0);
+    const bucket_homes homes_before = homes;
+    homes = distribute_buckets(homes, members);
+    CHECK(bucket_count_of(1) == 0);
     std::size_t moved = 0;
     for (std::size_t i = 0; i < homes.size(); ++i)
     {
-        moved += homes[i] != before[i] ? 1 : 0;
+        moved += homes[i] != homes_before[i] ? 1 : 0;
     }
     CHECK(moved == 32);
 }
 
-TEST_CASE("evenness leaves out members that take no flows")
+TEST_CASE("imbalance leaves out members that accept no flows")
 {
-    const evenness e = evenness_of({1, 3, -1});
-    CHECK(e.max_over_mean_ == doctest::Approx(1.5));
-    CHECK(e.variation_ == doctest::Approx(0.5));
-    CHECK(evenness_of({}).max_over_mean_ == 1);
+    const imbalance measured = measure_imbalance({1, 3, -1});
+    CHECK(measured.max_over_mean_ == doctest::Approx(1.5));
+    CHECK(measured.variation_ == doctest::Approx(0.5));
+    CHECK(measure_imbalance({}).max_over_mean_ == 1);
 }
 
-TEST_CASE("a missed target counts as a limit only near the omniscient figure")
+TEST_CASE("a missed target is at the limit only near an omniscient value that "
+          "misses too")
 {
     result policy;
     policy.service_ = "orders";
     policy.scenario_.name_ = steady_scenario;
-    policy.figures_.whole_.max_over_mean_ = 1.2;
-    result best = policy;
-    best.strategy_ = strategy::omniscient;
-    const auto outcome = [&](double limit)
+    policy.metrics_.whole_run_.max_over_mean_ = 1.2;
+    result omniscient_result = policy;
+    omniscient_result.strategy_ = strategy::omniscient;
+    const auto outcome = [&](double omniscient_value)
     {
-        best.figures_.whole_.max_over_mean_ = limit;
-        return check_targets({{policy, best}}).front().outcome_;
+        omniscient_result.metrics_.whole_run_.max_over_mean_ = omniscient_value;
+        return check_targets({{policy, omniscient_result}}).front().outcome_;
     };
-    CHECK(outcome(1.15) == target_outcome::limit);
+    CHECK(outcome(1.15) == target_outcome::at_limit);
     CHECK(outcome(1.04) == target_outcome::missed);
-    CHECK(outcome(1.051) == target_outcome::limit);
-    policy.figures_.whole_.max_over_mean_ = 1.3;
+    CHECK(outcome(1.051) == target_outcome::at_limit);
+    policy.metrics_.whole_run_.max_over_mean_ = 1.3;
     CHECK(outcome(1.06) == target_outcome::missed);
 }
 
-TEST_CASE("targets are checked on the mean and tell the worst seed")
+TEST_CASE("targets are checked on the mean, and the worst seed is reported")
 {
     result policy;
     policy.service_ = "orders";
     policy.scenario_.name_ = steady_scenario;
-    result best = policy;
-    best.strategy_ = strategy::omniscient;
+    result omniscient_result = policy;
+    omniscient_result.strategy_ = strategy::omniscient;
     result worse = policy;
-    policy.figures_.whole_.max_over_mean_ = 1;
-    worse.figures_.whole_.max_over_mean_ = 1.2;
-    const auto checks = check_targets({{policy, best}, {worse, best}});
+    policy.metrics_.whole_run_.max_over_mean_ = 1;
+    worse.metrics_.whole_run_.max_over_mean_ = 1.2;
+    const auto checks = check_targets(
+        {{policy, omniscient_result}, {worse, omniscient_result}});
     CHECK(checks.front().value_ == doctest::Approx(1.1));
-    CHECK(checks.front().worst_ == doctest::Approx(1.2));
+    CHECK(checks.front().worst_seed_value_ == doctest::Approx(1.2));
     CHECK(checks.front().outcome_ == target_outcome::missed);
 }
 
-TEST_CASE("every fault of a setup file is told with its line")
+TEST_CASE("every error of a setup file is reported with its line")
 {
     const temporary_file file("[[service]]\n"
                               "name = \"Orders\"\n"
@@ -205,9 +209,10 @@
     const auto setup = read_setup(file.path_);
     REQUIRE_FALSE(setup.has_value());
     const std::vector<std::string> expected{
-        "2: name may hold a-z, 0-9 and - only",
+        "2: name must be 1 to 63 of a-z, 0-9 and -",
         "3: slots must be a whole number between 1 and 1024",
-        "7: colour is not a setting", "11: fault knows no 'flood'",
+        "7: colour is not a known setting",
+        "11: fault has unknown value 'flood'",
         "13: home_margin must be a number between 0 and 1000000"};
     REQUIRE(setup.error().size() == expected.size());
     for (std::size_t i = 0; i < expected.size(); ++i)
@@ -216,7 +221,7 @@
     }
 }
 
-TEST_CASE("a setup file that is not TOML is refused with its line")
+TEST_CASE("a setup file that is not TOML is rejected with its line")
 {
     const temporary_file file("[run]\nlength_ms = \n");
     const auto setup = read_setup(file.path_);
--- a/src/galena_experiment/model/plot.cpp
+++ b/src/galena_experiment/model/plot.cpp
@@ -18,10 +18,10 @@
 constexpr int left_margin = 50;
 constexpr int top_margin = 50;
 
-// Top of the scale; higher bars are cut.
-constexpr double highest = 3;
+// Top of the vertical scale; higher bars are cut off.
+constexpr double max_plotted_ratio = 3;
 
-// Okabe-Ito: told apart by colour-blind readers.
+// The Okabe-Ito palette, which colour-blind people can distinguish.
 constexpr std::array<const char*, all_strategies.size()> colours{
     "#000000", "#999999", "#e69f00", "#56b4e9",
     "#009e73", "#cc79a7", "#d55e00"};
@@ -58,65 +58,69 @@
     return (static_cast<int>(all_strategies.size()) * bar_width) + group_gap;
 }
 
-void text(std::ostream& out, int x, int y, const std::string& words)
+void write_text(std::ostream& out, int x, int y, const std::string& content)
 {
-    out << "<text x=\"" << x << "\" y=\"" << y << "\">" << words << "</text>\n";
+    out << "<text x=\"" << x << "\" y=\"" << y << "\">" << content
+        << "</text>\n";
 }
 
-void bar(std::ostream& out, int x, int bottom, double value, const char* colour)
+void write_bar(std::ostream& out, int x, int bottom, double value,
+               const char* colour)
 {
-    const double share = std::min(value, highest) / highest;
-    const int height = static_cast<int>(share * panel_height);
+    const double fraction =
+        std::min(value, max_plotted_ratio) / max_plotted_ratio;
+    const int height = static_cast<int>(fraction * panel_height);
     out << "<rect x=\"" << x << "\" y=\"" << bottom - height << "\" width=\""
         << bar_width - 1 << "\" height=\"" << height << "\" fill=\"" << colour
         << "\"/>\n";
 }
 
-void scale(std::ostream& out, int bottom, int width)
+void write_scale(std::ostream& out, int bottom, int width)
 {
-    for (int mark = 0; mark <= static_cast<int>(highest); ++mark)
+    for (int tick = 0; tick <= static_cast<int>(max_plotted_ratio); ++tick)
     {
-        const int y =
-            bottom - (mark * panel_height / static_cast<int>(highest));
+        const int y = bottom - (tick * panel_height /
+                                static_cast<int>(max_plotted_ratio));
         out << "<line x1=\"" << left_margin << "\" x2=\"" << width << "\" y1=\""
             << y << "\" y2=\"" << y << "\" stroke=\"#cccccc\"/>\n";
-        text(out, left_margin - 20, y, std::to_string(mark));
+        write_text(out, left_margin - 20, y, std::to_string(tick));
     }
 }
 
-void panel(std::ostream& out, const results& all, const std::string& service,
-           int bottom, int width)
+void write_panel(std::ostream& out, const results& all,
+                 const std::string& service, int bottom, int width)
 {
-    scale(out, bottom, width);
-    text(out, left_margin, bottom - panel_height - 10,
-         service + ": highest load over mean, one-second windows");
+    write_scale(out, bottom, width);
+    write_text(out, left_margin, bottom - panel_height - 10,
+               service + ": highest load over mean, one-second windows");
     int x = left_margin + group_gap;
-    int row = 0;
+    int label_row = 0;
     for (const std::string& scenario : scenarios_of(all))
     {
-        text(out, x, bottom + 14 + (row++ % 2 * 14), scenario);
+        write_text(out, x, bottom + 14 + (label_row++ % 2 * 14), scenario);
         for (std::size_t i = 0; i < all_strategies.size(); ++i)
         {
             const result* r =
                 find_result(all, service, scenario, all_strategies[i]);
             if (r != nullptr)
             {
-                bar(out, x + (static_cast<int>(i) * bar_width), bottom,
-                    r->figures_.per_second_.max_over_mean_, colours[i]);
+                write_bar(out, x + (static_cast<int>(i) * bar_width), bottom,
+                          r->metrics_.one_second_windows_.max_over_mean_,
+                          colours[i]);
             }
         }
         x += group_width();
     }
 }
 
-void legend(std::ostream& out)
+void write_legend(std::ostream& out)
 {
     int x = left_margin;
     for (std::size_t i = 0; i < all_strategies.size(); ++i)
     {
         out << "<rect x=\"" << x << "\" y=\"8\" width=\"10\" height=\"10\" "
             << "fill=\"" << colours[i] << "\"/>\n";
-        text(out, x + 14, 17, to_string(all_strategies[i]));
+        write_text(out, x + 14, 17, to_string(all_strategies[i]));
         x += 120;
     }
 }
@@ -136,11 +140,11 @@
         << "\" height=\"" << height
         << "\" font-family=\"sans-serif\" font-size=\"11\">\n"
         << "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n";
-    legend(out);
+    write_legend(out);
     int bottom = top_margin + panel_height;
     for (const std::string& service : services)
     {
-        panel(out, all, service, bottom, width);
+        write_panel(out, all, service, bottom, width);
         bottom += panel_height + panel_gap;
     }
     out << "</svg>\n";
--- a/src/galena_experiment/model/plot.h
+++ b/src/galena_experiment/model/plot.h
@@ -1,5 +1,5 @@
 /// \file
-/// A plot of results as SVG.
+/// Plot of results as SVG.
 
 #ifndef GALENAFORK_EXPERIMENT_PLOT_H
 #define GALENAFORK_EXPERIMENT_PLOT_H
@@ -11,8 +11,9 @@
 namespace galenafork::pvt
 {
 
-/// An SVG with one panel for each service: for each scenario, bars of the
-/// highest load over the mean (one-second windows) under each strategy.
+/// Returns an SVG image with one panel for each service. Each scenario has one
+/// bar for each strategy, whose height is the highest over the mean load in
+/// one-second windows.
 std::string plot(const results& all);
 
 } // namespace galenafork::pvt
--- a/src/galena_experiment/model/results.cpp
+++ b/src/galena_experiment/model/results.cpp
@@ -14,57 +14,60 @@
 
 using json = nlohmann::ordered_json;
 
-bool applies(strategy s, const scenario& sc)
+bool applies_to(strategy s, const scenario& sc)
 {
     return s != strategy::no_shedding || sc.load_ > 1;
 }
 
-// Four decimals: enough for every figure, and stable to read.
+// Rounds to four decimals, which is precise enough for every metric and keeps
+// the output readable.
 double rounded(double value)
 {
     return std::round(value * 1e4) / 1e4;
 }
 
-using named_figure = std::pair<const char*, double>;
+using named_metric = std::pair<const char*, double>;
 
-std::vector<named_figure> list_of(const figures& f)
+std::vector<named_metric> named_metrics(const run_metrics& metrics)
 {
     return {
-        {"max_over_mean_now", f.now_.max_over_mean_},
-        {"integer_bound_now", f.integer_bound_},
-        {"variation_now", f.now_.variation_},
-        {"max_over_mean_1s", f.per_second_.max_over_mean_},
-        {"variation_1s", f.per_second_.variation_},
-        {"max_over_mean_run", f.whole_.max_over_mean_},
-        {"variation_run", f.whole_.variation_},
-        {"max_over_mean_after_change", f.after_change_.max_over_mean_},
-        {"max_over_mean_data_centres", f.data_centres_.max_over_mean_},
-        {"variation_data_centres", f.data_centres_.variation_},
-        {"p50_ms", f.p50_ms_},
-        {"p99_ms", f.p99_ms_},
-        {"p999_ms", f.p999_ms_},
-        {"offered", f.offered_},
-        {"goodput", f.goodput_},
-        {"refused_share", f.refused_share_},
-        {"failed_share", f.failed_share_},
-        {"retries_sent", f.retries_sent_},
-        {"retries_admitted", f.retries_admitted_},
-        {"first_member_share", f.first_member_share_},
-        {"given_away", f.given_away_},
-        {"last_open_after_drain_ms", f.last_open_after_drain_ms_},
+        {"max_over_mean_now", metrics.instantaneous_.max_over_mean_},
+        {"integer_bound_now", metrics.integer_bound_},
+        {"variation_now", metrics.instantaneous_.variation_},
+        {"max_over_mean_1s", metrics.one_second_windows_.max_over_mean_},
+        {"variation_1s", metrics.one_second_windows_.variation_},
+        {"max_over_mean_run", metrics.whole_run_.max_over_mean_},
+        {"variation_run", metrics.whole_run_.variation_},
+        {"max_over_mean_after_change", metrics.after_change_.max_over_mean_},
+        {"max_over_mean_data_centres",
+         metrics.across_data_centres_.max_over_mean_},
+        {"variation_data_centres", metrics.across_data_centres_.variation_},
+        {"p50_ms", metrics.p50_ms_},
+        {"p99_ms", metrics.p99_ms_},
+        {"p999_ms", metrics.p999_ms_},
+        {"offered", metrics.offered_load_},
+        {"goodput", metrics.goodput_},
+        {"refused_share", metrics.refused_fraction_},
+        {"failed_share", metrics.failed_fraction_},
+        {"retries_sent", metrics.retries_per_request_},
+        {"retries_admitted", metrics.admitted_retry_ratio_},
+        {"first_member_share", metrics.first_member_fraction_},
+        {"given_away", metrics.placed_off_home_fraction_},
+        {"last_open_after_drain_ms", metrics.last_open_after_drain_ms_},
     };
 }
 
-json ratios(const figures& own, const figures& other)
+json ratios(const run_metrics& own, const run_metrics& other)
 {
     json ratio;
-    const auto mine = list_of(own);
-    const auto theirs = list_of(other);
-    for (std::size_t i = 0; i < mine.size(); ++i)
+    const auto own_metrics = named_metrics(own);
+    const auto other_metrics = named_metrics(other);
+    for (std::size_t i = 0; i < own_metrics.size(); ++i)
     {
-        if (theirs[i].second > 0)
+        if (other_metrics[i].second > 0)
         {
-            ratio[mine[i].first] = rounded(mine[i].second / theirs[i].second);
+            ratio[own_metrics[i].first] =
+                rounded(own_metrics[i].second / other_metrics[i].second);
         }
     }
     return ratio;
@@ -81,15 +84,17 @@
     {
         for (const scenario& sc : setup.scenarios_)
         {
-            const auto trace = make_trace(service, sc.load_, length, seed);
+            const auto workload =
+                make_workload(service, sc.load_, length, seed);
             for (const strategy s : strategies)
             {
-                if (!applies(s, sc))
+                if (!applies_to(s, sc))
                 {
                     continue;
                 }
-                run_output out = run({&setup, &service, &sc, &trace, s, seed});
-                all.push_back({service.name_, sc, s, out.figures_,
+                run_output out =
+                    run({&setup, &service, &sc, &workload, s, seed});
+                all.push_back({service.name_, sc, s, out.metrics_,
                                std::move(out.windows_)});
             }
         }
@@ -114,13 +119,13 @@
     results mean = by_seed.front();
     for (std::size_t i = 0; i < mean.size(); ++i)
     {
-        std::vector<figures> runs;
+        std::vector<run_metrics> runs;
         runs.reserve(by_seed.size());
         for (const results& one : by_seed)
         {
-            runs.push_back(one[i].figures_);
+            runs.push_back(one[i].metrics_);
         }
-        mean[i].figures_ = mean_of(runs);
+        mean[i].metrics_ = mean_of(runs);
     }
     return mean;
 }
@@ -145,9 +150,9 @@
     line["service"] = r.service_;
     line["scenario"] = r.scenario_.name_;
     line["strategy"] = to_string(r.strategy_);
-    line["requests"] = r.figures_.requests_;
-    line["broken_flows"] = r.figures_.broken_flows_;
-    for (const auto& [name, value] : list_of(r.figures_))
+    line["requests"] = r.metrics_.requests_;
+    line["broken_flows"] = r.metrics_.broken_flows_;
+    for (const auto& [name, value] : named_metrics(r.metrics_))
     {
         line[name] = rounded(value);
     }
@@ -158,7 +163,7 @@
         if (other != nullptr && s != r.strategy_)
         {
             line["ratio_to"][to_string(s)] =
-                ratios(r.figures_, other->figures_);
+                ratios(r.metrics_, other->metrics_);
         }
     }
     return line.dump();
--- a/src/galena_experiment/model/setup.cpp
+++ b/src/galena_experiment/model/setup.cpp
@@ -14,12 +14,12 @@
 namespace
 {
 
-constexpr std::uint32_t most_servers = 64;
-constexpr std::uint32_t most_slots = 1024;
-constexpr std::uint32_t most_retries = 10;
-constexpr double most_load = 10;
-constexpr double most_requests = 1e5;
-constexpr double most_factor = 100;
+constexpr std::uint32_t max_servers_per_data_centre = 64;
+constexpr std::uint32_t max_slots_per_server = 1024;
+constexpr std::uint32_t max_caller_retries = 10;
+constexpr double max_load = 10;
+constexpr double max_flow_requests = 1e5;
+constexpr double max_cost_factor = 100;
 
 constexpr std::array<std::pair<const char*, fault_kind>, 10> fault_names{{
     {"none", fault_kind::none},
@@ -34,10 +34,11 @@
     {"data_centre_leaves", fault_kind::data_centre_leaves},
 }};
 
-constexpr std::array<std::pair<const char*, deputy_rule>, 2> deputy_names{{
-    {"spread", deputy_rule::spread},
-    {"neighbour", deputy_rule::neighbour},
-}};
+constexpr std::array<std::pair<const char*, deputy_assignment>, 2>
+    deputy_assignment_names{{
+        {"spread", deputy_assignment::spread},
+        {"neighbour", deputy_assignment::neighbour},
+    }};
 
 void read_name(table_reader& reader, std::string& name)
 {
@@ -45,15 +46,15 @@
     reader.read("name", name);
     if (!name.empty() && !is_valid_name(name))
     {
-        reader.fault("name", "may hold a-z, 0-9 and - only");
+        reader.add_error("name", "must be 1 to 63 of a-z, 0-9 and -");
     }
 }
 
-void expect_above_zero(table_reader& reader, const char* key, duration value)
+void require_positive(table_reader& reader, const char* key, duration value)
 {
     if (value <= duration(0))
     {
-        reader.fault(key, "must be above 0");
+        reader.add_error(key, "must be above 0");
     }
 }
 
@@ -63,16 +64,18 @@
     read_name(reader, s.name_);
     reader.require("servers_per_data_centre");
     reader.read("servers_per_data_centre", s.servers_per_data_centre_, 0,
-                most_servers);
+                max_servers_per_data_centre);
     std::uint32_t slots = 1;
     reader.require("slots");
-    reader.read("slots", slots, 1, most_slots);
+    reader.read("slots", slots, 1, max_slots_per_server);
     s.slots_ = slot_count(slots);
     reader.require("request_cost_ms");
     reader.read("request_cost_ms", s.request_cost_);
-    expect_above_zero(reader, "request_cost_ms", s.request_cost_);
-    reader.read("flow_min_requests", s.flow_min_requests_, 1, most_requests);
-    reader.read("flow_max_requests", s.flow_max_requests_, 1, most_requests);
+    require_positive(reader, "request_cost_ms", s.request_cost_);
+    reader.read("flow_min_requests", s.flow_min_requests_, 1,
+                max_flow_requests);
+    reader.read("flow_max_requests", s.flow_max_requests_, 1,
+                max_flow_requests);
     reader.read("flow_tail", s.flow_tail_, 0.1, 10);
     reader.read("bucket_skew", s.bucket_skew_, 0, 10);
     reader.read("think_time_ms", s.think_time_);
@@ -80,17 +83,20 @@
     reader.read("deadline_ms", s.deadline_);
     if (s.flow_max_requests_ < s.flow_min_requests_)
     {
-        reader.fault("flow_max_requests", "is below flow_min_requests");
+        reader.add_error("flow_max_requests",
+                         "must not be below flow_min_requests");
     }
     if (!s.servers_per_data_centre_.empty() && member_count(s) < 2)
     {
-        reader.fault("servers_per_data_centre", "must name two servers");
+        reader.add_error("servers_per_data_centre",
+                         "must add up to at least two servers");
     }
-    reader.finish();
+    reader.report_unknown_keys();
     setup.services_.push_back(std::move(s));
 }
 
-// Reads one of the `names`; absent, `value` stays.
+// Sets `value` to the one that `names` gives for the string at `key`. Leaves
+// `value` as it is if `key` is absent.
 template <class Value, std::size_t Count>
 void read_choice(table_reader& reader, const char* key,
                  const std::array<std::pair<const char*, Value>, Count>& names,
@@ -107,7 +113,7 @@
     }
     else if (!name.empty())
     {
-        reader.fault(key, "knows no '" + name + "'");
+        reader.add_error(key, "has unknown value '" + name + "'");
     }
 }
 
@@ -116,12 +122,12 @@
     scenario s;
     read_name(reader, s.name_);
     reader.require("load");
-    reader.read("load", s.load_, 0.001, most_load);
+    reader.read("load", s.load_, 0.001, max_load);
     read_choice(reader, "fault", fault_names, s.fault_);
     reader.read("fault_at_ms", s.fault_at_);
-    reader.read("caller_retries", s.caller_retries_, 0, most_retries);
+    reader.read("caller_retries", s.caller_retries_, 0, max_caller_retries);
     reader.read("callers_ignore_hint", s.callers_ignore_hint_);
-    reader.finish();
+    reader.report_unknown_keys();
     setup.scenarios_.push_back(std::move(s));
 }
 
@@ -130,7 +136,7 @@
     reader.read("within_data_centre_ms", network.within_data_centre_);
     reader.read("between_data_centres_ms", network.between_data_centres_);
     reader.read("caller_ms", network.caller_);
-    reader.finish();
+    reader.report_unknown_keys();
 }
 
 void read_run(table_reader reader, run_setup& run)
@@ -138,36 +144,38 @@
     reader.read("warm_up_ms", run.warm_up_);
     reader.read("length_ms", run.length_);
     reader.read("heartbeat_interval_ms", run.heartbeat_interval_);
-    reader.read("smoothing_ms", run.smoothing_);
+    reader.read("smoothing_ms", run.smoothing_time_constant_);
     reader.read("roster_delay_ms", run.roster_delay_);
     reader.read("takeover_delay_ms", run.takeover_delay_);
-    read_choice(reader, "deputies", deputy_names, run.deputies_);
+    read_choice(reader, "deputies", deputy_assignment_names, run.deputies_);
     reader.read("retransmit_timeout_ms", run.retransmit_timeout_);
     reader.read("hint_unit_ms", run.hint_unit_);
-    expect_above_zero(reader, "heartbeat_interval_ms", run.heartbeat_interval_);
-    expect_above_zero(reader, "hint_unit_ms", run.hint_unit_);
-    reader.finish();
+    require_positive(reader, "heartbeat_interval_ms", run.heartbeat_interval_);
+    require_positive(reader, "hint_unit_ms", run.hint_unit_);
+    reader.report_unknown_keys();
 }
 
 void read_faults(table_reader reader, fault_setup& faults)
 {
-    reader.read("cold_cost_factor", faults.cold_cost_factor_, 1, most_factor);
+    reader.read("cold_cost_factor", faults.cold_cost_factor_, 1,
+                max_cost_factor);
     reader.read("cold_length_ms", faults.cold_length_);
-    reader.read("slow_cost_factor", faults.slow_cost_factor_, 1, most_factor);
+    reader.read("slow_cost_factor", faults.slow_cost_factor_, 1,
+                max_cost_factor);
     reader.read("report_lag_ms", faults.report_lag_);
-    expect_above_zero(reader, "cold_length_ms", faults.cold_length_);
-    reader.finish();
+    require_positive(reader, "cold_length_ms", faults.cold_length_);
+    reader.report_unknown_keys();
 }
 
 void read_policy(table_reader reader, load_settings& policy)
 {
-    auto& place = policy.placement_;
-    reader.read("home_margin", place.home_margin_, 0, 1e6);
-    reader.read("locality_margin", place.locality_margin_, 0, 1e6);
-    reader.read("report_influence", place.report_influence_, 0, 1);
-    reader.read("local_correction", place.local_correction_);
-    reader.read("slowness_tolerance", place.slowness_tolerance_, 1, 1e6);
-    reader.read("slowness_limit", place.slowness_limit_, 1, 1e6);
+    auto& placement = policy.placement_;
+    reader.read("home_margin", placement.home_margin_, 0, 1e6);
+    reader.read("locality_margin", placement.locality_margin_, 0, 1e6);
+    reader.read("report_influence", placement.report_influence_, 0, 1);
+    reader.read("local_correction", placement.local_correction_);
+    reader.read("slowness_tolerance", placement.slowness_tolerance_, 1, 1e6);
+    reader.read("slowness_limit", placement.slowness_limit_, 1, 1e6);
     reader.read("slow_start_floor", policy.slow_start_.floor_, 0, 1);
     reader.read("slow_start_length_ms", policy.slow_start_.length_);
     reader.read("queue_per_slot", policy.admission_.queue_per_slot_, 0, 1e6);
@@ -178,32 +186,32 @@
     reader.read("retry_burst", policy.retry_.retry_burst_, 1, 1e6);
     reader.read("request_time_limit_ms", policy.deadline_.request_time_limit_);
     reader.read("return_time_ms", policy.deadline_.return_time_);
-    for (const std::string& sentence : validation_errors(policy))
+    for (const std::string& message : validation_errors(policy))
     {
-        reader.fault("policy", sentence);
+        reader.add_error("policy", message);
     }
-    reader.finish();
+    reader.report_unknown_keys();
 }
 
-// Notes each name that stands twice in `list`.
+// Adds an error for each repeated name in `list`.
 template <class Item>
-void expect_distinct_names(const std::vector<Item>& list, const char* kind,
-                           fault_list& faults)
+void require_unique_names(const std::vector<Item>& list, const char* kind,
+                          setup_errors& errors)
 {
     std::set<std::string> seen;
     for (const Item& item : list)
     {
         if (!seen.insert(item.name_).second)
         {
-            faults.add(1,
-                       std::string(kind) + " " + item.name_ + " stands twice");
+            errors.add(1, std::string(kind) + " " + item.name_ +
+                              " is defined more than once");
         }
     }
 }
 
-// Calls `read` with the table `key`, if there is one.
+// Calls `read` with the table at `key`, if there is one.
 template <class Read>
-void with_table(const toml::table& root, const char* key, fault_list& faults,
+void read_table(const toml::table& root, const char* key, setup_errors& errors,
                 Read read)
 {
     const toml::node* node = root.get(key);
@@ -213,58 +221,62 @@
     }
     if (!node->is_table())
     {
-        faults.add(node->source().begin.line,
+        errors.add(node->source().begin.line,
                    std::string(key) + " must be a table");
         return;
     }
-    read(table_reader(*node->as_table(), faults));
+    read(table_reader(*node->as_table(), errors));
 }
 
-// Calls `read` with each table of the array of tables `key`.
+// Calls `read` with each table of the array of tables at `key`; the array must
+// be present.
 template <class Read>
-void with_tables(const toml::table& root, const char* key, fault_list& faults,
-                 Read read)
+void read_array_of_tables(const toml::table& root, const char* key,
+                          setup_errors& errors, Read read)
 {
     const toml::node* node = root.get(key);
     if (node == nullptr || !node->is_array_of_tables())
     {
-        faults.add(node == nullptr ? 1 : node->source().begin.line,
-                   std::string("at least one [[") + key + "]] is needed");
+        errors.add(node == nullptr ? 1 : node->source().begin.line,
+                   std::string("at least one [[") + key +
+                       "]] table is required");
         return;
     }
     for (const toml::node& entry : *node->as_array())
     {
-        read(table_reader(*entry.as_table(), faults));
+        read(table_reader(*entry.as_table(), errors));
     }
 }
 
 void read_tables(const toml::table& root, experiment_setup& setup,
-                 fault_list& faults)
+                 setup_errors& errors)
 {
-    with_tables(root, "service", faults,
-                [&](table_reader r) { read_service(std::move(r), setup); });
-    with_tables(root, "scenario", faults,
-                [&](table_reader r) { read_scenario(std::move(r), setup); });
-    with_table(root, "network", faults,
+    read_array_of_tables(root, "service", errors,
+                         [&](table_reader r)
+                         { read_service(std::move(r), setup); });
+    read_array_of_tables(root, "scenario", errors,
+                         [&](table_reader r)
+                         { read_scenario(std::move(r), setup); });
+    read_table(root, "network", errors,
                [&](table_reader r)
                { read_network(std::move(r), setup.network_); });
-    with_table(root, "run", faults,
+    read_table(root, "run", errors,
                [&](table_reader r) { read_run(std::move(r), setup.run_); });
-    with_table(root, "faults", faults,
+    read_table(root, "faults", errors,
                [&](table_reader r)
                { read_faults(std::move(r), setup.faults_); });
-    with_table(root, "policy", faults,
+    read_table(root, "policy", errors,
                [&](table_reader r)
                { read_policy(std::move(r), setup.policy_); });
-    expect_distinct_names(setup.services_, "service", faults);
-    expect_distinct_names(setup.scenarios_, "scenario", faults);
-    table_reader top(root, faults);
+    require_unique_names(setup.services_, "service", errors);
+    require_unique_names(setup.scenarios_, "scenario", errors);
+    table_reader top(root, errors);
     for (const char* key :
          {"service", "scenario", "network", "run", "faults", "policy"})
     {
-        top.expect(key);
+        top.allow(key);
     }
-    top.finish();
+    top.report_unknown_keys();
 }
 
 } // namespace
@@ -272,19 +284,19 @@
 tl::expected<experiment_setup, std::vector<std::string>>
 read_setup(const std::string& path)
 {
-    fault_list faults(path);
+    setup_errors errors(path);
     experiment_setup setup;
     try
     {
-        read_tables(toml::parse_file(path), setup, faults);
+        read_tables(toml::parse_file(path), setup, errors);
     }
     catch (const toml::parse_error& e)
     {
-        faults.add(e.source().begin.line, std::string(e.description()));
+        errors.add(e.source().begin.line, std::string(e.description()));
     }
-    if (!faults.empty())
+    if (!errors.empty())
     {
-        return tl::unexpected(faults.sorted());
+        return tl::unexpected(errors.sorted());
     }
     return setup;
 }
--- a/src/galena_experiment/model/setup_reader.cpp
+++ b/src/galena_experiment/model/setup_reader.cpp
@@ -8,9 +8,9 @@
 namespace
 {
 
-constexpr double longest_ms = 3600e3;
+constexpr double max_duration_ms = 3600e3;
 
-std::string between(double low, double high)
+std::string range_text(double low, double high)
 {
     const auto text = [](double value)
     {
@@ -24,17 +24,17 @@
 
 } // namespace
 
-void fault_list::add(std::size_t line, const std::string& sentence)
+void setup_errors::add(std::size_t line, const std::string& message)
 {
-    faults_.emplace(line, sentence);
+    errors_.emplace(line, message);
 }
 
-std::vector<std::string> fault_list::sorted() const
+std::vector<std::string> setup_errors::sorted() const
 {
     std::vector<std::string> lines;
-    for (const auto& [line, sentence] : faults_)
+    for (const auto& [line, message] : errors_)
     {
-        lines.push_back(file_ + ":" + std::to_string(line) + ": " + sentence);
+        lines.push_back(file_ + ":" + std::to_string(line) + ": " + message);
     }
     return lines;
 }
@@ -46,27 +46,27 @@
 
 const toml::node* table_reader::find(const std::string& key)
 {
-    known_.insert(key);
+    allowed_keys_.insert(key);
     return table_.get(key);
 }
 
-void table_reader::fault(const std::string& key, const std::string& sentence)
+void table_reader::add_error(const std::string& key, const std::string& message)
 {
     const toml::node* node = find(key);
-    faults_.add(node != nullptr ? node->source().begin.line : line(),
-                key + " " + sentence);
+    errors_.add(node != nullptr ? node->source().begin.line : line(),
+                key + " " + message);
 }
 
-void table_reader::expect(const std::string& key)
+void table_reader::allow(const std::string& key)
 {
-    known_.insert(key);
+    allowed_keys_.insert(key);
 }
 
 void table_reader::require(const std::string& key)
 {
     if (find(key) == nullptr)
     {
-        fault(key, "is missing");
+        add_error(key, "is missing");
     }
 }
 
@@ -81,7 +81,7 @@
     const auto number = node->value<double>();
     if (!node->is_number() || !number || !(*number >= low && *number <= high))
     {
-        return fault(key, "must be a number" + between(low, high));
+        return add_error(key, "must be a number" + range_text(low, high));
     }
     value = *number;
 }
@@ -97,7 +97,7 @@
     const auto number = node->value_exact<std::int64_t>();
     if (!number || *number < low || *number > high)
     {
-        return fault(key, "must be a whole number" + between(low, high));
+        return add_error(key, "must be a whole number" + range_text(low, high));
     }
     value = static_cast<std::uint32_t>(*number);
 }
@@ -105,7 +105,7 @@
 void table_reader::read(const std::string& key, duration& value)
 {
     double ms = static_cast<double>(value.count()) / 1e3;
-    read(key, ms, 0, longest_ms);
+    read(key, ms, 0, max_duration_ms);
     value = duration(std::llround(ms * 1e3));
 }
 
@@ -119,7 +119,7 @@
     const auto flag = node->value_exact<bool>();
     if (!flag)
     {
-        return fault(key, "must be true or false");
+        return add_error(key, "must be true or false");
     }
     value = *flag;
 }
@@ -134,7 +134,7 @@
     const auto text = node->value_exact<std::string>();
     if (!text)
     {
-        return fault(key, "must be a string");
+        return add_error(key, "must be a string");
     }
     value = *text;
 }
@@ -160,20 +160,21 @@
     }
     if (list == nullptr || list->empty() || numbers.size() != list->size())
     {
-        return fault(key,
-                     "must be a list of whole numbers" + between(low, high));
+        return add_error(key, "must be a list of whole numbers" +
+                                  range_text(low, high));
     }
     value = numbers;
 }
 
-void table_reader::finish()
+void table_reader::report_unknown_keys()
 {
     for (const auto& [key, node] : table_)
     {
         const std::string name(key.str());
-        if (known_.count(name) == 0)
+        if (allowed_keys_.count(name) == 0)
         {
-            faults_.add(node.source().begin.line, name + " is not a setting");
+            errors_.add(node.source().begin.line,
+                        name + " is not a known setting");
         }
     }
 }
--- a/src/galena_experiment/model/setup_reader.h
+++ b/src/galena_experiment/model/setup_reader.h
@@ -1,5 +1,5 @@
 /// \file
-/// Reads values out of a TOML table and collects what is wrong with them.
+/// Reads values from a TOML table and collects the errors in them.
 
 #ifndef GALENAFORK_EXPERIMENT_SETUP_READER_H
 #define GALENAFORK_EXPERIMENT_SETUP_READER_H
@@ -16,78 +16,83 @@
 namespace galenafork::pvt
 {
 
-/// Faults of one file, each as `file:line: sentence`.
-class fault_list
+/// Errors of one setup file, each as `file:line: message`.
+class setup_errors
 {
 public:
-    explicit fault_list(std::string file) : file_(std::move(file)) {}
+    explicit setup_errors(std::string file) : file_(std::move(file)) {}
 
-    /// Adds a fault at `line`.
-    void add(std::size_t line, const std::string& sentence);
+    /// Adds an error at `line`.
+    void add(std::size_t line, const std::string& message);
 
-    /// All faults, in order of their lines.
+    /// Returns all errors, in the order of their lines.
     std::vector<std::string> sorted() const;
 
-    /// True if nothing was found.
+    /// True if there is no error.
     bool empty() const
     {
-        return faults_.empty();
+        return errors_.empty();
     }
 
 private:
     std::string file_;
-    std::multimap<std::size_t, std::string> faults_;
+    std::multimap<std::size_t, std::string> errors_;
 };
 
-/// Reads one table. A key that is absent leaves the value as it is; a key that
-/// nobody asked for is a fault, found by `finish`.
+/// Reads one table. `read` leaves the value as it is if the key is absent, and
+/// adds an error if the value is of another type or out of range. Keys that
+/// no call names are unknown.
 class table_reader
 {
 public:
-    table_reader(const toml::table& table, fault_list& faults)
-        : table_(table), faults_(faults)
+    table_reader(const toml::table& table, setup_errors& errors)
+        : table_(table), errors_(errors)
     {
     }
 
-    /// Line on which the table begins.
+    /// Returns the line on which the table begins.
     std::size_t line() const;
 
-    /// Takes `key` as known, so that `finish` does not note it.
-    void expect(const std::string& key);
+    /// Allows `key` without reading it.
+    void allow(const std::string& key);
 
-    /// Notes a fault unless `key` is present.
+    /// Adds an error unless `key` is present.
     void require(const std::string& key);
 
-    /// A number between `low` and `high`.
+    /// Reads a number between `low` and `high`.
     void read(const std::string& key, double& value, double low, double high);
 
-    /// A whole number between `low` and `high`.
+    /// Reads a whole number between `low` and `high`.
     void read(const std::string& key, std::uint32_t& value, std::uint32_t low,
               std::uint32_t high);
 
-    /// Milliseconds, with a fraction, not below zero.
+    /// Reads a number of milliseconds, from 0 to one hour; it may have a
+    /// fraction.
     void read(const std::string& key, duration& value);
 
     void read(const std::string& key, bool& value);
     void read(const std::string& key, std::string& value);
 
-    /// A list of whole numbers, each between `low` and `high`, not empty.
+    /// Reads a list of one or more whole numbers, each between `low` and
+    /// `high`.
     void read(const std::string& key, std::vector<std::uint32_t>& value,
               std::uint32_t low, std::uint32_t high);
 
-    /// Notes `sentence` as a fault of `key`'s line, or of the table's line if
-    /// the key is absent.
-    void fault(const std::string& key, const std::string& sentence);
+    /// Adds an error at the line of `key`, or at the line of the table if the
+    /// key is absent.
+    void add_error(const std::string& key, const std::string& message);
 
-    /// Notes every key that was not read.
-    void finish();
+    /// Adds an error for each unknown key, that is one that no earlier call
+    /// named.
+    void report_unknown_keys();
 
 private:
+    /// Returns the value at `key`, or null. Allows the key.
     const toml::node* find(const std::string& key);
 
     const toml::table& table_;
-    fault_list& faults_;
-    std::set<std::string> known_;
+    setup_errors& errors_;
+    std::set<std::string> allowed_keys_;
 };
 
 } // namespace galenafork::pvt
--- a/src/galena_experiment/model/simulation_faults.cpp
+++ b/src/galena_experiment/model/simulation_faults.cpp
@@ -3,92 +3,92 @@
 namespace galenafork::pvt
 {
 
-void simulation::heartbeat(std::size_t member)
+void simulation::send_heartbeat(std::size_t member)
 {
-    upstream& u = members_[member];
-    if (u.alive_)
+    simulated_member& m = members_[member];
+    if (m.present_)
     {
-        count(u, now_, timing_.smoothing_);
-        reports_[member] = report_of(u, input_.setup_->faults_, now_);
+        update_smoothed_in_flight(m, now_, run_setup_.smoothing_time_constant_);
+        reports_[member] = make_load_report(m, input_.setup_->faults_, now_);
         for (auto& by_home : assigned_)
         {
             by_home[member] = {};
         }
     }
-    schedule(now_ + timing_.heartbeat_interval_, event_kind::heartbeat, 0,
+    schedule(now_ + run_setup_.heartbeat_interval_, event_kind::heartbeat, 0,
              member);
 }
 
-void simulation::fault()
+void simulation::inject_fault()
 {
-    upstream& first = members_.front();
-    before_change(0);
-    first.fault_ = scenario_.fault_;
-    first.fault_since_ = now_;
-    duration until_known = timing_.roster_delay_;
+    simulated_member& first_member = members_.front();
+    update_averages(0);
+    first_member.fault_ = scenario_.fault_;
+    first_member.fault_since_ = now_;
+    duration roster_update_delay = run_setup_.roster_delay_;
     switch (scenario_.fault_)
     {
     case fault_kind::cold_start:
-        first.alive_ = true;
+        first_member.present_ = true;
         break;
     case fault_kind::drain:
-        first.draining_ = true;
+        first_member.draining_ = true;
         break;
     case fault_kind::member_lost:
-        until_known = timing_.takeover_delay_;
-        lose(0);
+        roster_update_delay = run_setup_.takeover_delay_;
+        remove_lost_member(0);
         break;
     case fault_kind::data_centre_leaves:
-        until_known = timing_.takeover_delay_;
+        roster_update_delay = run_setup_.takeover_delay_;
         for (std::size_t i = 0; i < members_.size(); ++i)
         {
-            if (members_[i].data_centre_ == first.data_centre_)
+            if (members_[i].data_centre_ == first_member.data_centre_)
             {
-                lose(i);
+                remove_lost_member(i);
             }
         }
         break;
     default:
         break;
     }
-    after_change(0);
-    schedule(now_ + until_known, event_kind::news, 0);
+    record_load(0);
+    schedule(now_ + roster_update_delay, event_kind::roster_update, 0);
 }
 
-// Callers of lost requests repeat them after their timeout.
-void simulation::lose(std::size_t member)
+// Callers retransmit the lost requests after their retransmission timeout.
+void simulation::remove_lost_member(std::size_t member)
 {
-    before_change(member);
-    upstream& u = members_[member];
-    u.alive_ = false;
-    ++u.life_;
-    u.running_ = 0;
-    u.queue_.clear();
-    after_change(member);
+    update_averages(member);
+    simulated_member& m = members_[member];
+    m.present_ = false;
+    ++m.incarnation_;
+    m.running_ = 0;
+    m.queue_.clear();
+    record_load(member);
     for (std::uint32_t flow = 0; flow < flows_.size(); ++flow)
     {
-        live_flow& f = flows_[flow];
-        if (f.held_ && f.owner_ == member)
+        flow_progress& f = flows_[flow];
+        if (f.at_owner_ && f.owner_ == member)
         {
-            f.held_ = false;
-            retry_or_fail(flow, f.sent_ + timing_.retransmit_timeout_,
+            f.at_owner_ = false;
+            retry_or_fail(flow, f.sent_at_ + run_setup_.retransmit_timeout_,
                           duration(0));
         }
     }
 }
 
-void simulation::news()
+void simulation::apply_roster_update()
 {
-    for (upstream& u : members_)
+    for (simulated_member& m : members_)
     {
-        const bool joins = u.alive_ && !u.accepts_new_flows_ && !u.draining_;
+        const bool joins = m.present_ && !m.serving_in_roster_ && !m.draining_;
         if (joins)
         {
-            u.serving_since_ = now_;
+            m.serving_since_ = now_;
         }
-        u.accepts_new_flows_ = u.alive_ && !u.draining_;
+        m.serving_in_roster_ = m.present_ && !m.draining_;
     }
-    homes_ = take_over(homes_, members_, timing_.deputies_);
+    homes_ = reassign_lost_buckets(homes_, members_, run_setup_.deputies_);
 }
 
 } // namespace galenafork::pvt
--- a/src/galena_experiment/model/strategy.cpp
+++ b/src/galena_experiment/model/strategy.cpp
@@ -18,56 +18,61 @@
     {
         total += c.accepts_new_flows_ ? slots_of(c) : 0;
     }
-    double rest = random.uniform() * total;
-    std::size_t chosen = nobody;
-    for (std::size_t i = 0; i < view.candidates_.size() && rest >= 0; ++i)
+    double remaining = random.uniform() * total;
+    std::size_t chosen = no_simulated_member;
+    for (std::size_t i = 0; i < view.candidates_.size() && remaining >= 0; ++i)
     {
         if (view.candidates_[i].accepts_new_flows_)
         {
             chosen = i;
-            rest -= slots_of(view.candidates_[i]);
+            remaining -= slots_of(view.candidates_[i]);
         }
     }
     return chosen;
 }
 
-std::size_t place_in_turn(const placement_view& view, std::size_t& turn)
+std::size_t place_round_robin(const placement_view& view,
+                              std::size_t& round_robin_index)
 {
     const std::size_t count = view.candidates_.size();
     for (std::size_t tried = 0; tried < count; ++tried)
     {
-        const std::size_t index = turn++ % count;
+        const std::size_t index = round_robin_index++ % count;
         if (view.candidates_[index].accepts_new_flows_)
         {
             return index;
         }
     }
-    return nobody;
+    return no_simulated_member;
 }
 
-// The open member with the lowest `load` per slot; ties are broken at random.
+// Returns the open member with the lowest load per slot, where `loads` has the
+// load of each member; ties are broken at random.
 template <class Load>
-std::size_t place_at_least(const placement_view& view,
-                           const std::vector<Load>& load, random_source& random)
+std::size_t place_least_loaded(const placement_view& view,
+                               const std::vector<Load>& loads,
+                               random_source& random)
 {
-    std::size_t best = nobody;
-    double best_load = 0;
+    std::size_t best = no_simulated_member;
+    double lowest_load = 0;
     int ties = 0;
     for (std::size_t i = 0; i < view.candidates_.size(); ++i)
     {
-        const double own =
-            static_cast<double>(load[i]) / slots_of(view.candidates_[i]);
+        const double load_per_slot =
+            static_cast<double>(loads[i]) / slots_of(view.candidates_[i]);
         if (!view.candidates_[i].accepts_new_flows_ ||
-            (best != nobody && own > best_load))
+            (best != no_simulated_member && load_per_slot > lowest_load))
         {
             continue;
         }
-        ties = best == nobody || own < best_load ? 1 : ties + 1;
+        ties = best == no_simulated_member || load_per_slot < lowest_load
+                   ? 1
+                   : ties + 1;
         if (random.uniform() * ties < 1)
         {
             best = i;
         }
-        best_load = own;
+        lowest_load = load_per_slot;
     }
     return best;
 }
@@ -76,18 +81,19 @@
                             const load_settings& settings,
                             random_source& random)
 {
-    placement_draws draws;
-    draws.first_ = random.uniform();
-    draws.second_ = random.uniform();
+    placement_random_values random_values;
+    random_values.first_ = random.uniform();
+    random_values.second_ = random.uniform();
     const auto chosen =
-        choose_owner(view.candidates_, view.home_, settings, draws);
-    return chosen ? chosen->index_ : nobody;
+        choose_owner(view.candidates_, view.home_, settings, random_values);
+    return chosen ? chosen->index_ : no_simulated_member;
 }
 
 std::size_t place_at_home(const placement_view& view)
 {
-    return view.candidates_[view.home_].accepts_new_flows_ ? view.home_
-                                                           : nobody;
+    return view.candidates_[view.home_].accepts_new_flows_
+               ? view.home_
+               : no_simulated_member;
 }
 
 } // namespace
@@ -114,7 +120,7 @@
     return "policy";
 }
 
-std::optional<strategy> strategy_named(const std::string& name)
+std::optional<strategy> parse_strategy(const std::string& name)
 {
     for (const strategy s : all_strategies)
     {
@@ -126,9 +132,9 @@
     return std::nullopt;
 }
 
-std::size_t place(strategy s, const placement_view& view,
-                  const load_settings& settings, random_source& random,
-                  std::size_t& turn)
+std::size_t place_flow(strategy s, const placement_view& view,
+                       const load_settings& settings, random_source& random,
+                       std::size_t& round_robin_index)
 {
     switch (s)
     {
@@ -140,13 +146,13 @@
     case strategy::random:
         return place_at_random(view, random);
     case strategy::round_robin:
-        return place_in_turn(view, turn);
+        return place_round_robin(view, round_robin_index);
     case strategy::least_reported:
-        return place_at_least(view, view.reported_, random);
+        return place_least_loaded(view, view.reported_in_flight_, random);
     case strategy::omniscient:
-        return place_at_least(view, view.true_in_flight_, random);
+        return place_least_loaded(view, view.true_in_flight_, random);
     }
-    return nobody;
+    return no_simulated_member;
 }
 
 } // namespace galenafork::pvt
--- a/src/galena_experiment/model/targets.cpp
+++ b/src/galena_experiment/model/targets.cpp
@@ -11,48 +11,53 @@
 namespace
 {
 
-constexpr double steady_max_over_mean = 1.05;
-constexpr double changed_max_over_mean = 1.25;
-constexpr double slowdown_at_steady_load = 2;
-// Offered load from which goodput is checked, in shares of capacity.
-constexpr double overload = 2;
-constexpr double goodput_share_of_peak = 0.95;
-constexpr double most_retries = 0.1;
-constexpr double most_moved_by_report = 0.1;
-constexpr double drain_limit_ms = 3000;
-
-// A figure counts as at its limit only if it is no further above it.
-constexpr double most_above_limit = 1.15;
+constexpr double max_steady_imbalance = 1.05;
+constexpr double max_imbalance_after_change = 1.25;
+constexpr double max_p999_over_unloaded = 2;
+// Offered load from which goodput is checked, as a fraction of the capacity.
+constexpr double min_overload = 2;
+constexpr double min_goodput_fraction_of_peak = 0.95;
+constexpr double max_admitted_retry_ratio = 0.1;
+constexpr double max_load_moved_by_report = 0.1;
+constexpr double max_last_open_after_drain_ms = 3000;
+
+// A missed target counts as at the limit up to this ratio of the metric to that
+// of the omniscient strategy.
+constexpr double max_ratio_to_omniscient = 1.15;
 
 using checks = std::vector<target_check>;
 
-// A figure that must stay at or below `bound`.
+// Adds the check of a metric that must be at most `max_value`.
 void add_check(checks& out, const result& r, const char* target, double value,
-               double bound)
+               double max_value)
 {
     target_check c;
     c.service_ = r.service_;
     c.scenario_ = r.scenario_.name_;
     c.target_ = target;
     c.value_ = value;
-    c.bound_ = bound;
-    c.outcome_ = value <= bound ? target_outcome::met : target_outcome::missed;
+    c.max_value_ = max_value;
+    c.outcome_ =
+        value <= max_value ? target_outcome::met : target_outcome::missed;
     out.push_back(c);
 }
 
-// The same, where `limit` is the best that any placement could do.
-void add_limited(checks& out, const result& r, const char* target, double value,
-                 double bound, double limit)
+// Adds a check as `add_check` does, with the outcome `at_limit` if the target
+// is missed, but `omniscient_value`, the best value that any placement could
+// reach, misses it too and `value` is close to that.
+void add_limited_check(checks& out, const result& r, const char* target,
+                       double value, double max_value, double omniscient_value)
 {
-    add_check(out, r, target, value, bound);
-    out.back().limit_ = limit;
-    if (value > bound && limit > bound && value <= limit * most_above_limit)
+    add_check(out, r, target, value, max_value);
+    out.back().omniscient_value_ = omniscient_value;
+    if (value > max_value && omniscient_value > max_value &&
+        value <= omniscient_value * max_ratio_to_omniscient)
     {
-        out.back().outcome_ = target_outcome::limit;
+        out.back().outcome_ = target_outcome::at_limit;
     }
 }
 
-bool is_change(fault_kind fault)
+bool changes_capacity(fault_kind fault)
 {
     return fault == fault_kind::cold_start || fault == fault_kind::drain ||
            fault == fault_kind::slow_upstream ||
@@ -60,7 +65,7 @@
            fault == fault_kind::data_centre_leaves;
 }
 
-bool is_lie(fault_kind fault)
+bool falsifies_reports(fault_kind fault)
 {
     return fault == fault_kind::report_lags ||
            fault == fault_kind::report_zero ||
@@ -69,49 +74,56 @@
 }
 
 void check_steady(checks& out, const results& all, const result& r,
-                  const result& best)
+                  const result& omniscient_result)
 {
-    const figures& own = r.figures_;
-    const figures& limit = best.figures_;
-    add_limited(out, r, "max_over_mean_run", own.whole_.max_over_mean_,
-                steady_max_over_mean, limit.whole_.max_over_mean_);
-    add_limited(out, r, "max_over_mean_1s", own.per_second_.max_over_mean_,
-                steady_max_over_mean, limit.per_second_.max_over_mean_);
-    add_limited(out, r, "max_over_mean_now", own.now_.max_over_mean_,
-                steady_max_over_mean, limit.now_.max_over_mean_);
+    const run_metrics& own = r.metrics_;
+    const run_metrics& omniscient_metrics = omniscient_result.metrics_;
+    add_limited_check(out, r, "max_over_mean_run",
+                      own.whole_run_.max_over_mean_, max_steady_imbalance,
+                      omniscient_metrics.whole_run_.max_over_mean_);
+    add_limited_check(out, r, "max_over_mean_1s",
+                      own.one_second_windows_.max_over_mean_,
+                      max_steady_imbalance,
+                      omniscient_metrics.one_second_windows_.max_over_mean_);
+    add_limited_check(out, r, "max_over_mean_now",
+                      own.instantaneous_.max_over_mean_, max_steady_imbalance,
+                      omniscient_metrics.instantaneous_.max_over_mean_);
     out.back().integer_bound_ = own.integer_bound_;
     const result* unloaded =
         find_result(all, r.service_, unloaded_scenario, r.strategy_);
     if (unloaded != nullptr)
     {
-        const double base = unloaded->figures_.p999_ms_;
-        add_limited(out, r, "p999_over_unloaded", own.p999_ms_ / base,
-                    slowdown_at_steady_load, limit.p999_ms_ / base);
+        const double base = unloaded->metrics_.p999_ms_;
+        add_limited_check(out, r, "p999_over_unloaded", own.p999_ms_ / base,
+                          max_p999_over_unloaded,
+                          omniscient_metrics.p999_ms_ / base);
     }
 }
 
-void check_lie(checks& out, const results& all, const result& r)
+void check_false_report(checks& out, const results& all, const result& r)
 {
-    const result* honest =
+    const result* steady =
         find_result(all, r.service_, steady_scenario, r.strategy_);
-    if (honest == nullptr)
+    if (steady == nullptr)
     {
         return;
     }
-    const double before = honest->figures_.first_member_share_;
+    const double steady_fraction = steady->metrics_.first_member_fraction_;
     const double moved =
-        std::abs(r.figures_.first_member_share_ - before) / before;
-    add_check(out, r, "load_moved_by_report", moved, most_moved_by_report);
+        std::abs(r.metrics_.first_member_fraction_ - steady_fraction) /
+        steady_fraction;
+    add_check(out, r, "load_moved_by_report", moved, max_load_moved_by_report);
 }
 
-double peak_goodput(const results& all, const result& like)
+double peak_goodput(const results& all, const result& reference)
 {
     double peak = 0;
     for (const result& r : all)
     {
-        if (r.service_ == like.service_ && r.strategy_ == like.strategy_)
+        if (r.service_ == reference.service_ &&
+            r.strategy_ == reference.strategy_)
         {
-            peak = std::max(peak, r.figures_.goodput_);
+            peak = std::max(peak, r.metrics_.goodput_);
         }
     }
     return peak;
@@ -119,40 +131,43 @@
 
 void check_result(checks& out, const results& all, const result& r)
 {
-    const result* best =
+    const result* omniscient_result =
         find_result(all, r.service_, r.scenario_.name_, strategy::omniscient);
-    const figures& f = r.figures_;
+    const run_metrics& metrics = r.metrics_;
     if (r.scenario_.name_ == steady_scenario)
     {
-        check_steady(out, all, r, *best);
+        check_steady(out, all, r, *omniscient_result);
     }
-    if (is_change(r.scenario_.fault_))
+    if (changes_capacity(r.scenario_.fault_))
     {
-        add_limited(out, r, "max_over_mean_after_change",
-                    f.after_change_.max_over_mean_, changed_max_over_mean,
-                    best->figures_.after_change_.max_over_mean_);
+        add_limited_check(
+            out, r, "max_over_mean_after_change",
+            metrics.after_change_.max_over_mean_, max_imbalance_after_change,
+            omniscient_result->metrics_.after_change_.max_over_mean_);
     }
     if (r.scenario_.fault_ == fault_kind::drain)
     {
         add_check(out, r, "last_open_after_drain_ms",
-                  f.last_open_after_drain_ms_, drain_limit_ms);
-        add_check(out, r, "broken_flows", static_cast<double>(f.broken_flows_),
-                  0);
+                  metrics.last_open_after_drain_ms_,
+                  max_last_open_after_drain_ms);
+        add_check(out, r, "broken_flows",
+                  static_cast<double>(metrics.broken_flows_), 0);
     }
-    if (is_lie(r.scenario_.fault_))
+    if (falsifies_reports(r.scenario_.fault_))
     {
-        check_lie(out, all, r);
+        check_false_report(out, all, r);
     }
-    if (f.offered_ >= overload)
+    if (metrics.offered_load_ >= min_overload)
     {
-        const double lost = 1 - (f.goodput_ / peak_goodput(all, r));
+        const double lost = 1 - (metrics.goodput_ / peak_goodput(all, r));
         add_check(out, r, "goodput_lost_to_overload", lost,
-                  1 - goodput_share_of_peak);
+                  1 - min_goodput_fraction_of_peak);
     }
-    add_check(out, r, "retries_admitted", f.retries_admitted_, most_retries);
+    add_check(out, r, "retries_admitted", metrics.admitted_retry_ratio_,
+              max_admitted_retry_ratio);
 }
 
-checks check_one(const results& all)
+checks check_policy_results(const results& all)
 {
     checks out;
     for (const result& r : all)
@@ -165,14 +180,14 @@
     return out;
 }
 
-void note_worst(checks& out, const target_check& single)
+void update_worst_seed_value(checks& out, const target_check& single)
 {
     for (target_check& c : out)
     {
         if (c.service_ == single.service_ && c.scenario_ == single.scenario_ &&
             c.target_ == single.target_)
         {
-            c.worst_ = std::max(c.worst_, single.value_);
+            c.worst_seed_value_ = std::max(c.worst_seed_value_, single.value_);
         }
     }
 }
@@ -185,7 +200,7 @@
     {
     case target_outcome::met:
         return "met";
-    case target_outcome::limit:
+    case target_outcome::at_limit:
         return "limit";
     case target_outcome::missed:
         return "missed";
@@ -195,12 +210,12 @@
 
 std::vector<target_check> check_targets(const std::vector<results>& by_seed)
 {
-    checks out = check_one(mean_of(by_seed));
+    checks out = check_policy_results(mean_of(by_seed));
     for (const results& one : by_seed)
     {
-        for (const target_check& single : check_one(one))
+        for (const target_check& single : check_policy_results(one))
         {
-            note_worst(out, single);
+            update_worst_seed_value(out, single);
         }
     }
     return out;
@@ -215,12 +230,13 @@
     line["scenario"] = check.scenario_;
     line["target"] = check.target_;
     line["value"] = rounded(check.value_);
-    line["worst_seed"] = rounded(check.worst_);
-    line["bound"] = check.bound_;
-    if (check.limit_ > 0)
+    line["worst_seed"] = rounded(check.worst_seed_value_);
+    line["bound"] = check.max_value_;
+    if (check.omniscient_value_ > 0)
     {
-        line["omniscient"] = rounded(check.limit_);
-        line["ratio_to_omniscient"] = rounded(check.value_ / check.limit_);
+        line["omniscient"] = rounded(check.omniscient_value_);
+        line["ratio_to_omniscient"] =
+            rounded(check.value_ / check.omniscient_value_);
     }
     if (check.integer_bound_ > 0)
     {
--- a/src/galena_experiment/model/targets.h
+++ b/src/galena_experiment/model/targets.h
@@ -1,5 +1,5 @@
 /// \file
-/// The targets that the policy has to meet, checked against results.
+/// Checks whether the load policy meets its targets.
 
 #ifndef GALENAFORK_EXPERIMENT_TARGETS_H
 #define GALENAFORK_EXPERIMENT_TARGETS_H
@@ -12,48 +12,53 @@
 namespace galenafork::pvt
 {
 
-/// How a figure compares with its target.
+/// How a metric compares with its target.
 enum class target_outcome
 {
     met,
-    /// Missed, but the omniscient strategy misses it in the same run too, and
-    /// the figure is close to that strategy's.
-    limit,
+    /// The target is missed, but the omniscient strategy misses it in the same
+    /// scenario too, and the metric is close to that strategy's.
+    at_limit,
     missed,
 };
 
-/// `met`, `limit` or `missed`.
+/// Returns "met", "limit" for `at_limit`, or "missed".
 const char* to_string(target_outcome outcome);
 
-/// One target checked on one service and scenario.
+/// Check of one target in one scenario of one service.
 struct target_check
 {
     std::string service_;
     std::string scenario_;
     std::string target_;
+    /// Value of the metric in the `mean_of` the seeds, which is a sum for
+    /// `broken_flows`.
     double value_ = 0;
-    /// The highest value under a single seed.
-    double worst_ = 0;
-    /// What `value_` may be at most.
-    double bound_ = 0;
-    /// The same figure under the omniscient strategy, where it marks a limit.
-    double limit_ = 0;
-    /// What whole requests allow at best, see `figures::integer_bound_`.
+    /// Highest value of a single seed.
+    double worst_seed_value_ = 0;
+    /// Highest `value_` that meets the target.
+    double max_value_ = 0;
+    /// The same metric under the omniscient strategy; zero for targets that are
+    /// not compared with it.
+    double omniscient_value_ = 0;
+    /// `run_metrics::integer_bound_`; zero for other targets than
+    /// `max_over_mean_now`.
     double integer_bound_ = 0;
     target_outcome outcome_ = target_outcome::missed;
 };
 
-/// Scenario names that `check_targets` looks for.
+/// Names of the scenarios with which `check_targets` compares others.
 inline constexpr const char* unloaded_scenario = "unloaded";
 inline constexpr const char* steady_scenario = "steady";
 
-/// Checks every target on every service, on the mean over the seeds: five
-/// seconds of a few servers with long flows vary by more than the targets leave
-/// room for, so `worst_` tells of single seeds. The scenarios `unloaded`
-/// and `steady` must be among them, else the checks that need them are absent.
+/// Checks all targets of all services against the means over the seeds, because
+/// a metric of five seconds on a few servers with long flows varies between
+/// seeds by more than the margin of its target. Results of
+/// `strategy::omniscient` must be present. Without the scenarios `unloaded` and
+/// `steady`, the checks that need them are absent.
 std::vector<target_check> check_targets(const std::vector<results>& by_seed);
 
-/// One line of JSON.
+/// Formats `check` as one line of JSON.
 std::string to_json_line(const target_check& check);
 
 } // namespace galenafork::pvt
--- a/src/galena_pass_agent/agent_traffic.cpp
+++ b/src/galena_pass_agent/agent_traffic.cpp
@@ -34,11 +34,11 @@
 // takes less than a hundredth of a core of the smallest instance.
 constexpr std::uint32_t target_statuses_per_second = 250;
 
-// Time between two status messages if there are few agents.
+// Shortest time between two status messages, used if there are few agents.
 constexpr duration min_status_interval = std::chrono::milliseconds(200);
 
-// Max time between two status messages, well below the time without a status
-// after which a balancer places no more flows at an agent.
+// Longest time between two status messages. It is well below the time without a
+// status after which a balancer places no more flows at an agent.
 constexpr duration max_status_interval = std::chrono::milliseconds(600);
 
 } // namespace
@@ -65,7 +65,7 @@
                                 "Smoothed time of a request at the upstream.")),
           reactor_(new ACE_Dev_Poll_Reactor, true)
     {
-        watch(io_.packets().get(), on_packets_);
+        watch(io_.segments().get(), on_segments_);
         watch(io_.peers().get(), on_peers_);
         watch(upstream_socket_.get(), on_upstream_);
         watch(tick_.fd(), on_tick_);
@@ -76,7 +76,7 @@
     ~worker()
     {
         for (const int fd :
-             {io_.packets().get(), io_.peers().get(), upstream_socket_.get(),
+             {io_.segments().get(), io_.peers().get(), upstream_socket_.get(),
               tick_.fd(), owner_.commands_.fd(), stop_.fd()})
         {
             reactor_.remove_handler(fd, ACE_Event_Handler::READ_MASK |
@@ -326,10 +326,10 @@
     std::uint32_t agent_count_ = 1;
     bool stopped_ = false;
     std::unordered_map<host_address, instant> balancers_;
-    input_handler on_packets_{
+    input_handler on_segments_{
         [this]
         {
-            receive_batches(io_.packets(), segments_,
+            receive_batches(io_.segments(), segments_,
                             [this](const datagram_view& in)
                             { handle_segment(in); });
         }};
--- a/src/galena_pass_agent/pass_agent_daemon.cpp
+++ b/src/galena_pass_agent/pass_agent_daemon.cpp
@@ -15,9 +15,9 @@
 // Size of the kernel's buffer for segments of the upstream.
 constexpr int upstream_buffer_bytes = 2 * 1024 * 1024;
 
-// Time between two reads of the list of balancers. Balancers send hellos to the
-// agents on their lists; this list finds balancers that don't list this agent
-// yet.
+// Time between two reads of the list of balancers in the store. Balancers send
+// hellos to the agents on their lists; the reads find balancers that don't have
+// this agent on their list yet.
 constexpr duration balancers_read_interval = std::chrono::seconds(8);
 constexpr duration balancers_retry_interval = milliseconds(500);
 
@@ -26,11 +26,11 @@
 
 constexpr duration idle_poll_interval = milliseconds(50);
 
-// Min time from SIGTERM to exit. Balancers are notified at once, but segments
-// that they have already sent may arrive for this time.
+// Minimum time from SIGTERM to exit. Balancers are notified at once, but
+// segments that they have already sent may arrive for this time.
 constexpr duration min_drain_time = milliseconds(300);
 
-// The drain is given up this long before the platform kills the process.
+// The drain ends at the latest this long before the platform kills the process.
 constexpr duration grace_reserve = milliseconds(1500);
 
 constexpr unsigned status_ok = 200;
@@ -292,8 +292,8 @@
     traffic_.commands().post(std::move(commands));
     if (upstream_deregistered_ && registered_)
     {
-        // Runs in the background: the store may not answer, and the wait below
-        // ends before the grace period does.
+        // The removal runs in the background, because the store may not respond
+        // and the wait below ends before the grace period does.
         removing_entry_ = true;
         loop_->add_task(
             "remove_entry",
--- a/src/galena_pass_agent/pass_agent_daemon.h
+++ b/src/galena_pass_agent/pass_agent_daemon.h
@@ -23,15 +23,17 @@
 class pass_agent_daemon
 {
 public:
-    /// Binds all addresses. Fails with `unavailable` if one is taken, and with
-    /// `bad_setting` if there is no upstream on this instance.
+    /// Binds all addresses. Fails with `unavailable` if an address is taken,
+    /// with `bad_address` if an address for segments is not an IPv4 address,
+    /// and with `bad_setting` if there is no upstream on this instance.
     static tl::expected<std::unique_ptr<pass_agent_daemon>, error>
     open(const platform_adapter::instance_settings& settings);
     ~pass_agent_daemon();
     pass_agent_daemon(const pass_agent_daemon&) = delete;
     pass_agent_daemon& operator=(const pass_agent_daemon&) = delete;
 
-    /// Runs until the drain that SIGTERM starts has ended.
+    /// Runs until the drain that SIGTERM starts has ended. Returns the exit
+    /// code of the process.
     exit_code run();
 
 private:
--- a/src/galena_pass_balancer/balancer_daemon.cpp
+++ b/src/galena_pass_balancer/balancer_daemon.cpp
@@ -17,8 +17,9 @@
 
 constexpr std::size_t max_queued_newer_rules = 64;
 
-// Time between two reads of the lists of agents and balancers. Members announce
-// themselves by messages; the lists find members whose messages were lost.
+// Time between two reads of the lists of agents and balancers in the store.
+// Members announce themselves by messages; the reads find members whose
+// messages were lost.
 constexpr duration members_read_interval = std::chrono::seconds(4);
 constexpr duration members_retry_interval = milliseconds(300);
 
@@ -26,7 +27,7 @@
 // are missing.
 constexpr duration seed_query_interval = milliseconds(400);
 
-// Min time from SIGTERM to exit. Routers check readiness twice a second and
+// Minimum time from SIGTERM to exit. Routers check readiness twice a second and
 // stop sending to an instance after two failed checks, so that segments arrive
 // for at least this long.
 constexpr duration min_drain_time = milliseconds(1600);
@@ -35,7 +36,7 @@
 // to it any more.
 constexpr duration idle_period = milliseconds(400);
 
-// The drain is given up this long before the platform kills the process.
+// The drain ends at the latest this long before the platform kills the process.
 constexpr duration grace_reserve = milliseconds(1500);
 
 constexpr unsigned status_ok = 200;
@@ -273,7 +274,7 @@
 }
 
 // The first round also starts after the interval, which gives the store time to
-// answer.
+// respond.
 kj::Promise<void> balancer_daemon::query_seeds()
 {
     return loop_->timer()
--- a/src/galena_pass_balancer/balancer_daemon.h
+++ b/src/galena_pass_balancer/balancer_daemon.h
@@ -24,14 +24,17 @@
 class balancer_daemon
 {
 public:
-    /// Binds all addresses. Fails with `unavailable` if one is taken.
+    /// Binds all addresses. Fails with `unavailable` if an address is taken,
+    /// and with `bad_address` if the address for segments is not an IPv4
+    /// address.
     static tl::expected<std::unique_ptr<balancer_daemon>, error>
     open(const platform_adapter::instance_settings& settings);
     ~balancer_daemon();
     balancer_daemon(const balancer_daemon&) = delete;
     balancer_daemon& operator=(const balancer_daemon&) = delete;
 
-    /// Runs until the drain that SIGTERM starts has ended.
+    /// Runs until the drain that SIGTERM starts has ended. Returns the exit
+    /// code of the process.
     exit_code run();
 
 private:
--- a/src/galena_pass_balancer/balancer_traffic.cpp
+++ b/src/galena_pass_balancer/balancer_traffic.cpp
@@ -62,7 +62,7 @@
                                   "matches their address.")),
           reactor_(new ACE_Dev_Poll_Reactor, true)
     {
-        watch(io_.packets().get(), on_packets_);
+        watch(io_.segments().get(), on_segments_);
         watch(io_.peers().get(), on_peers_);
         watch(tick_.fd(), on_tick_);
         watch(owner_.commands_.fd(), on_commands_);
@@ -71,8 +71,8 @@
 
     ~worker()
     {
-        for (const int fd : {io_.packets().get(), io_.peers().get(), tick_.fd(),
-                             owner_.commands_.fd(), stop_.fd()})
+        for (const int fd : {io_.segments().get(), io_.peers().get(),
+                             tick_.fd(), owner_.commands_.fd(), stop_.fd()})
         {
             reactor_.remove_handler(fd, ACE_Event_Handler::READ_MASK |
                                             ACE_Event_Handler::DONT_CALL);
@@ -108,7 +108,7 @@
         now_ = read_monotonic_clock();
         for (int i = 0; i < batches_per_turn; ++i)
         {
-            const std::size_t count = segments_.receive(io_.packets());
+            const std::size_t count = segments_.receive(io_.segments());
             owner_.status_.segments_received_.fetch_add(
                 count, std::memory_order_relaxed);
             for (std::size_t at = 0; at < count; ++at)
@@ -307,7 +307,7 @@
     bool stopped_ = false;
     host_set agents_;
     host_set balancers_;
-    input_handler on_packets_{[this] { receive_segments(); }};
+    input_handler on_segments_{[this] { receive_segments(); }};
     input_handler on_peers_{[this] { receive_messages(); }};
     input_handler on_tick_{[this] { on_timer(); }};
     input_handler on_commands_{[this] { handle_commands(); }};
--- a/src/galena_pass_balancer/balancer_traffic.h
+++ b/src/galena_pass_balancer/balancer_traffic.h
@@ -25,7 +25,7 @@
     bool announce_ = false;
     std::vector<host_address> agents_;
     std::vector<host_address> balancers_;
-    /// The member lists hold all entries of the store.
+    /// All members in the store have been read, now or earlier.
     bool complete_ = false;
     bool leaving_ = false;
 };
@@ -68,8 +68,8 @@
         return status_;
     }
 
-    /// All known agents, for peers that can't reach the store. Callable from
-    /// any thread.
+    /// Returns the agents on the balancer's list, for peers that can't reach
+    /// the store. Callable from any thread.
     std::vector<host_address> agents() const;
 
 private:
--- a/src/galena_pass_balancer/peer_info_service.h
+++ b/src/galena_pass_balancer/peer_info_service.h
@@ -11,14 +11,14 @@
 namespace galenafork
 {
 
-/// The agents and balancers that a balancer has on its lists.
+/// The agents and balancers on a balancer's lists.
 struct member_lists
 {
     std::vector<host_address> agents_;
     std::vector<host_address> balancers_;
 };
 
-/// Creates the service. It calls `rules` or `members` for each request.
+/// Returns a new service, which calls `rules` or `members` for each request.
 capnp::Capability::Client
 make_peer_info_service(std::function<const rules_text&()> rules,
                        std::function<member_lists()> members);
--- a/src/galenactl/arguments.cpp
+++ b/src/galenactl/arguments.cpp
@@ -17,30 +17,32 @@
 
 constexpr const char* commands_text =
     R"(Commands:
-  rules check FILE           look for faults in a rule file; asks nobody
-  rules apply FILE           put a rule file in force
-  rules show                 print the rules in force, or those --at a version
+  rules check FILE           check a rule file for errors, without the platform
+  rules apply FILE           make the rules of a file the active rules
+  rules show                 print the active rules, or those --at a version
   rules history              list the accepted versions
   status [SERVICE]           list instances, their states and buckets
-  drain SERVICE INSTANCE     give an instance no new flows
-  undrain SERVICE INSTANCE   give it new flows again
-  explain CALLER ADDRESS     say where flows from CALLER (IP:PORT) to the
-                             service address ADDRESS (IP:PORT) go, and why
-  flow FLOW LOG...           print what logs say of a passthrough flow, in order
-                             (CALLER>ADDRESS#SEQUENCE or a part before > or #;
-                             - reads standard input); asks nobody
+  drain SERVICE INSTANCE     stop new flows to an instance
+  undrain SERVICE INSTANCE   allow new flows to a draining instance again
+  explain CALLER ADDRESS     show the rule, bucket, home and deputy of a flow
+                             from CALLER (IP:PORT) to the service address
+                             ADDRESS (IP:PORT)
+  flow FLOW LOG...           print the log lines about a passthrough flow in
+                             order of time, without the platform (FLOW is
+                             CALLER>ADDRESS#SEQUENCE or the part before > or #;
+                             a LOG of - is standard input)
 )";
 
 constexpr const char* exit_text =
     R"(Exit codes:
-  0  done, or nothing to do
-  1  the platform could not be asked; nothing was changed
-  2  the command line is wrong
-  3  the settings file is wrong or cannot be read
-  4  the rule file has faults or cannot be read; nothing was changed
-  5  not accepted: another change came first; nothing was changed
-  6  unknown: it could not be found out whether the change took effect
-  7  no such service, instance, rule or version
+  0  the command succeeded, or there was nothing to do
+  1  a call to the platform failed or returned invalid data; nothing was changed
+  2  the command line is invalid
+  3  the settings file is invalid or cannot be read
+  4  the rule file has errors or cannot be read; nothing was changed
+  5  not accepted: conflict with another change; nothing was changed
+  6  unknown: it could not be determined whether the change took effect
+  7  the service, instance, rule, version or flow was not found
 )";
 
 struct ctl_settings
@@ -49,15 +51,15 @@
     duration deadline_ = std::chrono::seconds(5);
 };
 
-constexpr duration least_deadline = std::chrono::milliseconds(100);
-constexpr duration greatest_deadline = std::chrono::minutes(5);
+constexpr duration min_deadline = std::chrono::milliseconds(100);
+constexpr duration max_deadline = std::chrono::minutes(5);
 
 void read_settings(settings_section& top, ctl_settings& settings)
 {
     auto platform = top.section("platform");
     platform.required("address", settings.platform_);
     platform.optional("deadline", settings.deadline_,
-                      {least_deadline, greatest_deadline});
+                      {min_deadline, max_deadline});
     platform.report_unknown_keys();
 }
 
@@ -68,7 +70,7 @@
     std::string config_;
 };
 
-tl::unexpected<exit_status> usage_fault(const std::string& reason)
+tl::unexpected<exit_status> usage_error(const std::string& reason)
 {
     std::cerr << "galenactl: " << reason << '\n' << usage_line() << '\n';
     return tl::unexpected(exit_status::usage);
@@ -78,7 +80,8 @@
 {
     for (const char* variable : {"GALENA_AUTHOR", "LOGNAME", "USER"})
     {
-        // One thread: nothing changes the environment meanwhile.
+        // Safe because the program has one thread, which does not change the
+        // environment.
         const char* name = std::getenv(variable);
         if (name != nullptr && *name != '\0')
         {
@@ -93,20 +96,20 @@
     po::options_description options("Options");
     auto add = options.add_options();
     add("platform", po::value(&raw.platform_)->value_name("IP:PORT"),
-        "where the platform answers");
+        "address of the platform");
     add("config", po::value(&raw.config_)->value_name("FILE"),
         "settings file with [platform] address and deadline");
     add("author", po::value(&raw.arguments_.author_)->value_name("NAME"),
-        "who makes the change (default: the login name)");
+        "author of the change (default: the login name)");
     add("base", po::value<std::uint64_t>()->value_name("VERSION"),
-        "rules apply: refuse unless this version is still in force");
+        "rules apply: refuse unless this version is active");
     add("at", po::value<std::uint64_t>()->value_name("VERSION"),
         "rules show: print this version");
     add("new-services", po::bool_switch(&raw.arguments_.new_services_),
-        "rules apply: accept services that nobody has announced yet");
+        "rules apply: accept services that no instance has joined yet");
     add("json", po::bool_switch(&raw.arguments_.json_), "print JSON");
-    add("help", "show this text");
-    add("version", "show the version");
+    add("help", "print this text");
+    add("version", "print the version");
     return options;
 }
 
@@ -118,24 +121,24 @@
     all.add_options()("word", po::value(&raw.arguments_.words_));
     po::positional_options_description words;
     words.add("word", -1);
-    po::variables_map given;
+    po::variables_map values;
     po::store(po::command_line_parser(argc, argv)
                   .options(all)
                   .positional(words)
                   .run(),
-              given);
-    po::notify(given);
-    return given;
+              values);
+    po::notify(values);
+    return values;
 }
 
-std::optional<std::uint64_t> number_of(const po::variables_map& given,
-                                       const char* name)
+std::optional<std::uint64_t> number_option(const po::variables_map& values,
+                                           const char* name)
 {
-    if (given.count(name) == 0)
+    if (values.count(name) == 0)
     {
         return std::nullopt;
     }
-    return given[name].as<std::uint64_t>();
+    return values[name].as<std::uint64_t>();
 }
 
 tl::expected<void, exit_status> read_config(raw_options& raw)
@@ -160,7 +163,7 @@
     return {};
 }
 
-tl::expected<arguments, exit_status> complete(raw_options& raw)
+tl::expected<arguments, exit_status> complete_arguments(raw_options& raw)
 {
     if (!raw.config_.empty())
     {
@@ -174,7 +177,7 @@
         const auto address = parse_endpoint(raw.platform_);
         if (!address)
         {
-            return usage_fault("--platform: " + address.error().message_);
+            return usage_error("--platform: " + address.error().message_);
         }
         raw.arguments_.platform_ = *address;
     }
@@ -200,8 +203,8 @@
     const po::options_description visible = visible_options(raw);
     try
     {
-        const po::variables_map given = parse(argc, argv, raw, visible);
-        if (given.count("help") != 0)
+        const po::variables_map values = parse(argc, argv, raw, visible);
+        if (values.count("help") != 0)
         {
             std::cout << usage_line() << "\n\n"
                       << commands_text << '\n'
@@ -209,19 +212,19 @@
                       << exit_text;
             return tl::unexpected(exit_status::success);
         }
-        if (given.count("version") != 0)
+        if (values.count("version") != 0)
         {
             std::cout << "galenactl " << GALENA_VERSION << '\n';
             return tl::unexpected(exit_status::success);
         }
-        raw.arguments_.base_ = number_of(given, "base");
-        raw.arguments_.version_ = number_of(given, "at");
+        raw.arguments_.base_ = number_option(values, "base");
+        raw.arguments_.version_ = number_option(values, "at");
     }
     catch (const po::error& e)
     {
-        return usage_fault(e.what());
+        return usage_error(e.what());
     }
-    return complete(raw);
+    return complete_arguments(raw);
 }
 
 } // namespace galenafork::ctl
--- a/src/galenactl/arguments.h
+++ b/src/galenactl/arguments.h
@@ -1,5 +1,5 @@
 /// \file
-/// The command line of galenactl and the codes it exits with.
+/// Command line and exit codes of galenactl.
 
 #ifndef GALENACTL_ARGUMENTS_H
 #define GALENACTL_ARGUMENTS_H
@@ -15,54 +15,55 @@
 namespace galenafork::ctl
 {
 
-/// What the command exits with.
+/// Exit codes.
 enum class exit_status : int
 {
-    /// Done, or there was nothing to do.
+    /// The command succeeded, or there was nothing to do.
     success = 0,
-    /// The platform could not be asked; nothing was changed.
+    /// A call to the platform failed or returned invalid data; nothing was
+    /// changed.
     failure = 1,
-    /// The command line is wrong.
+    /// The command line is invalid.
     usage = 2,
-    /// The settings file is wrong or cannot be read.
+    /// The settings file is invalid or cannot be read.
     bad_settings = 3,
-    /// The rule file has faults or cannot be read; nothing was changed.
+    /// The rule file has errors or cannot be read; nothing was changed.
     bad_rules = 4,
-    /// Another operator's change came first; nothing was changed.
+    /// The change conflicted with another change; nothing was changed.
     not_accepted = 5,
-    /// It could not be found out whether the change took effect.
+    /// It could not be determined whether the change took effect.
     unknown = 6,
-    /// No such service, instance, rule or version.
+    /// The service, instance, rule, version or flow was not found.
     not_found = 7,
 };
 
-/// What the user asked for.
+/// The parsed command line, with the values of the settings file.
 struct arguments
 {
     /// The command and its operands, such as `rules apply FILE`.
     std::vector<std::string> words_;
-    /// Where the platform answers; absent for commands that need none.
+    /// Address of the platform, if given; some commands do not need it.
     std::optional<endpoint> platform_;
-    /// Longest time for one exchange with the platform.
+    /// Time limit of one call to the platform, including retries.
     std::uint64_t deadline_ms_ = 5000;
-    /// Who makes the change.
+    /// Name that is stored as the author of a change.
     std::string author_;
-    /// Version that the new rules were edited from.
+    /// `rules apply`: version on which the new rules are based.
     std::optional<std::uint64_t> base_;
-    /// Version to show.
+    /// `rules show`: version to print.
     std::optional<std::uint64_t> version_;
-    /// Accept rules of services that nobody has announced yet.
+    /// `rules apply`: accept rules of services that no instance has joined yet.
     bool new_services_ = false;
-    /// Print JSON in place of text.
+    /// Print JSON instead of text.
     bool json_ = false;
 };
 
-/// The one line that says how to call galenactl.
+/// Returns the line that describes how to call galenactl.
 std::string usage_line();
 
-/// Reads the command line and the settings file it names. Fails with the exit
-/// status if there is nothing to run; what the user needs to know has then
-/// been printed.
+/// Parses the command line and the settings file that it names. Fails with the
+/// exit status if no command is to be run: after an error, which is printed, or
+/// after `--help` and `--version`.
 tl::expected<arguments, exit_status> read_arguments(int argc,
                                                     const char* const* argv);
 
--- a/src/galenactl/commands.h
+++ b/src/galenactl/commands.h
@@ -1,5 +1,6 @@
 /// \file
-/// The commands. Each prints its result and returns the exit status.
+/// The commands of galenactl. Each prints its result and returns the exit
+/// status.
 
 #ifndef GALENACTL_COMMANDS_H
 #define GALENACTL_COMMANDS_H
@@ -11,41 +12,42 @@
 namespace galenafork::ctl
 {
 
-/// `rules check FILE`
-exit_status check_rules(const arguments& given);
+/// Runs `rules check FILE`.
+exit_status check_rules(const arguments& args);
 
-/// `rules apply FILE`
-exit_status apply_rules(const arguments& given, session& s);
+/// Runs `rules apply FILE`.
+exit_status apply_rules(const arguments& args, session& s);
 
-/// `rules show`
-exit_status show_rules(const arguments& given, session& s);
+/// Runs `rules show`.
+exit_status show_rules(const arguments& args, session& s);
 
-/// `rules history`
-exit_status show_history(const arguments& given, session& s);
+/// Runs `rules history`.
+exit_status show_history(const arguments& args, session& s);
 
-/// `status [SERVICE]`
-exit_status show_status(const arguments& given, session& s);
+/// Runs `status [SERVICE]`.
+exit_status show_status(const arguments& args, session& s);
 
-/// `drain SERVICE INSTANCE`
-exit_status drain(const arguments& given, session& s);
+/// Runs `drain SERVICE INSTANCE`.
+exit_status drain(const arguments& args, session& s);
 
-/// `undrain SERVICE INSTANCE`
-exit_status undrain(const arguments& given, session& s);
+/// Runs `undrain SERVICE INSTANCE`.
+exit_status undrain(const arguments& args, session& s);
 
-/// `flow FLOW LOG...`
-exit_status show_flow_timeline(const arguments& given);
+/// Runs `flow FLOW LOG...`.
+exit_status show_flow_timeline(const arguments& args);
 
-/// `explain CALLER ADDRESS`
-exit_status explain(const arguments& given, session& s);
+/// Runs `explain CALLER ADDRESS`.
+exit_status explain(const arguments& args, session& s);
 
-/// The rules in force with the version of their object.
+/// The active rules and the version of the platform object that holds them.
 struct stored_rules
 {
     object_version object_version_;
     rules_object object_;
 };
 
-/// Reads the rules in force. Fails with `not_found` if none were ever applied.
+/// Reads the active rules. Fails with `not_found` if none were ever applied,
+/// and with another error if they cannot be read or parsed.
 tl::expected<stored_rules, error> read_stored_rules(session& s);
 
 } // namespace galenafork::ctl
--- a/src/galenactl/explain.cpp
+++ b/src/galenactl/explain.cpp
@@ -14,7 +14,7 @@
 {
     if (m == nullptr)
     {
-        return "nobody";
+        return "none";
     }
     return m->instance_.value() + " (" + to_string(m->state_) + ", " +
            m->data_centre_.value() + ", " + to_string(m->packet_endpoint_) +
@@ -33,8 +33,9 @@
             {"packets", to_string(m->packet_endpoint_)}};
 }
 
-void print_path(const arguments& given, const flow_key& flow, const rule& r,
-                const rules_object& rules, const roster& members)
+void print_explanation(const arguments& args, const flow_key& flow,
+                       const rule& r, const rules_object& rules,
+                       const roster& members)
 {
     const bucket_id bucket = bucket_of(flow);
     const member* home = home_of(members, bucket);
@@ -47,9 +48,9 @@
         std::to_string(bucket.value()) + " of " + std::to_string(bucket_count) +
         ", by the hash of caller and service address\n" + "home    " +
         describe(home) + ": opens new flows of the bucket\n" + "deputy  " +
-        describe(deputy) + ": takes over if the home lapses\n" +
-        "owner   of an open flow: the directory of the home knows\n";
-    print(given, text,
+        describe(deputy) + ": takes over if the home's lease expires\n" +
+        "owner   of an open flow: recorded in the directory of the home\n";
+    print(args, text,
           {{"rule", to_json(r)},
            {"line", r.line_},
            {"rules_version", rules.version_.value()},
@@ -70,50 +71,50 @@
     return roster_from_json(object->value_);
 }
 
-exit_status explain_flow(const arguments& given, session& s,
+exit_status explain_flow(const arguments& args, session& s,
                          const flow_key& flow)
 {
     const auto current = read_stored_rules(s);
     if (!current)
     {
-        return fail(given, current.error());
+        return fail(args, current.error());
     }
     const auto rules = parse_rules_of(current->object_);
     if (!rules)
     {
-        return fail(given, rules.error());
+        return fail(args, rules.error());
     }
     const rule* r = find_rule(*rules, flow.service_address_);
     if (r == nullptr)
     {
-        return fail(given, exit_status::not_found,
+        return fail(args, exit_status::not_found,
                     "no rule for " + to_string(flow.service_address_) +
-                        ": balancers drop its packets");
+                        "; balancers drop packets to it");
     }
     const auto members = read_members(s, *r);
     if (!members)
     {
-        return fail(given, members.error());
+        return fail(args, members.error());
     }
-    print_path(given, flow, *r, current->object_, *members);
+    print_explanation(args, flow, *r, current->object_, *members);
     return exit_status::success;
 }
 
 } // namespace
 
-exit_status explain(const arguments& given, session& s)
+exit_status explain(const arguments& args, session& s)
 {
-    const auto caller = parse_endpoint(given.words_[1]);
+    const auto caller = parse_endpoint(args.words_[1]);
     if (!caller)
     {
-        return fail(given, exit_status::usage, caller.error().message_);
+        return fail(args, exit_status::usage, caller.error().message_);
     }
-    const auto address = parse_endpoint(given.words_[2]);
+    const auto address = parse_endpoint(args.words_[2]);
     if (!address)
     {
-        return fail(given, exit_status::usage, address.error().message_);
+        return fail(args, exit_status::usage, address.error().message_);
     }
-    return explain_flow(given, s, {*caller, *address});
+    return explain_flow(args, s, {*caller, *address});
 }
 
 } // namespace galenafork::ctl
--- a/src/galenactl/flow_timeline.cpp
+++ b/src/galenactl/flow_timeline.cpp
@@ -8,40 +8,40 @@
 namespace galenafork::ctl
 {
 
-exit_status show_flow_timeline(const arguments& given)
+exit_status show_flow_timeline(const arguments& args)
 {
-    std::vector<flow_log_entry> steps;
-    const std::string& flow = given.words_[1];
-    for (std::size_t i = 2; i < given.words_.size(); ++i)
+    std::vector<flow_log_entry> entries;
+    const std::string& flow = args.words_[1];
+    for (std::size_t i = 2; i < args.words_.size(); ++i)
     {
-        const std::string& name = given.words_[i];
+        const std::string& name = args.words_[i];
         if (name == "-")
         {
-            collect_flow_log(std::cin, "stdin", flow, steps);
+            collect_flow_log(std::cin, "stdin", flow, entries);
             continue;
         }
         std::ifstream log(name);
         if (!log)
         {
-            return fail(given, exit_status::usage, "cannot read " + name);
+            return fail(args, exit_status::usage, "cannot read " + name);
         }
-        collect_flow_log(log, name, flow, steps);
+        collect_flow_log(log, name, flow, entries);
     }
-    if (steps.empty())
+    if (entries.empty())
     {
-        return fail(given, exit_status::not_found,
-                    "no line about " + flow +
-                        "; ordinary decisions beyond the log's budget are "
+        return fail(args, exit_status::not_found,
+                    "no log line about flow " + flow +
+                        "; ordinary decisions over the log's rate limit are "
                         "only counted (event=log_omitted)");
     }
     json lines = json::array();
-    for (const flow_log_entry& step : steps)
+    for (const flow_log_entry& entry : entries)
     {
-        lines.push_back({{"at_us", step.time_.count()},
-                         {"source", step.source_},
-                         {"text", step.text_}});
+        lines.push_back({{"at_us", entry.time_.count()},
+                         {"source", entry.source_},
+                         {"text", entry.text_}});
     }
-    print(given, format_flow_timeline(std::move(steps)), lines);
+    print(args, format_flow_timeline(std::move(entries)), lines);
     return exit_status::success;
 }
 
--- a/src/galenactl/main.cpp
+++ b/src/galenactl/main.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// The operators' command.
+/// galenactl, the operators' command-line tool.
 
 #include <galenactl/arguments.h>
 #include <galenactl/commands.h>
@@ -13,14 +13,14 @@
 
 using namespace galenafork::ctl;
 
-// A command that asks the platform.
+// A command that needs the platform.
 struct command
 {
     const char* first_word_;
-    // Empty if one word names the command.
+    // Empty if the name of the command is one word.
     const char* second_word_;
-    std::size_t least_words_;
-    std::size_t most_words_;
+    std::size_t min_words_;
+    std::size_t max_words_;
     exit_status (*run_)(const arguments&, session&);
 };
 
@@ -37,51 +37,52 @@
 bool matches(const command& c, const std::vector<std::string>& words)
 {
     const std::string second = c.second_word_;
-    return words.size() >= c.least_words_ && words.size() <= c.most_words_ &&
+    return words.size() >= c.min_words_ && words.size() <= c.max_words_ &&
            words[0] == c.first_word_ && (second.empty() || words[1] == second);
 }
 
-bool is_check(const std::vector<std::string>& words)
+bool is_rules_check(const std::vector<std::string>& words)
 {
     return words.size() == 3 && words[0] == "rules" && words[1] == "check";
 }
 
-bool is_life(const std::vector<std::string>& words)
+bool is_flow_timeline(const std::vector<std::string>& words)
 {
     return words.size() >= 3 && words[0] == "flow";
 }
 
-exit_status usage_fault(const std::string& reason)
+exit_status usage_error(const std::string& reason)
 {
     std::cerr << "galenactl: " << reason << '\n' << usage_line() << '\n';
     return exit_status::usage;
 }
 
-exit_status run(const arguments& given)
+exit_status run(const arguments& args)
 {
-    if (is_check(given.words_))
+    if (is_rules_check(args.words_))
     {
-        return check_rules(given);
+        return check_rules(args);
     }
-    if (is_life(given.words_))
+    if (is_flow_timeline(args.words_))
     {
-        return show_flow_timeline(given);
+        return show_flow_timeline(args);
     }
     for (const command& c : commands)
     {
-        if (!matches(c, given.words_))
+        if (!matches(c, args.words_))
         {
             continue;
         }
-        if (!given.platform_)
+        if (!args.platform_)
         {
-            return usage_fault("--platform or --config is needed");
+            return usage_error("--platform or --config is required");
         }
-        session s(given);
-        return c.run_(given, s);
+        session s(args);
+        return c.run_(args, s);
     }
-    return usage_fault(given.words_.empty() ? "a command is needed"
-                                            : "no such command or operands");
+    return usage_error(args.words_.empty()
+                           ? "a command is required"
+                           : "unknown command or wrong operands");
 }
 
 } // namespace
@@ -90,8 +91,8 @@
 {
     try
     {
-        const auto given = read_arguments(argc, argv);
-        const exit_status status = given ? run(*given) : given.error();
+        const auto args = read_arguments(argc, argv);
+        const exit_status status = args ? run(*args) : args.error();
         return static_cast<int>(status);
     }
     catch (const kj::Exception& e)
--- a/src/galenactl/report.cpp
+++ b/src/galenactl/report.cpp
@@ -53,11 +53,11 @@
     return text;
 }
 
-void print(const arguments& given, const std::string& text, const json& value)
+void print(const arguments& args, const std::string& text, const json& value)
 {
-    if (given.json_)
+    if (args.json_)
     {
-        // Author names come from the command line and may be any bytes.
+        // Author names come from the command line and may be invalid UTF-8.
         std::cout << value.dump(2, ' ', false, json::error_handler_t::replace)
                   << '\n';
         return;
@@ -65,12 +65,12 @@
     std::cout << text;
 }
 
-exit_status fail(const arguments& given, exit_status status,
+exit_status fail(const arguments& args, exit_status status,
                  const std::string& reason)
 {
-    if (given.json_)
+    if (args.json_)
     {
-        print(given, "", {{"error", reason}});
+        print(args, "", {{"error", reason}});
     }
     else
     {
@@ -79,30 +79,30 @@
     return status;
 }
 
-exit_status fail(const arguments& given, const error& e)
+exit_status fail(const arguments& args, const error& e)
 {
     const bool is_missing = e.code_ == error_code::not_found;
-    return fail(given,
+    return fail(args,
                 is_missing ? exit_status::not_found : exit_status::failure,
                 e.message_);
 }
 
-exit_status fail(const arguments& given, const std::string& file,
-                 const std::vector<rule_error>& faults)
+exit_status fail(const arguments& args, const std::string& file,
+                 const std::vector<rule_error>& errors)
 {
     json list = json::array();
-    for (const rule_error& e : faults)
+    for (const rule_error& e : errors)
     {
         list.push_back({{"file", file},
                         {"line", e.line_},
                         {"column", e.column_},
                         {"reason", e.reason_}});
-        if (!given.json_)
+        if (!args.json_)
         {
             std::cerr << to_string(e, file) << '\n';
         }
     }
-    print(given, "", {{"faults", list}});
+    print(args, "", {{"faults", list}});
     return exit_status::bad_rules;
 }
 
--- a/src/galenactl/report.h
+++ b/src/galenactl/report.h
@@ -1,5 +1,5 @@
 /// \file
-/// What the commands print, as text or as JSON.
+/// Output of the commands, as text or as JSON.
 
 #ifndef GALENACTL_REPORT_H
 #define GALENACTL_REPORT_H
@@ -15,32 +15,36 @@
 namespace galenafork::ctl
 {
 
-/// Keys keep the order in which they are written.
+/// JSON that keeps the keys in the order of insertion.
 using json = nlohmann::ordered_json;
 
-/// One rule as JSON.
+/// Returns one rule as JSON.
 json to_json(const rule& r);
 
-/// `{added, removed, changed}` as JSON.
+/// Returns the difference as a JSON object with `added`, `removed` and
+/// `changed`.
 json to_json(const rules_diff& diff);
 
-/// One line for each difference: `+` added, `-` removed, both for changed.
+/// Returns a line with `+` for each added rule, with `-` for each removed rule,
+/// and both for each changed rule.
 std::string to_text(const rules_diff& diff);
 
-/// Prints `text`, or `value` if JSON was asked for, to standard output.
-void print(const arguments& given, const std::string& text, const json& value);
+/// Prints `text`, or `value` if `--json` was given, to standard output.
+void print(const arguments& args, const std::string& text, const json& value);
 
-/// Reports that a command failed: text to standard error, or JSON. Returns
-/// `status`.
-exit_status fail(const arguments& given, exit_status status,
+/// Reports the failure of a command, as text on standard error or as JSON on
+/// standard output. Returns `status`.
+exit_status fail(const arguments& args, exit_status status,
                  const std::string& reason);
 
-/// The same for an error of the platform; `not_found` has its own status.
-exit_status fail(const arguments& given, const error& e);
+/// Reports the message of `e` in the same way. Returns `not_found` for an error
+/// with that code and `failure` for any other.
+exit_status fail(const arguments& args, const error& e);
 
-/// Reports the faults of a rule file, each with its place.
-exit_status fail(const arguments& given, const std::string& file,
-                 const std::vector<rule_error>& faults);
+/// Reports the errors in a rule file, each with its line and column. Returns
+/// `bad_rules`.
+exit_status fail(const arguments& args, const std::string& file,
+                 const std::vector<rule_error>& errors);
 
 } // namespace galenafork::ctl
 
--- a/src/galenactl/roster_commands.cpp
+++ b/src/galenactl/roster_commands.cpp
@@ -11,7 +11,8 @@
 namespace
 {
 
-// Other writers of a busy roster may come first a few times.
+// Maximum number of attempts to change a roster. An attempt fails if another
+// writer changes the roster at the same time.
 constexpr int max_attempts = 10;
 
 struct stored_roster
@@ -101,12 +102,12 @@
 }
 
 tl::expected<std::vector<std::string>, error>
-roster_names(const arguments& given, session& s)
+roster_names(const arguments& args, session& s)
 {
-    if (given.words_.size() > 1)
+    if (args.words_.size() > 1)
     {
         return std::vector<std::string>{
-            roster_object_name(service_name(given.words_[1]))};
+            roster_object_name(service_name(args.words_[1]))};
     }
     const auto entries = s.wait(s.store().list(roster_object_prefix));
     if (!entries)
@@ -125,18 +126,18 @@
 struct state_change
 {
     roster_change_kind kind_;
-    member_state wanted_;
+    member_state new_state_;
 };
 
-exit_status report_done(const arguments& given, const char* outcome,
+exit_status report_done(const arguments& args, const char* outcome,
                         const roster& r, member_state state)
 {
-    const std::string& service = given.words_[1];
-    const std::string& instance = given.words_[2];
-    print(given,
+    const std::string& service = args.words_[1];
+    const std::string& instance = args.words_[2];
+    print(args,
           std::string(outcome) + ": " + instance + " of " + service + " is " +
-              to_string(state) + " since epoch " +
-              std::to_string(r.epoch_.value()) + " or before\n",
+              to_string(state) + " as of epoch " +
+              std::to_string(r.epoch_.value()) + "\n",
           {{"outcome", outcome},
            {"service", service},
            {"instance", instance},
@@ -145,91 +146,93 @@
     return exit_status::success;
 }
 
-exit_status report_missing(const arguments& given)
+exit_status report_missing(const arguments& args)
 {
-    return fail(given, exit_status::not_found,
-                "service " + given.words_[1] + " has no instance " +
-                    given.words_[2]);
+    return fail(args, exit_status::not_found,
+                "service " + args.words_[1] + " has no instance " +
+                    args.words_[2]);
 }
 
-exit_status report_outcome(const arguments& given, exit_status status,
+exit_status report_outcome(const arguments& args, exit_status status,
                            const char* outcome, const std::string& reason)
 {
-    print(given, std::string(outcome) + ": " + reason + "\n",
+    print(args, std::string(outcome) + ": " + reason + "\n",
           {{"outcome", outcome}, {"reason", reason}});
     return status;
 }
 
-// One read and one conditional write. Nothing if another writer came first:
-// the change is independent of other changes and may be tried again.
-std::optional<exit_status> try_change(const arguments& given, session& s,
-                                      const state_change& wanted)
+// Reads the roster and writes it conditionally, once. Returns nothing if
+// another writer changed the roster in between; the change can then be tried
+// again, since it does not depend on other changes.
+std::optional<exit_status> try_change(const arguments& args, session& s,
+                                      const state_change& requested)
 {
-    const std::string name = roster_object_name(service_name(given.words_[1]));
+    const std::string name = roster_object_name(service_name(args.words_[1]));
     const auto current = read_roster(s, name);
     if (!current)
     {
-        return fail(given, current.error());
+        return fail(args, current.error());
     }
     const member* m =
-        find_member(current->roster_, instance_id(given.words_[2]));
+        find_member(current->roster_, instance_id(args.words_[2]));
     if (m == nullptr)
     {
-        return report_missing(given);
+        return report_missing(args);
     }
-    if (m->state_ == wanted.wanted_)
+    if (m->state_ == requested.new_state_)
     {
-        return report_done(given, "unchanged", current->roster_, m->state_);
+        return report_done(args, "unchanged", current->roster_, m->state_);
     }
-    const roster_change change{wanted.kind_, *m, s.new_write_id()};
+    const roster_change change{requested.kind_, *m, s.new_write_id()};
     const auto next = apply(current->roster_, change);
     if (!next)
     {
-        return report_outcome(given, exit_status::not_accepted, "not_accepted",
+        return report_outcome(args, exit_status::not_accepted, "not_accepted",
                               next.error().message_);
     }
     const auto result = s.wait(s.store().put_if(
         {name, current->version_, to_json(*next), change.write_}));
     if (result.outcome_ == write_outcome::accepted)
     {
-        return report_done(given, "accepted", *next, wanted.wanted_);
+        return report_done(args, "accepted", *next, requested.new_state_);
     }
     if (result.outcome_ == write_outcome::unknown)
     {
-        return report_outcome(given, exit_status::unknown, "unknown",
+        return report_outcome(args, exit_status::unknown, "unknown",
                               result.reason_.message_ +
-                                  "; the same command again is safe");
+                                  "; running the same command again is safe");
     }
     if (result.reason_.code_ == error_code::conflict)
     {
         return std::nullopt;
     }
-    return report_outcome(given, exit_status::failure, "not_accepted",
+    return report_outcome(args, exit_status::failure, "not_accepted",
                           result.reason_.message_);
 }
 
-exit_status change_state(const arguments& given, session& s,
-                         const state_change& wanted)
+exit_status change_state(const arguments& args, session& s,
+                         const state_change& requested)
 {
     for (int attempt = 0; attempt < max_attempts; ++attempt)
     {
-        if (const auto status = try_change(given, s, wanted))
+        if (const auto status = try_change(args, s, requested))
         {
             return *status;
         }
     }
-    return report_outcome(given, exit_status::not_accepted, "not_accepted",
-                          "other changes of the roster kept coming first");
+    return report_outcome(
+        args, exit_status::not_accepted, "not_accepted",
+        "another change of the roster came first in every attempt");
 }
 
 } // namespace
 
-exit_status show_status(const arguments& given, session& s)
+exit_status show_status(const arguments& args, session& s)
 {
-    const auto names = roster_names(given, s);
+    const auto names = roster_names(args, s);
     if (!names)
     {
-        return fail(given, names.error());
+        return fail(args, names.error());
     }
     std::string text;
     json services = json::array();
@@ -238,23 +241,23 @@
         const auto current = read_roster(s, name);
         if (!current)
         {
-            return fail(given, current.error());
+            return fail(args, current.error());
         }
         add_service(current->roster_, text, services);
     }
-    print(given, text, {{"services", std::move(services)}});
+    print(args, text, {{"services", std::move(services)}});
     return exit_status::success;
 }
 
-exit_status drain(const arguments& given, session& s)
+exit_status drain(const arguments& args, session& s)
 {
-    return change_state(given, s,
+    return change_state(args, s,
                         {roster_change_kind::drain, member_state::draining});
 }
 
-exit_status undrain(const arguments& given, session& s)
+exit_status undrain(const arguments& args, session& s)
 {
-    return change_state(given, s,
+    return change_state(args, s,
                         {roster_change_kind::undrain, member_state::serving});
 }
 
--- a/src/galenactl/rules_commands.cpp
+++ b/src/galenactl/rules_commands.cpp
@@ -22,60 +22,61 @@
     return stored_rules{read->version_, std::move(*object)};
 }
 
-exit_status check_rules(const arguments& given)
+exit_status check_rules(const arguments& args)
 {
-    const std::string& file = given.words_[2];
+    const std::string& file = args.words_[2];
     const auto text = read_text_file(file);
     if (!text)
     {
-        return fail(given, exit_status::bad_rules, text.error().message_);
+        return fail(args, exit_status::bad_rules, text.error().message_);
     }
     const auto parsed = parse_rules(*text);
     if (!parsed)
     {
-        return fail(given, file, parsed.error());
+        return fail(args, file, parsed.error());
     }
     json rules = json::array();
     for (const rule& r : parsed->rules_)
     {
         rules.push_back(to_json(r));
     }
-    print(given,
+    print(args,
           file + ": " + std::to_string(parsed->rules_.size()) + " rules\n",
           {{"rules", rules}});
     return exit_status::success;
 }
 
-exit_status show_rules(const arguments& given, session& s)
+exit_status show_rules(const arguments& args, session& s)
 {
     const auto current = read_stored_rules(s);
     if (!current)
     {
-        return fail(given, current.error());
+        return fail(args, current.error());
     }
     const rules_object& object = current->object_;
     const rules_version version(
-        given.version_.value_or(object.version_.value()));
+        args.version_.value_or(object.version_.value()));
     const auto text = rules_text_at(object, version);
     if (!text)
     {
-        return fail(given, text.error());
+        return fail(args, text.error());
     }
-    // Only the file itself, so that it can be edited and applied.
-    print(given, *text, {{"version", version.value()}, {"text", *text}});
-    if (!given.json_)
+    // Standard output gets only the text of the file, so that it can be edited
+    // and applied.
+    print(args, *text, {{"version", version.value()}, {"text", *text}});
+    if (!args.json_)
     {
         std::cerr << "version " << version.value() << '\n';
     }
     return exit_status::success;
 }
 
-exit_status show_history(const arguments& given, session& s)
+exit_status show_history(const arguments& args, session& s)
 {
     const auto current = read_stored_rules(s);
     if (!current)
     {
-        return fail(given, current.error());
+        return fail(args, current.error());
     }
     std::string text;
     json list = json::array();
@@ -92,7 +93,7 @@
                         {"removed", e.edit_.removed_},
                         {"added", e.edit_.added_}});
     }
-    print(given, text, {{"history", list}});
+    print(args, text, {{"history", list}});
     return exit_status::success;
 }
 
--- a/src/galenactl/session.cpp
+++ b/src/galenactl/session.cpp
@@ -12,8 +12,8 @@
 namespace
 {
 
-// An operator's command may ask for each service in turn.
-constexpr token_rate calls_of_a_command{100, 200};
+// Above the default rate, since a command may read the roster of each service.
+constexpr token_rate command_call_rate{100, 200};
 
 std::mt19937_64 seeded_engine()
 {
@@ -22,25 +22,25 @@
     return std::mt19937_64(seed);
 }
 
-platform_settings settings_for(const arguments& given)
+platform_settings settings_for(const arguments& args)
 {
     platform_settings settings;
-    settings.address_ = given.platform_.value();
-    settings.call_deadline_ = std::chrono::milliseconds(given.deadline_ms_);
-    settings.call_rate_ = calls_of_a_command;
+    settings.address_ = args.platform_.value();
+    settings.call_deadline_ = std::chrono::milliseconds(args.deadline_ms_);
+    settings.call_rate_ = command_call_rate;
     return settings;
 }
 
 } // namespace
 
-session::session(const arguments& given)
+session::session(const arguments& args)
     : io_(kj::setupAsyncIo()), random_(seeded_engine())
 {
     platform_dependencies dependencies{
         io_.provider->getTimer(), io_.provider->getNetwork(),
         read_monotonic_clock,
         [this] { return std::uniform_real_distribution<>(0, 1)(random_); }};
-    store_ = std::make_unique<platform_client>(settings_for(given),
+    store_ = std::make_unique<platform_client>(settings_for(args),
                                                std::move(dependencies));
 }
 
@@ -61,11 +61,11 @@
 {
     const std::time_t now =
         std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
-    std::tm parts{};
-    gmtime_r(&now, &parts);
+    std::tm utc{};
+    gmtime_r(&now, &utc);
     std::array<char, 32> text{};
     const std::size_t length =
-        std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
+        std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &utc);
     return {text.data(), length};
 }
 
--- a/src/galenactl/session.h
+++ b/src/galenactl/session.h
@@ -1,6 +1,5 @@
 /// \file
-/// What a command works with: the platform, the clock, random ids, the author
-/// and the form of output.
+/// Access to the platform, random ids and the time for the commands.
 
 #ifndef GALENACTL_SESSION_H
 #define GALENACTL_SESSION_H
@@ -17,23 +16,23 @@
 namespace galenafork::ctl
 {
 
-/// The event loop and the platform, for one command.
+/// The event loop and the platform client of one command.
 class session
 {
 public:
-    /// Connects nowhere yet; `given.platform_` must be there.
-    explicit session(const arguments& given);
+    /// Does not connect yet. `args.platform_` must have a value.
+    explicit session(const arguments& args);
     ~session() noexcept(false);
     session(const session&) = delete;
     session& operator=(const session&) = delete;
 
-    /// The platform's objects.
+    /// Returns the client for the platform's objects.
     platform_store& store();
 
-    /// A write id that nobody else has.
+    /// Returns a new random write id.
     write_id new_write_id();
 
-    /// Runs the event loop until `promise` is there.
+    /// Runs the event loop until `promise` is resolved and returns its value.
     template <class T>
     T wait(kj::Promise<T> promise)
     {
@@ -46,7 +45,7 @@
     std::unique_ptr<platform_store> store_;
 };
 
-/// The time of day in UTC, as `2026-12-04T05:30:00Z`.
+/// Returns the current time in UTC, such as `2026-12-04T05:30:00Z`.
 std::string utc_now();
 
 } // namespace galenafork::ctl
--- a/src/include/galenafork/agent_core.h
+++ b/src/include/galenafork/agent_core.h
@@ -30,17 +30,17 @@
 {
     /// A flow ends after this time without a packet.
     duration idle_timeout_ = std::chrono::seconds(60);
-    /// How long a packet is held that can be neither routed nor served yet,
-    /// for example because its home's directory is incomplete.
+    /// Maximum time that a packet is held because it can be neither routed nor
+    /// served yet, for example because its home's directory is incomplete.
     duration hold_time_ = std::chrono::milliseconds(1500);
-    /// Max number of held packets; further ones are dropped.
+    /// Maximum number of held packets; further ones are dropped.
     std::size_t max_held_packets_ = 4096;
     /// Interval at which an ownership query is resent to peers that have not
     /// replied.
     duration query_interval_ = std::chrono::milliseconds(50);
-    /// Min time between two stale notices to the same balancer.
+    /// Minimum time between two stale notices to the same balancer.
     duration notice_interval_ = std::chrono::milliseconds(20);
-    /// Time limit of the upstream for a non-idempotent request.
+    /// Time limit for the upstream's answer to a non-idempotent request.
     duration request_time_ = std::chrono::seconds(5);
 };
 
@@ -76,7 +76,9 @@
 {
     instance_incarnation owner_;
     instant last_packet_;
-    /// Id of this placement; a later placement of the flow has a higher id.
+    /// Id of this placement; a later placement of the flow by the same home has
+    /// a higher id. Zero if the record comes from the owner's reply to an
+    /// ownership query.
     std::uint64_t placement_id_ = 0;
 };
 
@@ -98,7 +100,8 @@
     std::vector<instance_incarnation> copied_expired_members_;
     /// The last effective home in this agent's view.
     std::optional<instance_incarnation> last_home_;
-    /// As home with an incomplete directory: the effective home before it.
+    /// As home with an incomplete directory: the effective home before this
+    /// agent.
     std::optional<instance_incarnation> predecessor_;
 };
 
@@ -278,9 +281,11 @@
     flow_key flow_;
 };
 
-/// Makes the control thread fetch a roster of at least this epoch.
+/// Makes the control thread fetch the newest roster from the platform.
 struct fetch_roster
 {
+    /// Lowest epoch that is of use to the agent; the control thread does not
+    /// check it.
     epoch min_epoch_;
 };
 
--- a/src/include/galenafork/api_dialect.h
+++ b/src/include/galenafork/api_dialect.h
@@ -1,7 +1,7 @@
 /// \file
-/// How one platform spells its object API: requests out, answers in. The
-/// client's decisions (deadlines, retries, settling of writes) are the same
-/// for all.
+/// The HTTP form of a platform's object API: encoding of requests and parsing
+/// of responses. Deadlines, retries and the resolving of writes are left to the
+/// client, which handles them in the same way for all dialects.
 
 #ifndef GALENAFORK_API_DIALECT_H
 #define GALENAFORK_API_DIALECT_H
@@ -15,7 +15,7 @@
 namespace galenafork
 {
 
-/// One call.
+/// One HTTP request.
 struct api_request
 {
     kj::HttpMethod method_ = kj::HttpMethod::GET;
@@ -25,26 +25,26 @@
     std::string body_;
 };
 
-/// The answer to one call.
+/// The response to one HTTP request.
 struct api_response
 {
-    /// HTTP status; 0 if there was no answer.
+    /// HTTP status; 0 if there was no response.
     unsigned status_ = 0;
     std::string body_;
-    /// There was no answer within the time.
+    /// True if there was no response within the timeout.
     bool timed_out_ = false;
 };
 
-/// Translation between the client and one platform. Functions that read fail
-/// with `bad_message`. The last group may be empty: then the calls on
-/// collections fail with `refused`.
+/// Functions that translate between the client and one platform. The parsing
+/// functions fail with `bad_message`. The last group is null for a platform
+/// without collections: calls on collections then fail with `refused`.
 struct api_dialect
 {
-    /// The URL of an object.
+    /// Returns the URL of an object.
     std::string (*object_url_)(const std::string& name);
-    /// The URL of the list of names; see `platform_store::list`.
+    /// Returns the URL for `platform_store::list`.
     std::string (*list_url_)(const std::string& prefix);
-    /// A conditional write or creation.
+    /// Returns the request for a conditional update or creation.
     api_request (*make_write_request_)(const object_write& write);
     tl::expected<platform_object, error> (*parse_object_)(
         const std::string& name, const std::string& body);
@@ -52,14 +52,15 @@
         const std::string& body);
     tl::expected<std::vector<object_entry>, error> (*parse_list_)(
         const std::string& body);
-    /// The status of a write whose condition does not hold.
+    /// HTTP status of a write whose condition does not hold.
     unsigned conflict_status_;
 
-    /// The URL of a collection, after `after` if that is not empty.
+    /// Returns the URL of a page of a collection: the first one if `after` is
+    /// empty, otherwise the one that follows the object named `after`.
     std::string (*collection_url_)(const std::string& collection,
                                    const std::string& after) = nullptr;
-    /// What the URL of a read that may be old ends with.
-    const char* allow_stale_suffix_ = "";
+    /// Query parameter of a read with `freshness::allow_stale`.
+    const char* allow_stale_parameter_ = "";
     api_request (*make_remove_request_)(const std::string& name,
                                         object_version expected) = nullptr;
     tl::expected<object_page, error> (*parse_page_)(
@@ -68,7 +69,8 @@
         const std::string& collection, const std::string& body) = nullptr;
 };
 
-/// The dialect of the project's own platform.
+/// Returns the dialect of the project's own platform, whose objects have URLs
+/// below `/v1/objects`.
 const api_dialect& default_dialect();
 
 } // namespace galenafork
--- a/src/include/galenafork/coap.h
+++ b/src/include/galenafork/coap.h
@@ -1,6 +1,6 @@
 /// \file
-/// CoAP messages (RFC 7252, RFC 7959, RFC 8132) as plain structs. The codec is
-/// libcoap's.
+/// CoAP messages (RFC 7252, RFC 7959, RFC 8132) as plain structs, parsed and
+/// encoded with libcoap.
 
 #ifndef GALENAFORK_COAP_H
 #define GALENAFORK_COAP_H
@@ -20,7 +20,7 @@
 namespace galenafork
 {
 
-/// Type of a message.
+/// Message type.
 enum class coap_type : std::uint8_t
 {
     confirmable = 0,
@@ -29,7 +29,7 @@
     reset = 3,
 };
 
-/// Code of a message: class in the upper three bits, detail in the lower five.
+/// Message code: class in the upper three bits, detail in the lower five.
 enum class coap_code : std::uint8_t
 {
     empty = 0x00,
@@ -55,7 +55,7 @@
     gateway_timeout = 0xa4,
 };
 
-/// Number of an option.
+/// Option number.
 enum class coap_option_number : std::uint16_t
 {
     etag = 4,
@@ -69,16 +69,16 @@
     size2 = 28,
     size1 = 60,
     request_tag = 292,
-    /// Private and elective, agent to upstream: milliseconds of the machine's
-    /// monotonic clock, which the two share, after which the upstream must
-    /// not begin the request.
+    /// Private elective option from an agent to its upstream: the time, in
+    /// milliseconds of the monotonic clock of the machine that they share,
+    /// after which the upstream must not start the request.
     deadline = 65000,
-    /// Private and elective, agent to upstream: trace id (16 bytes), span id
-    /// (8 bytes), and a byte that is 1 if the trace is sampled.
+    /// Private elective option from an agent to its upstream: trace id (16
+    /// bytes), span id (8 bytes), and a byte that is 1 if the trace is sampled.
     trace = 65004,
 };
 
-/// One option with its raw value.
+/// An option with its encoded value.
 struct coap_option
 {
     coap_option_number number_ = coap_option_number::etag;
@@ -90,16 +90,16 @@
 {
     std::uint32_t number_ = 0;
     bool more_ = false;
-    /// The block size is 2 to the power of this plus 4; 6 at most.
+    /// 0 to 6: the block size is 2 to the power of `size_exponent_ + 4` bytes.
     std::uint8_t size_exponent_ = 6;
 
-    /// Block size in bytes.
+    /// Returns the block size in bytes.
     std::size_t size() const;
-    /// Where the block starts in the body, in bytes.
+    /// Returns the offset of the block in the body, in bytes.
     std::size_t offset() const;
 };
 
-/// One CoAP message.
+/// A CoAP message.
 struct coap_message
 {
     coap_type type_ = coap_type::confirmable;
@@ -107,57 +107,61 @@
     std::uint16_t message_id_ = 0;
     /// 0 to 8 bytes.
     byte_buffer token_;
-    /// In order of their numbers; repeated options in the order sent.
+    /// Sorted by number; options with the same number in the order sent.
     std::vector<coap_option> options_;
     byte_buffer payload_;
 };
 
-/// Longest token, in bytes.
+/// Maximum length of a token, in bytes.
 inline constexpr std::size_t max_coap_token_bytes = 8;
 
-/// Reads one datagram. Fails with `bad_message` if it is no CoAP message of
-/// version 1. Never throws. Silences libcoap's own log in this process.
+/// Parses one datagram. Fails with `bad_message` if it is not a CoAP message of
+/// version 1. Never throws. Disables libcoap's own logging in this process,
+/// except for critical errors.
 tl::expected<coap_message, error> parse_coap(const std::uint8_t* bytes,
                                              std::size_t size);
 
-/// The datagram of `message`; options are put in order. Fails with
-/// `bad_message` if the token or an option is too long.
+/// Returns the datagram for `message`, with the options sorted by number. Fails
+/// with `bad_message` if the token, an option or the datagram is too long.
 tl::expected<byte_buffer, error> encode_coap(const coap_message& message);
 
-/// True for a request, of any method.
+/// Returns whether the code of `message` is a request method, known or not.
 bool is_request(const coap_message& message);
 
-/// True for a response, piggybacked or separate.
+/// Returns whether `message` is a response, piggybacked or separate.
 bool is_response(const coap_message& message);
 
-/// True if doing the request twice has the effect of doing it once: all
-/// methods known but POST and PATCH (RFC 7252, RFC 8132). An unknown method
-/// counts as not idempotent.
+/// Returns whether running a request twice has the same effect as running it
+/// once. True for all known methods except POST and PATCH (RFC 7252, RFC 8132);
+/// false for unknown methods.
 bool is_idempotent(coap_code method);
 
-/// The first option of that number, or null.
+/// Returns the first option with the number, or null if there is none.
 const coap_option* find_option(const coap_message& message,
                                coap_option_number number);
 
-/// Value of an unsigned option; nothing if absent or longer than 8 bytes.
+/// Returns the value of an unsigned option; nothing if the option is absent or
+/// longer than 8 bytes.
 std::optional<std::uint64_t> uint_option(const coap_message& message,
                                          coap_option_number number);
 
-/// Value of a Block1 or Block2 option; nothing if absent or malformed.
+/// Returns the value of a Block1 or Block2 option; nothing if the option is
+/// absent or malformed.
 std::optional<coap_block> block_option(const coap_message& message,
                                        coap_option_number number);
 
-/// Uri-Path as `/a/b`; `/` if there is none.
+/// Returns the Uri-Path options as `/a/b`, or `/` if there are none.
 std::string uri_path(const coap_message& message);
 
-/// The trace context in the `trace` option; all zero if absent or malformed.
+/// Returns the trace context in the `trace` option; all zero if the option is
+/// absent or malformed.
 trace_context trace_of(const coap_message& message);
 
-/// Replaces every option of that number by one with the value, in its place.
+/// Replaces all options with the number by one with `value`.
 void set_option(coap_message& message, coap_option_number number,
                 byte_buffer value);
 
-/// As above, with an unsigned value in its shortest form.
+/// As above, with an unsigned value in its shortest encoding.
 void set_uint_option(coap_message& message, coap_option_number number,
                      std::uint64_t value);
 
@@ -165,22 +169,23 @@
 void set_block_option(coap_message& message, coap_option_number number,
                       const coap_block& block);
 
-/// Sets Uri-Path to the segments of `/a/b`.
+/// Replaces the Uri-Path options by the segments of `path`, such as `/a/b`.
 void set_uri_path(coap_message& message, const std::string& path);
 
 /// Sets the `trace` option.
 void set_trace(coap_message& message, const trace_context& trace);
 
-/// Removes every option of that number.
+/// Removes all options with the number.
 void remove_option(coap_message& message, coap_option_number number);
 
-/// An empty answer to `request` with its token: an ACK of its message id for
-/// a confirmable request, else a non-confirmable message.
+/// Returns a response to `request` without payload, with the message id and the
+/// token of `request`: an acknowledgement of a confirmable request, otherwise a
+/// non-confirmable message.
 coap_message make_coap_response(const coap_message& request, coap_code code);
 
-/// The answer that tells the caller `outcome`: 5.03 with Max-Age
-/// `retry_after` for `did_not_run`, 5.04 for any other. The payload is the
-/// name of the reason.
+/// Returns the response that reports `outcome` to the caller: 5.03 with Max-Age
+/// `retry_after` for `did_not_run`, 5.04 for any other run state. The payload
+/// is the name of the reason.
 coap_message make_error_response(const coap_message& request,
                                  const verdict& outcome,
                                  std::chrono::seconds retry_after);
