--- a/src/include/galenafork/control_loop.h
+++ b/src/include/galenafork/control_loop.h
@@ -1,7 +1,7 @@
 /// \file
-/// The control thread of a daemon: a kj event loop with health, metrics and
-/// status over HTTP, a Cap'n Proto RPC server, timers, signals and the mail
-/// from the traffic threads.
+/// The control thread of a daemon: a kj event loop that serves health, metrics
+/// and status over HTTP, runs a Cap'n Proto RPC server and handles timers,
+/// signals and messages from the traffic threads.
 
 #ifndef GALENAFORK_CONTROL_LOOP_H
 #define GALENAFORK_CONTROL_LOOP_H
@@ -27,47 +27,49 @@
 namespace galenafork
 {
 
-/// Whether a daemon should get traffic.
+/// Whether a daemon is ready for traffic.
 struct readiness
 {
     bool ready_ = false;
-    /// Why not, for a person; empty when ready.
+    /// Human-readable reason for not being ready; empty when ready.
     std::string reason_;
 };
 
-/// Where a daemon answers operators and its peers.
+/// Addresses on which a daemon serves operators and its peers.
 struct control_addresses
 {
-    /// HTTP: `/healthz`, `/readyz`, `/metrics`, `/status`.
+    /// Serves HTTP: `/healthz`, `/readyz`, `/metrics`, `/status`.
     endpoint http_;
-    /// Cap'n Proto RPC.
+    /// Serves Cap'n Proto RPC.
     endpoint rpc_;
-    /// Further addresses for HTTP, which answer the same.
+    /// Further addresses that serve the same HTTP paths.
     std::vector<endpoint> additional_http_ = {};
 };
 
-/// An HTTP request as a daemon's own handler sees it.
+/// An HTTP request that the control loop hands to the daemon's own handler.
 struct http_request
 {
     std::string method_;
-    /// Path and query.
+    /// Path and query of the request.
     std::string url_;
     std::string body_;
 };
 
-/// What a daemon's own handler answers; `body_` is JSON or empty.
+/// Response of a daemon's own handler; `body_` is JSON or empty.
 struct http_response
 {
     unsigned status_ = 200;
     std::string body_;
 };
 
-/// Answers a call that the loop does not know itself, or nothing if it is
-/// unknown here too.
+/// Handles an HTTP request to a path that the control loop does not serve
+/// itself. Returns nothing if the daemon does not serve the path either; the
+/// client then gets status 404.
 using http_handler =
     std::function<std::optional<http_response>(const http_request&)>;
 
-/// A call to an RPC server of another daemon, kept open for more calls.
+/// A connection to the RPC server of another daemon; carries any number of
+/// calls.
 class rpc_connection
 {
 public:
@@ -75,10 +77,10 @@
     explicit rpc_connection(kj::Own<kj::AsyncIoStream> stream);
     ~rpc_connection();
 
-    /// The server's first interface.
+    /// Returns the bootstrap interface of the server.
     capnp::Capability::Client bootstrap();
 
-    /// Resolves when the other side has gone.
+    /// Resolves when the connection is closed or broken.
     kj::Promise<void> on_disconnect();
 
 private:
@@ -86,80 +88,88 @@
     std::unique_ptr<state> state_;
 };
 
-/// Runs the control thread. Open it before any other thread starts, so that
-/// signals come to it only; use it from the thread that opened it.
+/// Event loop of the control thread. Open it before any other thread starts, so
+/// that only this thread receives signals, and use it from the thread that
+/// opened it.
 class control_loop
 {
 public:
-    /// Binds both addresses. Fails with `unavailable` if one is taken.
+    /// Binds all `addresses`. Fails with `unavailable` if one can't be bound.
     static tl::expected<std::unique_ptr<control_loop>, error>
     open(const control_addresses& addresses, const metrics_registry& metrics);
     ~control_loop();
     control_loop(const control_loop&) = delete;
     control_loop& operator=(const control_loop&) = delete;
 
-    /// Network and timers for the daemon's own asynchronous work.
+    /// Returns the network and timers for the daemon's own asynchronous work.
     kj::AsyncIoContext& io();
     kj::Timer& timer();
 
-    /// What `/readyz` answers; unready until set.
-    void set_readiness_handler(std::function<readiness()> read);
+    /// Sets the source of the `/readyz` response. Without it the daemon is not
+    /// ready.
+    void set_readiness_handler(std::function<readiness()> handler);
 
-    /// The JSON text that `/status` answers.
-    void set_status_handler(std::function<std::string()> read);
+    /// Sets the source of the JSON text that `/status` returns.
+    void set_status_handler(std::function<std::string()> handler);
 
-    /// Answers HTTP requests other than the loop's own.
+    /// Sets the handler of HTTP requests to other paths than the loop's own.
     void set_http_handler(http_handler handler);
 
-    /// The interface that RPC clients get; call once, before `run`.
+    /// Starts the RPC server, which offers `bootstrap` to its clients. Call it
+    /// once, before `run`.
     void serve_rpc(capnp::Capability::Client bootstrap);
 
-    /// Runs on each SIGHUP; without it SIGHUP is ignored.
+    /// Sets the function that runs on each SIGHUP. Without it SIGHUP is only
+    /// logged.
     void set_reload_handler(std::function<void()> reload);
 
-    /// Runs on the first SIGTERM or SIGINT; `run` returns when the promise
-    /// has resolved. A second signal ends the process at once.
+    /// Sets the function that runs on the first SIGTERM or SIGINT or on `stop`.
+    /// `run` returns when its promise has resolved or failed; a failure is
+    /// logged. A SIGTERM or SIGINT in the meantime ends the process at once.
     void set_drain_handler(std::function<kj::Promise<void>()> drain);
 
-    /// Calls `act` every `interval`, first after one interval.
-    void run_every(duration interval, std::function<void()> act);
+    /// Calls `callback` every `interval`, first after one interval.
+    void run_every(duration interval, std::function<void()> callback);
 
-    /// Runs a promise in the background; its failure is logged under `name`.
+    /// Runs a promise in the background; a failure is logged with `name`.
     void add_task(const std::string& name, kj::Promise<void> task);
 
-    /// Calls `act` with each value that is posted to `mail`, which must
-    /// outlive the loop.
+    /// Calls `callback` with each value that is posted to `messages`, which
+    /// must outlive the loop.
     template <class T>
-    void add_mailbox_handler(mailbox<T>& mail, std::function<void(T&&)> act)
+    void add_mailbox_handler(mailbox<T>& messages,
+                             std::function<void(T&&)> callback)
     {
-        add_fd_handler(mail.fd(),
-                       [&mail, act = std::move(act)]
+        add_fd_handler(messages.fd(),
+                       [&messages, callback = std::move(callback)]
                        {
-                           for (T& value : mail.pop_all())
+                           for (T& value : messages.pop_all())
                            {
-                               act(std::move(value));
+                               callback(std::move(value));
                            }
                        });
     }
 
-    /// Calls `act` whenever `fd` has turned readable (edge triggered).
-    void add_fd_handler(int fd, std::function<void()> act);
+    /// Calls `callback` whenever `fd` becomes readable (edge-triggered).
+    void add_fd_handler(int fd, std::function<void()> callback);
 
-    /// Sends the spans of `queue`, which must outlive the loop, where
-    /// `settings` say. Fails with `bad_setting` if the file can't be opened.
+    /// Exports the spans of `queue`, which must outlive the loop, to the
+    /// destination in `settings`. Fails with `bad_setting` if the file can't
+    /// be opened.
     tl::expected<void, error> export_spans(span_queue& queue,
                                            const trace_settings& settings,
                                            const std::string& program,
                                            const std::string& instance);
 
-    /// Connects to the RPC server of another daemon. The promise fails when
-    /// it can't be reached.
+    /// Connects to the RPC server of another daemon. The promise fails if the
+    /// connection can't be established.
     kj::Promise<std::unique_ptr<rpc_connection>> connect(const endpoint& to);
 
-    /// Ends `run` as the first signal would.
+    /// Stops the loop as the first SIGTERM or SIGINT does.
     void stop();
 
-    /// Runs until stopped.
+    /// Runs until the loop is stopped and drained, then cancels all background
+    /// tasks and returns `success`.
     exit_code run();
 
 private:
--- a/src/include/galenafork/endpoint.h
+++ b/src/include/galenafork/endpoint.h
@@ -1,5 +1,5 @@
 /// \file
-/// IP address and port.
+/// IP addresses and endpoints.
 
 #ifndef GALENAFORK_ENDPOINT_H
 #define GALENAFORK_ENDPOINT_H
@@ -14,13 +14,13 @@
 namespace galenafork
 {
 
-/// An IPv4 or IPv6 address in network byte order; IPv4 is held in its
+/// An IPv4 or IPv6 address in network byte order; IPv4 is stored in its
 /// v4-mapped form `::ffff:a.b.c.d`.
 struct ip_address
 {
     std::array<std::uint8_t, 16> bytes_{};
 
-    /// True if this is an IPv4 address in mapped form.
+    /// Returns true for an IPv4 address in mapped form.
     bool is_v4() const;
 
     friend bool operator==(const ip_address& a, const ip_address& b)
@@ -37,7 +37,7 @@
     }
 };
 
-/// The mapped form of the IPv4 address `a.b.c.d`.
+/// Returns the mapped form of the IPv4 address `a.b.c.d`.
 ip_address make_v4(std::uint8_t a, std::uint8_t b, std::uint8_t c,
                    std::uint8_t d);
 
@@ -65,14 +65,14 @@
     }
 };
 
-/// Reads `1.2.3.4:80` or `[2001:db8::1]:80`. Host names are refused: fails
-/// with `error_code::bad_address` on anything else or on port 0.
+/// Parses `1.2.3.4:80` or `[2001:db8::1]:80`. Fails with
+/// `error_code::bad_address` on anything else, including host names and port 0.
 tl::expected<endpoint, error> parse_endpoint(const std::string& text);
 
-/// Writes the form that `parse_endpoint` reads.
+/// Formats an endpoint in the form that `parse_endpoint` accepts.
 std::string to_string(const endpoint& e);
 
-/// Writes the address without a port or brackets.
+/// Formats an address without port and brackets.
 std::string to_string(const ip_address& a);
 
 } // namespace galenafork
--- a/src/include/galenafork/error.h
+++ b/src/include/galenafork/error.h
@@ -1,5 +1,5 @@
 /// \file
-/// Errors and verdicts.
+/// Errors, and verdicts about requests.
 
 #ifndef GALENAFORK_ERROR_H
 #define GALENAFORK_ERROR_H
@@ -9,7 +9,7 @@
 namespace galenafork
 {
 
-/// What went wrong, for code that must tell cases apart.
+/// Kind of an error, for code that handles kinds differently.
 enum class error_code
 {
     bad_address,
@@ -26,10 +26,10 @@
     internal,
 };
 
-/// The lower-case word that logs and JSON output use for `code`.
+/// Returns the enumerator's name, which logs and JSON output use.
 const char* to_string(error_code code);
 
-/// An error with a message for a person.
+/// An error with a human-readable message.
 struct error
 {
     error_code code_ = error_code::internal;
@@ -39,7 +39,7 @@
 /// Whether a request may have had an effect.
 enum class run_state
 {
-    /// It is proved that the upstream never saw the request.
+    /// It is proven that the upstream never received the request.
     did_not_run,
     /// The upstream may or may not have acted on the request.
     may_have_run,
@@ -47,7 +47,7 @@
     ran,
 };
 
-/// Why a packet or request was refused.
+/// Reason for refusing a packet or request.
 enum class refusal
 {
     none,
@@ -68,18 +68,18 @@
     malformed,
 };
 
-/// Outcome of a request as told to the caller. `did_not_run` may be used only
-/// where it is proved.
+/// Outcome of a request as reported to the caller. It may be `did_not_run` only
+/// if that is proven.
 struct verdict
 {
     run_state run_state_ = run_state::may_have_run;
     refusal reason_ = refusal::none;
 };
 
-/// `did_not_run`, `may_have_run` or `ran`.
+/// Returns the enumerator's name.
 const char* to_string(run_state state);
 
-/// The enumerator's name.
+/// Returns the enumerator's name, which callers, logs and metrics get.
 const char* to_string(refusal reason);
 
 } // namespace galenafork
--- a/src/include/galenafork/flow.h
+++ b/src/include/galenafork/flow.h
@@ -13,8 +13,8 @@
 namespace galenafork
 {
 
-/// One caller's flow: the datagrams between a caller's socket and a service
-/// address.
+/// Identifies a flow: the datagrams between one socket of a caller and one
+/// service address.
 struct flow_key
 {
     endpoint caller_;
@@ -35,11 +35,11 @@
     }
 };
 
-/// 64-bit hash of a flow, the same on every machine and in every version:
-/// balancers and agents must agree on it.
+/// Returns the 64-bit hash of a flow. It must be the same on every machine and
+/// in every version, because balancers and agents have to agree on it.
 std::uint64_t hash_of(const flow_key& flow);
 
-/// The bucket that a flow belongs to.
+/// Returns the bucket that a flow belongs to.
 bucket_id bucket_of(const flow_key& flow);
 
 } // namespace galenafork
--- a/src/include/galenafork/flow_timeline.h
+++ b/src/include/galenafork/flow_timeline.h
@@ -1,5 +1,5 @@
 /// \file
-/// One flow's life out of the logs of several processes.
+/// The timeline of one flow, merged from the logs of several processes.
 
 #ifndef GALENAFORK_FLOW_TIMELINE_H
 #define GALENAFORK_FLOW_TIMELINE_H
@@ -13,26 +13,29 @@
 namespace galenafork
 {
 
-/// One decision about a flow, as a process logged it.
+/// A decision about a flow, as logged by one process.
 struct flow_log_entry
 {
-    /// When it was decided: the line's time less the `ago_us` that it waited to
-    /// be written. Microseconds of Unix time by its instance's clock.
+    /// Time of the decision: the time of the log line minus its `ago_us`, the
+    /// delay until the line was written. Unix time by the instance's clock.
     duration time_{0};
-    /// The log that it stands in.
+    /// Name of the log that has the line.
     std::string source_;
-    /// The line without its time.
+    /// The line from its `program` field on; the whole line if it lacks the
+    /// field.
     std::string text_;
 };
 
-/// Adds the lines of `log` whose `flow` field is `flow`, or begins with it up
-/// to `>` or `#`. Lines that are none of ours are passed over.
+/// Appends to `entries` the lines of `log` whose `flow` field equals `flow` or
+/// begins with `flow` followed by `>` or `#`. Skips all other lines, also those
+/// without a readable time.
 void collect_flow_log(std::istream& log, const std::string& source,
                       const std::string& flow,
-                      std::vector<flow_log_entry>& steps);
+                      std::vector<flow_log_entry>& entries);
 
-/// The steps by time, one a line: milliseconds since the first, source, text.
-std::string format_flow_timeline(std::vector<flow_log_entry> steps);
+/// Formats the entries in order of time, one per line: milliseconds since the
+/// first entry, source, text.
+std::string format_flow_timeline(std::vector<flow_log_entry> entries);
 
 } // namespace galenafork
 
--- a/src/include/galenafork/ids.h
+++ b/src/include/galenafork/ids.h
@@ -1,5 +1,5 @@
 /// \file
-/// Identifiers of services, instances, flows and versions.
+/// Identifiers of services, instances, buckets and versions.
 
 #ifndef GALENAFORK_IDS_H
 #define GALENAFORK_IDS_H
@@ -23,14 +23,15 @@
 /// Name of a data centre; same alphabet as a service name.
 using data_centre = strong_type<struct data_centre_tag, std::string>;
 
-/// Drawn anew at random each time an instance starts or rejoins. A message
-/// for another incarnation is never acted on. Zero means "none".
+/// Random number that an instance chooses anew each time it starts or rejoins.
+/// A message for another incarnation of the receiver is never acted on. Zero
+/// means "none".
 using incarnation = strong_type<struct incarnation_tag, std::uint64_t>;
 
-/// Version of a service's roster; rises by one with each change.
+/// Version of a service's roster; increases by one with each change.
 using epoch = strong_type<struct epoch_tag, std::uint64_t>;
 
-/// Version of the accepted rule file; rises by one with each change.
+/// Version of the accepted rule file; increases by one with each change.
 using rules_version = strong_type<struct rules_version_tag, std::uint64_t>;
 
 /// Index of a bucket of a service, below `bucket_count`.
@@ -39,24 +40,26 @@
 /// Index of a member in its roster's member list.
 using member_index = strong_type<struct member_index_tag, std::uint16_t>;
 
-/// Number of slots (requests served side by side) of an upstream.
+/// Number of slots of an upstream, that is, of requests that it serves
+/// concurrently.
 using slot_count = strong_type<struct slot_count_tag, std::uint32_t>;
 
-/// Random id of one write, kept in the written object, by which a writer
-/// whose answer was lost finds out whether the write took effect.
+/// Random id of one write, stored in the written object. A writer that did not
+/// receive the response finds out by the id whether the write took effect.
 using write_id = strong_type<struct write_id_tag, std::string>;
 
-/// Buckets of every service.
+/// Number of buckets of each service.
 inline constexpr std::uint16_t bucket_count = 256;
 
-/// Longest service, instance and data centre name, in bytes.
+/// Maximum length of a service, instance or data centre name, in bytes.
 inline constexpr std::size_t max_name_bytes = 63;
 
-/// The incarnation that follows `current` when a roster change, not the
-/// instance itself, renews it.
+/// Returns the incarnation after `current`, for a member whose incarnation is
+/// renewed by a roster change and not by the instance itself.
 incarnation next_incarnation(incarnation current);
 
-/// True if `text` may name a service, an instance or a data centre.
+/// Returns true if `text` is valid as the name of a service, an instance or a
+/// data centre.
 bool is_valid_name(const std::string& text);
 
 } // namespace galenafork
--- a/src/include/galenafork/input_handler.h
+++ b/src/include/galenafork/input_handler.h
@@ -1,5 +1,6 @@
 /// \file
-/// Lets an ACE reactor call a function when a descriptor turns readable.
+/// Adapter that lets an ACE reactor call a function when a file descriptor is
+/// readable.
 
 #ifndef GALENAFORK_INPUT_HANDLER_H
 #define GALENAFORK_INPUT_HANDLER_H
@@ -11,13 +12,13 @@
 namespace galenafork
 {
 
-/// Calls a function when its descriptor turns readable. Must outlive its
-/// registration.
+/// Event handler that calls a function when its file descriptor is readable.
+/// Must outlive its registration with the reactor.
 class input_handler final : public ACE_Event_Handler
 {
 public:
-    explicit input_handler(std::function<void()> act)
-        : callback_(std::move(act))
+    explicit input_handler(std::function<void()> callback)
+        : callback_(std::move(callback))
     {
     }
 
--- a/src/include/galenafork/interval_timer.h
+++ b/src/include/galenafork/interval_timer.h
@@ -1,5 +1,5 @@
 /// \file
-/// A timer that an event loop watches as a descriptor.
+/// A periodic timer that an event loop watches as a file descriptor.
 
 #ifndef GALENAFORK_INTERVAL_TIMER_H
 #define GALENAFORK_INTERVAL_TIMER_H
@@ -10,20 +10,20 @@
 namespace galenafork
 {
 
-/// A descriptor that turns readable every `interval`. Unlike the timer queue
-/// of ACE's poll reactor it does not spin through the last millisecond before
-/// it fires.
+/// A file descriptor that becomes readable every `interval`. Unlike the timer
+/// queue of ACE's poll reactor, the timer does not busy-wait during the last
+/// millisecond before it fires.
 class interval_timer
 {
 public:
-    /// Starts the timer. Throws `std::system_error` if the process has no
-    /// descriptor left.
+    /// Starts the timer. Throws `std::system_error` if the kernel can't create
+    /// it.
     explicit interval_timer(duration interval);
 
-    /// Makes the descriptor unreadable until the next time.
+    /// Makes the descriptor unreadable until the timer fires again.
     void clear() const noexcept;
 
-    /// To be watched for reading by an event loop.
+    /// Returns the descriptor that an event loop watches for reading.
     int fd() const
     {
         return fd_.get();
--- a/src/include/galenafork/journal.h
+++ b/src/include/galenafork/journal.h
@@ -47,7 +47,7 @@
     std::map<request_key, stored_entry> entries_;
 };
 
-/// The entry of `key`, or null.
+/// Returns the entry of `key`, or null.
 const stored_entry* find_entry(const request_journal& journal,
                                const request_key& key);
 
@@ -61,7 +61,7 @@
 /// Removes the entries that have expired at `now`.
 void expire_entries(request_journal& journal, instant now);
 
-/// The entries whose flow is in one of `buckets`.
+/// Returns the entries whose flow is in one of `buckets`.
 std::vector<journal_entry>
 entries_in_buckets(const request_journal& journal,
                    const std::vector<bucket_id>& buckets);
--- a/src/include/galenafork/lease.h
+++ b/src/include/galenafork/lease.h
@@ -63,11 +63,11 @@
     /// once every live watcher of the old set has acked under a roster that
     /// names the new one.
     std::vector<instance_id> active_watchers_;
-    /// When this member asked to join. Its first lease starts here, since no
-    /// watcher can have seen it in a roster earlier.
+    /// When this member asked to join. Its first lease starts at this time,
+    /// since no watcher can have seen it in a roster earlier.
     instant join_requested_at_;
-    /// When the present time without a lease began; set again after a pause of
-    /// this process.
+    /// When the lease went missing; unset while it is held, set again after a
+    /// pause of this process.
     std::optional<instant> missing_since_;
     std::optional<instant> last_lease_check_;
 };
@@ -78,7 +78,7 @@
     instance_incarnation watched_;
     epoch watch_epoch_;
     /// The latest of the last ack, the start of the watch and the time at which
-    /// the watcher regained its own lease.
+    /// the watcher regained its own lease or found that it had been paused.
     instant last_renewal_;
     bool expiry_promised_ = false;
 };
@@ -102,22 +102,25 @@
     std::map<instance_incarnation, instant> last_ack_sent_;
 };
 
-/// True if the member holds its lease at `now`: it is the only member, asked to
-/// join less than a lease length ago, or has acks of heartbeats sent less than
-/// a lease length ago, either a granting one of an active watcher or one of
-/// every live peer. To be called right before each action that needs the lease.
+/// True if the member holds its lease at `now`. Its incarnation must be in the
+/// roster and not expired. It then holds the lease if it is the only member, if
+/// it asked to join less than a lease length ago, or if heartbeats that it sent
+/// less than a lease length ago were acked by an active watcher, which grants
+/// the lease, or by every live peer. To be called right before each action that
+/// needs the lease.
 bool holds_lease(const lease_state& lease, const member_view& view,
                  const lease_settings& settings, instant now);
 
-/// Records at each tick whether the lease is held. A watcher that regained its
-/// lease, or whose process was paused, waits a whole lease again before it
-/// makes expiry promises.
+/// Records whether the lease is held; to be called at each tick. A watcher that
+/// regained its lease, or whose process was paused, waits a whole lease length
+/// again before it makes expiry promises.
 void update_lease_state(lease_state& lease, watch_state& watch,
                         const member_view& view, const lease_settings& settings,
                         instant now);
 
 /// Applies a new roster or set of expired members: starts and ends watches, and
-/// activates the roster's watchers if that is safe already.
+/// activates the roster's watchers if that is safe already (see
+/// `lease_state::active_watchers_`).
 void apply_view(lease_state& lease, watch_state& watch, const member_view& view,
                 instant now);
 
@@ -134,15 +137,15 @@
 bool has_promised_expiry(const watch_state& watch,
                          const instance_incarnation& watched);
 
-/// True if a heartbeat of `sender` may be acked at `now`; records the ack.
-/// False for good once this member has promised or recorded the expiry of
-/// `sender`.
+/// True if a heartbeat of `sender` may be acked at `now`; records the ack then.
+/// False if `sender` is not a member, and for good once this member has
+/// promised or recorded the expiry of `sender`.
 bool try_ack_heartbeat(watch_state& watch, const member_view& view,
                        const instance_incarnation& sender, instant now);
 
-/// Makes and records the expiry promises that are due at `now`; earlier
-/// promises are made again. Empty while this member does not hold its own
-/// lease.
+/// Makes, records and returns the expiry promises that are due at `now`;
+/// earlier promises are made again. Returns none while this member does not
+/// hold its own lease.
 std::vector<expiry_promise> make_expiry_promises(const lease_state& lease,
                                                  watch_state& watch,
                                                  const member_view& view,
@@ -157,22 +160,23 @@
 
 /// True if this incarnation can hold no lease any more: every active watcher
 /// has promised its expiry, or no active watcher is a member any more. Always
-/// false for the only member.
+/// false for the only member and for a member without active watchers.
 bool is_self_expired(const lease_state& lease, const watch_state& watch,
                      const member_view& view);
 
-/// Members that have expired for good but are not in the view's set of expired
-/// members yet: each of their watchers has promised the expiry, or has itself
-/// expired at least one lease length ago, and this member has sent them no ack
-/// within a lease length.
+/// Returns the members that have expired for good but are not in the view's set
+/// of expired members yet: each of their watchers has promised the expiry, or
+/// has itself expired at least one lease length ago, and this member has sent
+/// them no ack within a lease length. The drift margin is added to both
+/// lengths.
 std::vector<instance_incarnation> find_expired(const watch_state& watch,
                                                const member_view& view,
                                                const lease_settings& settings,
                                                instant now);
 
-/// Live members that the platform is to be asked to remove: those that have
-/// acked no heartbeat sent since this member's lease went missing. Empty unless
-/// the lease has been missing for `isolation_wait_`.
+/// Returns the live members that the platform is to be asked to remove: those
+/// that have acked no heartbeat sent since this member's lease went missing.
+/// Empty unless the lease has been missing for `isolation_wait_`.
 std::vector<instance_incarnation>
 find_unreachable(const lease_state& lease, const member_view& view,
                  const lease_settings& settings, instant now);
--- a/src/include/galenafork/load_policy.h
+++ b/src/include/galenafork/load_policy.h
@@ -30,12 +30,13 @@
     bool accepts_new_flows_ = true;
     slot_count slots_{1};
     /// Requests queued or in flight at the member, counted by its agent: exact
-    /// for the home, `load_sample::in_flight_` for the others.
+    /// for the home, as last reported for the others.
     double in_flight_ = 0;
-    /// Flows that this home assigned to the member since its last report,
-    /// decayed over time; see `assigned_flows`.
+    /// Flows that this home assigned to the member since its last report. May
+    /// be decayed over time; see `assigned_flows`.
     double assigned_since_report_ = 0;
-    /// Requests in flight as the upstream itself reports them; may be false.
+    /// Requests in flight as the upstream itself reports them; the report may
+    /// be false.
     std::optional<double> upstream_report_;
     /// Smoothed service time of one request, measured by the member's agent.
     /// Zero: unknown.
@@ -44,29 +45,30 @@
     duration serving_for_ = duration::max();
 };
 
-/// Fraction of its full weight that a member has during slow start: rises from
-/// `floor_` right after the start to 1 at `length_`.
+/// Returns the fraction of its full weight that a member has during slow start:
+/// rises from `floor_` right after the start to 1 at `length_`.
 double slow_start_factor(duration serving_for,
                          const slow_start_settings& settings);
 
-/// A member's weight in a placement: its slots, at least one, times
+/// Returns a member's weight in a placement: its slots, at least one, times
 /// `slow_start_factor`.
 double effective_slots(const load_candidate& candidate,
                        const load_settings& settings);
 
-/// Median of the known service times of the `candidates` that accept new flows;
-/// zero if there is none.
+/// Returns the median of the known service times of the `candidates` that
+/// accept new flows; zero if there is none.
 duration median_service_time(const std::vector<load_candidate>& candidates);
 
-/// Factor by which `service_time` exceeds `median` times `slowness_tolerance_`:
-/// at least 1, at most `slowness_limit_`.
+/// Returns the factor by which `service_time` exceeds `median` times
+/// `slowness_tolerance_`: at least 1, at most `slowness_limit_`. Returns 1 if
+/// the median is unknown (zero).
 double slowness_factor(duration service_time, duration median,
                        const placement_settings& settings);
 
-/// Requests per effective slot that `candidate` would have with one more flow,
-/// times its slowness factor against `median`. The upstream's report can raise
-/// the score by a factor of at most `1 + report_influence_` and never lowers
-/// it.
+/// Returns the requests per effective slot that `candidate` would have with one
+/// more flow, times its slowness factor against `median`. The upstream's report
+/// can raise the score by a factor of at most `1 + report_influence_` and never
+/// lowers it.
 double load_score(const load_candidate& candidate, duration median,
                   const load_settings& settings);
 
@@ -79,16 +81,17 @@
     instant counted_at_;
 };
 
-/// `flows` after the decay until `now`.
+/// Returns `flows` after the decay until `now`.
 assigned_flows decay(const assigned_flows& flows, duration service_time,
                      instant now);
 
-/// `flows` after the decay until `now`, with one more flow assigned then.
+/// Returns `flows` after the decay until `now`, with one more flow assigned
+/// then.
 assigned_flows add_flow(const assigned_flows& flows, duration service_time,
                         instant now);
 
 /// Random numbers for one placement, each uniform in [0, 1).
-struct placement_draws
+struct placement_random_values
 {
     double first_ = 0;
     double second_ = 0;
@@ -100,17 +103,17 @@
     /// The home's load score does not exceed the candidate's by more than the
     /// margins, or there is no other candidate.
     home,
-    /// A member in the home's data centre has a load score lower by the home
-    /// margin.
+    /// A member in the home's data centre has a load score lower by more than
+    /// the home margin.
     less_loaded,
-    /// A member in another data centre has a load score lower by the home
-    /// margin and the locality margin together.
+    /// A member in another data centre has a load score lower by more than the
+    /// home margin and the locality margin together.
     less_loaded_remote,
     /// The home itself accepts no new flows.
     home_closed,
 };
 
-/// The enumerator's name.
+/// Returns the enumerator's name.
 const char* to_string(placement_reason reason);
 
 /// The result of a placement.
@@ -129,7 +132,8 @@
 /// no new flows are never chosen. Empty if no candidate accepts new flows.
 std::optional<placement>
 choose_owner(const std::vector<load_candidate>& candidates, std::size_t home,
-             const load_settings& settings, const placement_draws& draws);
+             const load_settings& settings,
+             const placement_random_values& random_values);
 
 /// Load of an agent's own upstream when a request arrives.
 struct upstream_load
@@ -173,7 +177,7 @@
     double tokens_ = 0;
 };
 
-/// `budget` after one first request: `retry_ratio_` tokens more, up to
+/// Returns `budget` after one first request: `retry_ratio_` tokens more, up to
 /// `retry_burst_`.
 retry_budget credit_request(const retry_budget& budget,
                             const retry_settings& settings);
@@ -181,7 +185,7 @@
 /// True if `budget` allows a retry.
 bool allows_retry(const retry_budget& budget);
 
-/// `budget` after one retry; unchanged if it allows none.
+/// Returns `budget` after one retry; unchanged if it allows none.
 retry_budget consume_retry(const retry_budget& budget);
 
 /// Decides whether a request may go to the upstream at `now`. Refuses, in this
@@ -196,14 +200,16 @@
                          const load_settings& settings, instant now,
                          double jitter);
 
-/// Time that the upstream gets for a request: the time until the caller's
-/// deadline less `return_time_`, at most `request_time_limit_`. Empty if no
-/// time is left and the request must not be forwarded.
+/// Returns the time that the upstream gets for a request: the time until the
+/// caller's deadline less `return_time_`, at most `request_time_limit_`.
+/// Returns the limit if there is no deadline, and nothing if no time is left
+/// and the request must not be forwarded.
 std::optional<duration> time_for_upstream(std::optional<instant> deadline,
                                           const deadline_settings& settings,
                                           instant now);
 
-/// A member's load as reported to its peers in heartbeats.
+/// A member's load as reported to its peers in the simulation of
+/// galena-experiment; the heartbeats of agents carry `load_report`.
 struct load_sample
 {
     /// Smoothed number of requests in flight, see `smooth`.
@@ -215,8 +221,9 @@
     duration serving_for_{0};
 };
 
-/// Exponential moving average over continuous time: the average that was
-/// `current` after the value has been `observed` for `elapsed`.
+/// Returns an exponential moving average over continuous time: the average was
+/// `current`, and the value has been `observed` for `elapsed` since then.
+/// Returns `observed` if `time_constant` is not above zero.
 double smooth(double current, double observed, duration elapsed,
               duration time_constant);
 
--- a/src/include/galenafork/load_settings.h
+++ b/src/include/galenafork/load_settings.h
@@ -22,15 +22,15 @@
     double home_margin_ = 0.1;
     /// Additional difference required of a candidate in another data centre.
     double locality_margin_ = 0.1;
-    /// Max fraction by which an upstream's report may raise its load.
+    /// Maximum fraction by which an upstream's report may raise its load.
     double report_influence_ = 0.05;
     /// Adds the flows assigned to a member since its last report to its load.
     bool local_correction_ = true;
     /// A member is slow if its service time is above the median of all members
     /// by more than this factor.
     double slowness_tolerance_ = 1.25;
-    /// Max factor by which slowness raises a member's load score. 1 turns it
-    /// off.
+    /// Maximum factor by which slowness raises a member's load score; 1 turns
+    /// this effect off.
     double slowness_limit_ = 1.5;
 };
 
@@ -47,11 +47,11 @@
 /// Limits beyond which a request is refused.
 struct admission_settings
 {
-    /// Max number of queued requests per slot.
+    /// Maximum number of queued requests per slot.
     double queue_per_slot_ = 8;
-    /// Max time that a request is expected to wait for a slot.
+    /// Maximum time that a request is expected to wait for a slot.
     duration max_wait_ = std::chrono::seconds(1);
-    /// Min and max retry hint in a refusal.
+    /// Shortest and longest retry hint in a refusal.
     duration min_retry_after_ = std::chrono::milliseconds(100);
     duration max_retry_after_ = std::chrono::seconds(10);
 };
@@ -61,16 +61,16 @@
 {
     /// Retries allowed for each first request.
     double retry_ratio_ = 0.1;
-    /// Max number of tokens in the retry budget.
+    /// Maximum number of tokens in the retry budget.
     double retry_burst_ = 20;
 };
 
 /// Time limits of a request.
 struct deadline_settings
 {
-    /// Max time that an upstream gets for a request.
+    /// Maximum time that an upstream gets for a request.
     duration request_time_limit_ = std::chrono::seconds(10);
-    /// Time reserved for the answer's way back to the caller.
+    /// Time reserved for the answer to reach the caller.
     duration return_time_ = std::chrono::milliseconds(5);
 };
 
@@ -84,8 +84,8 @@
     deadline_settings deadline_;
 };
 
-/// The errors in `settings`, one sentence each that begins with the setting's
-/// name; empty if there is none.
+/// Returns the errors in `settings`, one sentence each that begins with the
+/// setting's name; empty if there is none.
 std::vector<std::string> validation_errors(const load_settings& settings);
 
 } // namespace galenafork
--- a/src/include/galenafork/log.h
+++ b/src/include/galenafork/log.h
@@ -1,5 +1,6 @@
 /// \file
-/// Logs: one line of `key=value` pairs for each event, on standard output.
+/// Structured logging: one line of `key=value` pairs per event on standard
+/// output.
 
 #ifndef GALENAFORK_LOG_H
 #define GALENAFORK_LOG_H
@@ -12,7 +13,7 @@
 namespace galenafork
 {
 
-/// How much an event matters.
+/// Severity of an event.
 enum class log_level
 {
     debug,
@@ -21,13 +22,13 @@
     error,
 };
 
-/// The lower-case word.
+/// Returns the enumerator's name, as written in log lines.
 const char* to_string(log_level level);
 
-/// One pair of a log line.
+/// One `key=value` pair of a log line.
 struct log_field
 {
-    /// A field with a text value; quoted when written, if need be.
+    /// A field with a text value, which is quoted in the log line if necessary.
     log_field(std::string key, std::string value)
         : key_(std::move(key)), value_(std::move(value))
     {
@@ -37,7 +38,7 @@
         : key_(std::move(key)), value_(value)
     {
     }
-    /// A field with a number or a truth value.
+    /// A field with a number or a Boolean.
     template <class T, class = std::enable_if_t<std::is_arithmetic_v<T>>>
     log_field(std::string key, T value) : key_(std::move(key))
     {
@@ -55,18 +56,18 @@
     std::string value_;
 };
 
-/// Sets the least level that is written and the program's name on each line.
-/// Call once, before other threads start.
-void configure_log(log_level least, const std::string& program);
+/// Sets the minimum level of the events that are written, and the program name
+/// in each line. Call it once, before other threads start.
+void configure_log(log_level min_level, const std::string& program);
 
 /// Writes `time=... level=... program=... event=... key=value ...` as one
-/// line. Never blocks: a line that the output has no room for is dropped and
-/// counted. Allocates: not for traffic threads.
+/// line. Never blocks: a line is dropped and counted if standard output can't
+/// accept it at once. Allocates memory, so traffic threads must not call it.
 void log_event(log_level level, const std::string& event,
                std::initializer_list<log_field> fields = {});
 
-/// Gathers the lines that this thread logs and writes them together when it
-/// goes.
+/// Buffers the lines that this thread logs and writes them together when it is
+/// destroyed. A thread can have one batch at a time.
 class log_batch
 {
 public:
@@ -76,11 +77,14 @@
     log_batch& operator=(const log_batch&) = delete;
 };
 
-/// Lines dropped because the output had no room.
+/// Returns the number of lines dropped because standard output could not accept
+/// them.
 std::uint64_t dropped_log_lines();
 
-/// `value` as it stands in a log line: bare if it is a plain word, else in
-/// quotes with quotes, backslashes and control characters escaped.
+/// Returns `value` as written in a log line: unchanged if it is not empty and
+/// consists only of printable ASCII characters other than space, `"`, `=` and
+/// `\`; otherwise in quotes, with quotes, backslashes and control characters
+/// escaped.
 std::string quoted_log_value(const std::string& value);
 
 } // namespace galenafork
--- a/src/include/galenafork/mailbox.h
+++ b/src/include/galenafork/mailbox.h
@@ -1,5 +1,5 @@
 /// \file
-/// A bounded queue between threads that wakes its reader's event loop.
+/// A bounded queue between threads, which wakes the event loop of its reader.
 
 #ifndef GALENAFORK_MAILBOX_H
 #define GALENAFORK_MAILBOX_H
@@ -14,20 +14,20 @@
 namespace galenafork
 {
 
-/// An eventfd: a descriptor that turns readable when signalled.
+/// An eventfd: a file descriptor that becomes readable when signalled.
 class wake_event
 {
 public:
-    /// Throws `std::system_error` if the process has no descriptor left.
+    /// Throws `std::system_error` if the kernel can't create the eventfd.
     wake_event();
 
-    /// Makes the descriptor readable. Any thread.
+    /// Makes the descriptor readable. Any thread may call it.
     void signal() const noexcept;
 
     /// Makes the descriptor unreadable until the next signal.
     void clear() const noexcept;
 
-    /// To be watched for reading by an event loop.
+    /// Returns the descriptor that an event loop watches for reading.
     int fd() const
     {
         return fd_.get();
@@ -37,18 +37,18 @@
     unique_fd fd_;
 };
 
-/// Queue of `T` from any threads to one reader. Both directions between the
-/// control thread and the traffic threads use it; no lock is held for longer
-/// than one move of an element or one swap.
+/// Queue of values from any number of threads to one reader, used in both
+/// directions between the control thread and the traffic threads. The lock is
+/// held only while one value is added or all values are swapped out.
 template <class T>
 class mailbox
 {
 public:
-    /// Holds `capacity` elements at most.
+    /// Creates a queue of at most `capacity` values.
     explicit mailbox(std::size_t capacity) : capacity_(capacity) {}
 
-    /// Adds `value` and wakes the reader. False if the mailbox is full: the
-    /// value is dropped and counted.
+    /// Adds `value` and wakes the reader. Returns false if the mailbox is full;
+    /// the value is then dropped and counted.
     bool post(T value)
     {
         bool first = false;
@@ -69,23 +69,24 @@
         return true;
     }
 
-    /// Takes everything out, in order. For the reader, when `fd` is readable.
+    /// Removes and returns all values, oldest first. The reader calls it when
+    /// `fd` is readable.
     std::vector<T> pop_all()
     {
         event_.clear();
-        std::vector<T> taken;
+        std::vector<T> popped;
         const std::lock_guard<std::mutex> lock(mutex_);
-        taken.swap(values_);
-        return taken;
+        popped.swap(values_);
+        return popped;
     }
 
-    /// Readable while there may be something to take.
+    /// Returns a descriptor that is readable while the mailbox may hold values.
     int fd() const
     {
         return event_.fd();
     }
 
-    /// Values dropped because the mailbox was full.
+    /// Returns the number of values dropped because the mailbox was full.
     std::uint64_t dropped() const
     {
         return dropped_.load(std::memory_order_relaxed);
--- a/src/include/galenafork/member_view.h
+++ b/src/include/galenafork/member_view.h
@@ -18,28 +18,29 @@
     expired_members expired_members_;
 };
 
-/// The instance and incarnation of `m`.
+/// Returns the instance and incarnation of `m`.
 instance_incarnation incarnation_of(const member& m);
 
 /// True if `member_incarnation` is a member and has not expired.
 bool is_live(const member_view& view,
              const instance_incarnation& member_incarnation);
 
-/// The roster's member of `member_incarnation`. Null if the roster does not
-/// name the instance, or names another incarnation of it.
+/// Returns the roster's member of `member_incarnation`. Null if the roster does
+/// not name the instance, or names another incarnation of it.
 const member* find_incarnation(const member_view& view,
                                const instance_incarnation& member_incarnation);
 
 /// Adds `incarnations` to the set of expired members. True if that changed it.
-bool merge_expired(member_view& view,
-                   const std::vector<instance_incarnation>& incarnations);
+bool add_expired_members(member_view& view,
+                         const std::vector<instance_incarnation>& incarnations);
 
-/// Those of `incarnations` that are not in the set of expired members yet.
+/// Returns those of `incarnations` that are not in the set of expired members
+/// yet.
 std::vector<instance_incarnation>
 newly_expired(const member_view& view,
               const std::vector<instance_incarnation>& incarnations);
 
-/// Every live member except `self`.
+/// Returns every live member except `self`.
 std::vector<const member*> live_peers(const member_view& view,
                                       const instance_incarnation& self);
 
@@ -48,9 +49,9 @@
                        const instance_incarnation& member_incarnation,
                        bucket_id bucket);
 
-/// The member that stores the journal entries of `owner` in `bucket`: the
-/// effective home, or its successor if the owner is the home. Null if there is
-/// no such member.
+/// Returns the member that stores the journal entries of `owner` in `bucket`:
+/// the effective home, or its successor if the owner is the home. Null if there
+/// is no such member.
 const member* journal_backup(const member_view& view,
                              const instance_incarnation& owner,
                              bucket_id bucket);
--- a/src/include/galenafork/messages.h
+++ b/src/include/galenafork/messages.h
@@ -1,6 +1,6 @@
 /// \file
-/// Messages between balancers and agents, as plain structs. `libwire` turns
-/// them into Cap'n Proto datagrams and back.
+/// Messages between balancers and agents, as plain structs. `libwire` encodes
+/// them as Cap'n Proto datagrams and decodes them.
 
 #ifndef GALENAFORK_MESSAGES_H
 #define GALENAFORK_MESSAGES_H
@@ -19,10 +19,10 @@
 namespace galenafork
 {
 
-/// Payload bytes of a datagram.
+/// Bytes of a datagram or of a part of it.
 using byte_buffer = std::vector<std::uint8_t>;
 
-/// One life of one instance.
+/// One incarnation of an instance.
 struct instance_incarnation
 {
     instance_id instance_;
@@ -49,25 +49,26 @@
     }
 };
 
-/// Why a packet comes to an agent.
+/// Why a packet is sent to an agent.
 enum class packet_role : std::uint8_t
 {
-    /// From a balancer, or passed on to the effective home.
+    /// From a balancer, or from an agent that forwards the packet to the
+    /// effective home of its flow.
     to_home,
-    /// From the home: the receiver owns the flow.
+    /// From the home, whose directory has the receiver as owner of the flow.
     to_owner,
-    /// From the home: the receiver owns the flow from now on.
+    /// From the home, which has chosen the receiver as owner of a new flow.
     open_flow,
 };
 
-/// Most agents that one packet may pass through.
+/// Maximum number of times that agents may forward one packet.
 inline constexpr std::uint8_t max_hops = 4;
 
-/// A caller's packet on its way to the owner of its flow.
+/// A caller's packet, forwarded towards the owner of its flow.
 struct forwarded_packet
 {
     service_name service_;
-    /// The agent that passed the packet on; empty from a balancer.
+    /// The agent that forwarded the packet; empty if a balancer did.
     instance_incarnation sender_;
     instance_incarnation target_;
     /// Epoch of the sender's roster.
@@ -76,22 +77,26 @@
     rules_version rules_version_;
     packet_role role_ = packet_role::to_home;
     std::uint8_t hops_ = 0;
-    /// For `to_owner` and `open_flow`: number of the home's placement.
+    /// For `to_owner` and `open_flow`: number that the home has given to the
+    /// placement of the flow.
     std::uint64_t placement_id_ = 0;
-    /// From an agent: members that it knows to have lapsed.
+    /// From an agent: the members whose leases it has recorded as expired for
+    /// good.
     std::vector<instance_incarnation> expired_members_;
-    /// The rule is retired: known flows go on, no new one opens.
+    /// The rule is retired: open flows continue, no new flow opens.
     bool established_only_ = false;
     flow_key flow_;
-    /// Where the balancer takes `stale_notice` (UDP); port 0 for none.
+    /// Where the balancer receives a `stale_notice` (UDP); port 0 if it
+    /// receives none.
     endpoint balancer_;
-    /// Where the answer goes (UDP, behind a PROXY v2 header).
+    /// Where answers to the caller are sent (UDP, each behind a PROXY v2
+    /// header).
     endpoint fabric_;
     trace_context trace_;
     byte_buffer payload_;
 };
 
-/// Whom a peer message is from and for.
+/// Sender and receiver of a peer message.
 struct peer_header
 {
     service_name service_;
@@ -99,72 +104,76 @@
     instance_incarnation target_;
     /// Epoch of the sender's roster.
     epoch epoch_;
-    /// Members that the sender knows to have lapsed; the receiver takes them
-    /// over before it acts on the message.
+    /// Members whose leases the sender has recorded as expired for good; the
+    /// receiver records them before it handles the message.
     std::vector<instance_incarnation> expired_members_;
 };
 
-/// What an agent tells its peers about its upstream.
+/// Load of an agent's upstream, as reported to the agent's peers.
 struct load_report
 {
-    /// Requests or open flows that this agent has in flight.
+    /// Requests that the agent has in flight at its upstream.
     std::uint32_t in_flight_ = 0;
     slot_count slots_;
-    /// Load in thousandths of capacity as the upstream itself reports it.
+    /// Load in thousandths of capacity, as reported by the upstream itself.
     std::uint32_t upstream_load_permille_ = 0;
-    /// True from its start until the upstream has warmed up.
+    /// True while the upstream warms up after its start.
     bool cold_ = false;
 };
 
-/// Asks a watcher for a lease, and tells any member the sender's load.
+/// Requests a lease from a watcher and reports the sender's load to any member.
 struct heartbeat
 {
     std::uint64_t sequence_ = 0;
     load_report load_;
 };
 
-/// Grants the lease asked for by the heartbeat of that sequence number, if
-/// the sender is a watcher of the receiver.
+/// Acknowledges the heartbeat with this sequence number. From a watcher of the
+/// receiver, grants the lease that the heartbeat requested.
 struct heartbeat_ack
 {
     std::uint64_t sequence_ = 0;
     load_report load_;
-    /// False while the sender itself holds no lease: counts only together
-    /// with the acks of all other members.
+    /// False while the sender itself holds no lease. The ack then counts for
+    /// the receiver's lease only together with acks of all other members.
     bool grants_lease_ = false;
 };
 
-/// The sender, a watcher, will never again ack `expired_member_`. Counts only
-/// for whoever holds a roster at least as new as the header's epoch.
+/// Promise of a watcher never to ack a heartbeat of `expired_member_` again. A
+/// receiver whose roster is older than the header's epoch ignores the message.
 struct expiry_promise
 {
     instance_incarnation expired_member_;
 };
 
-/// Place of a message in a transfer that was cut to fit datagrams.
+/// Position of a message in a transfer that is split to fit datagrams.
 struct chunk_position
 {
     std::uint16_t index_ = 0;
     std::uint16_t count_ = 1;
 };
 
-/// New home to every other member: asks for all it holds of these buckets.
-/// Answered only at an epoch at least as new as the header's.
+/// From a new home to every other member: requests the flows and journal
+/// entries of these buckets. A member whose roster is older than the header's
+/// epoch does not reply.
 struct ownership_query
 {
     std::uint64_t query_id_ = 0;
     std::vector<bucket_id> buckets_;
 };
 
-/// Tells the home that the sender does not own a flow, or no more.
+/// Reports to the home that the sender does not own the flow, or no longer
+/// does.
 struct flow_closed
 {
     flow_key flow_;
-    /// The placement that this ends; an older one changes nothing.
+    /// The placement that has ended. The home ignores the message if its
+    /// directory has another placement of the flow.
     std::uint64_t placement_id_ = 0;
 };
 
-/// Identity of one request of a flow. A caller's repeat has the same key.
+/// Identifies one request of a flow. Retransmissions of the request have the
+/// same key.
 struct request_key
 {
     flow_key flow_;
@@ -191,10 +200,10 @@
     }
 };
 
-/// How far the journal knows a request to have come.
+/// State of a request according to its journal entry.
 enum class journal_entry_state : std::uint8_t
 {
-    /// Recorded; may be with the upstream.
+    /// Recorded; may have been sent to the upstream.
     started,
     /// Answered; `answer_` holds the upstream's answer.
     finished,
@@ -202,7 +211,7 @@
     refused,
 };
 
-/// One journal entry.
+/// Journal entry of one non-idempotent request.
 struct journal_entry
 {
     request_key key_;
@@ -211,47 +220,50 @@
     byte_buffer answer_;
 };
 
-/// Owner to journal partner: records or updates an entry.
+/// From an owner to its journal backup: adds or updates an entry.
 struct journal_record
 {
     journal_entry entry_;
 };
 
-/// Partner to owner: the entry as the partner holds it. If its owner or state
-/// is not what was sent, an earlier owner recorded the request first.
+/// From the journal backup to the owner: the entry as the backup has it.
+/// Another owner in it means that the request has been, or may have been,
+/// recorded earlier by another owner. An ack with another state than the record
+/// belongs to an earlier record of the entry.
 struct journal_ack
 {
     journal_entry entry_;
 };
 
-/// The sender holds every journal entry of the bucket that `home_` held.
+/// The sender has every journal entry of the bucket that `home_` had.
 struct complete_journal_copy
 {
     bucket_id bucket_;
     instance_incarnation home_;
 };
 
-/// The sender may lack journal entries of the bucket for that long yet.
+/// The sender may lack journal entries of the bucket. Retransmissions of their
+/// requests may arrive for another `remaining_`.
 struct journal_gap
 {
     bucket_id bucket_;
     duration remaining_{};
 };
 
-/// Part of the answer to `ownership_query`.
+/// Part of the reply to an `ownership_query`.
 struct ownership_reply
 {
     std::uint64_t query_id_ = 0;
     chunk_position position_;
     /// Flows that the sender owns.
     std::vector<flow_key> flows_;
-    /// Entries that the sender holds, its own and those of others.
+    /// Entries that the sender has, including those of other owners.
     std::vector<journal_entry> entries_;
     std::vector<complete_journal_copy> complete_copies_;
     std::vector<journal_gap> gaps_;
 };
 
-/// Home to its new journal partner: part of all entries it holds of these
+/// From a home to a new journal backup: part of the home's entries of these
 /// buckets.
 struct journal_sync
 {
@@ -259,7 +271,8 @@
     chunk_position position_;
     std::vector<bucket_id> buckets_;
     std::vector<journal_entry> entries_;
-    /// Members known to have lapsed whose entries are all in this transfer.
+    /// Members whose leases have expired for good and whose entries are all in
+    /// this transfer.
     std::vector<instance_incarnation> expired_members_;
 };
 
@@ -283,17 +296,18 @@
     peer_body body_;
 };
 
-/// Agent to balancer: its roster of this service is old.
+/// From an agent to a balancer: the balancer's roster of the service is
+/// outdated.
 struct stale_notice
 {
     service_name service_;
     epoch epoch_;
-    /// Members of that epoch known to have lapsed.
+    /// Members of the roster of that epoch whose leases have expired for good.
     std::vector<instance_incarnation> expired_members_;
     refusal reason_ = refusal::none;
 };
 
-/// Anything that travels in one datagram between processes of the system.
+/// A message that balancers and agents send as one datagram.
 using datagram = std::variant<forwarded_packet, peer_message, stale_notice>;
 
 } // namespace galenafork
--- a/src/include/galenafork/metrics.h
+++ b/src/include/galenafork/metrics.h
@@ -1,5 +1,5 @@
 /// \file
-/// Counters, gauges and distributions, shown as Prometheus text.
+/// Counters, gauges and distributions, exported as Prometheus text.
 
 #ifndef GALENAFORK_METRICS_H
 #define GALENAFORK_METRICS_H
@@ -15,7 +15,7 @@
 namespace galenafork
 {
 
-/// A count that only rises. Any thread may add to it; never blocks.
+/// A count that only increases. Any thread may add to it; never blocks.
 class counter
 {
 public:
@@ -25,7 +25,7 @@
         value_.fetch_add(n, std::memory_order_relaxed);
     }
 
-    /// What has been added so far.
+    /// Returns the sum of all additions so far.
     std::uint64_t value() const noexcept
     {
         return value_.load(std::memory_order_relaxed);
@@ -51,7 +51,7 @@
         value_.fetch_add(n, std::memory_order_relaxed);
     }
 
-    /// The present value.
+    /// Returns the current value.
     std::int64_t value() const noexcept
     {
         return value_.load(std::memory_order_relaxed);
@@ -61,9 +61,9 @@
     std::atomic<std::int64_t> value_{0};
 };
 
-/// Quantiles, sum and count of recorded samples. Any thread may record; a
-/// sample that meets another thread's is dropped rather than waited with, so
-/// recording never blocks.
+/// Quantiles, sum and count of recorded samples. Any thread may record. A
+/// sample is dropped if another thread uses the distribution at the same time,
+/// so that recording never blocks.
 class distribution
 {
 public:
@@ -72,19 +72,19 @@
     distribution(const distribution&) = delete;
     distribution& operator=(const distribution&) = delete;
 
-    /// Takes one sample in the unit that the metric's name says.
+    /// Adds one sample, in the unit that the metric's name ends in.
     void record(double sample) noexcept;
 
-    /// Estimates at one moment.
+    /// Estimates at one point in time.
     struct snapshot
     {
         std::uint64_t count_ = 0;
         double sum_ = 0;
-        /// Pairs of probability and estimated quantile.
+        /// Pairs of probability and estimated quantile; empty without samples.
         std::vector<std::pair<double, double>> quantiles_;
     };
 
-    /// The estimates so far.
+    /// Returns the estimates from all samples so far.
     snapshot read() const;
 
 private:
@@ -100,12 +100,12 @@
     std::string value_;
 };
 
-/// Labels that tell the series of one metric apart.
+/// Labels that distinguish the series of one metric.
 using metric_labels = std::vector<metric_label>;
 
-/// Owns the metrics of a process. Add them at start from one thread; what is
-/// returned stays valid as long as the registry lives. Metrics of one name
-/// share the help text of the first.
+/// Owns the metrics of a process, which are added at start-up from one thread.
+/// References to metrics stay valid as long as the registry exists. All metrics
+/// of one name have the help text that was given with the first.
 class metrics_registry
 {
 public:
@@ -114,20 +114,21 @@
     metrics_registry(const metrics_registry&) = delete;
     metrics_registry& operator=(const metrics_registry&) = delete;
 
-    /// A new counter. By custom its name ends in `_total`.
+    /// Adds a counter. By convention its name ends in `_total`.
     counter& add_counter(const std::string& name, const std::string& help,
                          const metric_labels& labels = {});
 
-    /// A new gauge.
+    /// Adds a gauge.
     gauge& add_gauge(const std::string& name, const std::string& help,
                      const metric_labels& labels = {});
 
-    /// A new distribution, shown as a Prometheus summary.
+    /// Adds a distribution, exported as a Prometheus summary.
     distribution& add_distribution(const std::string& name,
                                    const std::string& help,
                                    const metric_labels& labels = {});
 
-    /// All metrics in the Prometheus text format. Any thread may call it.
+    /// Returns all metrics in the Prometheus text format. Any thread may call
+    /// it.
     std::string prometheus_text() const;
 
 private:
--- a/src/include/galenafork/pass_actions.h
+++ b/src/include/galenafork/pass_actions.h
@@ -1,6 +1,6 @@
 /// \file
-/// Datagrams and log entries that the decisions about passthrough flows
-/// request from the daemons.
+/// The results of decisions about passthrough flows: datagrams that the daemons
+/// send and entries for their logs.
 
 #ifndef GALENAFORK_PASS_ACTIONS_H
 #define GALENAFORK_PASS_ACTIONS_H
@@ -23,7 +23,7 @@
     caller,
     /// Another agent, which gets the segment without a message around it.
     agent,
-    /// The caller of the flow, which gets a reset segment from the system.
+    /// The caller of the flow, which gets a reset segment made by the daemon.
     reset,
     /// A balancer or an agent, which gets a `pass_message`.
     peer,
@@ -66,8 +66,9 @@
     /// On balancers the age of the peer's last status, on agents the age of the
     /// opening segment.
     duration age_{0};
-    /// Marks refusals, resets and changes of state. The log limits their rate
-    /// separately, so that ordinary placements do not displace them.
+    /// Marks all but ordinary placements: for example refusals, resets and
+    /// changes of state. The log limits their rate separately, so that ordinary
+    /// placements do not displace them.
     bool important_ = false;
 };
 
--- a/src/include/galenafork/pass_agent.h
+++ b/src/include/galenafork/pass_agent.h
@@ -26,29 +26,30 @@
     /// no slot is idle during a handshake (a caller's round trip). Zero is used
     /// while the upstream is cold.
     std::uint32_t extra_in_flight_ = 1;
-    /// Max further requests in flight per slot. Handshakes that take long in
-    /// proportion to the service time raise the number up to this limit.
-    /// Upstreams queue a few requests per slot before they shed load.
+    /// Maximum number of further requests in flight per slot. They are allowed
+    /// while handshakes are long: as many as the ratio of the handshake time to
+    /// the service time. Upstreams queue a few requests per slot before they
+    /// shed load.
     double max_extra_per_slot_ = 1.0;
     /// Time within which the upstream must answer an opening segment. A running
     /// upstream needs less than a millisecond; the rest allows for a busy
     /// instance.
     duration opening_timeout_ = std::chrono::milliseconds(80);
     /// Time from the offer of an opening segment within which its caller must
-    /// continue the answered handshake: a few round trips. After it the flow no
-    /// longer occupies a slot, because its caller has gone or a busy balancer
+    /// continue the answered handshake: a few round trips. Afterwards another
+    /// flow can use the slot, because the caller has gone or a busy balancer
     /// delays the caller's next segment.
     duration handshake_timeout_ = std::chrono::milliseconds(40);
     /// Number of unanswered opening segments, without any segment from the
     /// upstream in between, after which the upstream gets no new flows.
     std::uint32_t max_unanswered_openings_ = 2;
-    /// Max age of a queued opening segment. Callers abandon an attempt after
-    /// 1.4 s (the callers' protocol), so an older segment would open a flow
-    /// without a caller.
+    /// Maximum age of a queued opening segment. The callers' protocol ends an
+    /// attempt to open a flow after 1.4 s, so an older segment would open a
+    /// flow without a caller.
     duration caller_attempt_timeout_ = std::chrono::milliseconds(1300);
     /// A queue that is not empty for longer than this means lasting overload. A
-    /// peak or the recovery from an outage is over sooner, within about one
-    /// attempt of a caller.
+    /// peak or the recovery from an outage is over sooner, within about the
+    /// duration of a caller's attempt.
     duration overload_after_ = std::chrono::milliseconds(1500);
     /// In lasting overload a segment is queued only if its answer is expected
     /// within this fraction of the latency target. The rest is a margin for
@@ -57,11 +58,13 @@
     double overload_target_fraction_ = 0.7;
     /// A segment that is expected to miss its latency target is queued only if
     /// it is expected to get a slot within this time, and not in lasting
-    /// overload. Segments in time continue to arrive and take precedence, so
-    /// that after a longer wait the caller has gone before a slot is free.
+    /// overload. Segments that can be answered in time continue to arrive and
+    /// take precedence, so that after a longer wait the caller has gone before
+    /// a slot is free.
     duration max_late_wait_ = std::chrono::milliseconds(100);
     /// Fraction of the slots that is expected to remain for segments that miss
-    /// their latency target, since those in time take precedence.
+    /// their latency target, since those that can be answered in time take
+    /// precedence.
     double late_slot_fraction_ = 0.7;
     /// Service time that is assumed before the first measurement.
     duration initial_service_time_ = std::chrono::milliseconds(30);
@@ -74,8 +77,7 @@
     /// Time for which moved flows are kept, to forward the segments that still
     /// arrive here.
     duration moved_linger_ = std::chrono::seconds(10);
-    /// Max age of the upstream's last report; after it the upstream gets no new
-    /// flows.
+    /// An upstream whose last report is older than this gets no new flows.
     duration report_timeout_ = std::chrono::seconds(4);
     /// Start of the agent's process, by the same clock as the upstream's start
     /// time.
@@ -98,7 +100,7 @@
     /// again.
     duration unknown_flow_retention_ = std::chrono::seconds(5);
     /// Time after the agent's start in which its upstream may still have flows
-    /// from before the start: the max lifetime of a flow.
+    /// from before the start: the longest lifetime of a flow.
     duration adoption_window_ = std::chrono::seconds(60);
 };
 
@@ -110,11 +112,11 @@
     /// The opening segment was sent to the upstream.
     opening,
     open,
-    /// Both ends have finished, one has reset the flow, the upstream has
-    /// restarted, or it has not answered the opening segment.
+    /// Both ends have finished, one has reset the flow, or the upstream has
+    /// restarted or left the opening segment unanswered.
     ended,
-    /// No upstream could take the opening segment. The caller got a reset,
-    /// unless another agent may have opened the flow.
+    /// The opening segment was refused. The caller got a reset, unless another
+    /// agent may have opened the flow.
     refused,
     /// Another agent handles the flow.
     moved,
@@ -127,13 +129,14 @@
 {
     pass_phase phase_ = pass_phase::queued;
     /// The opening segment with its context. An adopted flow has no opening
-    /// segment and uses two fields only: `balancer_` is the balancer that last
-    /// forwarded a segment of the flow, and `earlier_agent_` is a balancer that
-    /// still waits for the answer to its `locate_message`, or zero.
+    /// segment and uses two fields only: `balancer_` is the peer that last
+    /// forwarded a segment of the flow, and `earlier_agent_` is the peer that
+    /// still waits for the response to its `locate_message`, or zero.
     place_message place_;
-    /// When the first transmission of the opening segment reached a balancer,
-    /// on this agent's clock.
-    instant first_copy_at_{};
+    /// When the caller's attempt to open the flow started, as estimated by the
+    /// balancer, on this agent's clock; on an adopted flow the time of the
+    /// adoption.
+    instant attempt_started_at_{};
     instant phase_since_{};
     /// When the opening segment was sent to the upstream.
     instant offered_at_{};
@@ -141,6 +144,7 @@
     instant upstream_sent_at_{};
     instant last_active_{};
     std::uint32_t opening_sequence_ = 0;
+    /// Sequence number of the upstream's answer to the opening segment.
     std::optional<std::uint32_t> upstream_sequence_;
     /// Sequence number of the end of the caller's data so far; later data is
     /// another request.
@@ -166,13 +170,13 @@
 struct pass_agent_state
 {
     pass_agent_settings settings_;
-    instant started_{};
+    instant started_at_{};
     upstream_report upstream_;
     instant last_report_at_{};
     bool shutting_down_ = false;
     /// The upstream is suspected of being down, because it leaves opening
     /// segments unanswered.
-    bool upstream_suspect_ = false;
+    bool upstream_suspected_ = false;
     std::uint32_t unanswered_openings_ = 0;
     instant upstream_cold_until_{};
     std::unordered_map<flow_key, agent_flow> flows_;
@@ -239,18 +243,20 @@
                   const segment_header& opening, instant now,
                   pass_actions& out);
 
-/// Handles a segment of a caller other than an opening segment. `balancer` is
-/// the sender, which can also be an agent that forwards segments of a moved
-/// flow. A segment of an unknown flow is returned to `balancer`, unless the
-/// upstream may have the flow from before the agent's start.
+/// Handles a segment of a caller other than an opening segment. `sender` is a
+/// balancer, or an agent that forwards segments of a moved flow. A segment of
+/// an unknown flow is returned to `sender`, unless the upstream may have the
+/// flow from before the agent's start.
 void handle_caller_segment(pass_agent_state& state, const segment_header& s,
-                           byte_view bytes, host_address balancer, instant now,
+                           byte_view bytes, host_address sender, instant now,
                            pass_actions& out);
 
 /// Handles a search for the owner of a flow. The owner sends the segment to its
 /// upstream, an agent that the flow moved away from forwards the segment, and
-/// both answer with the owner. An agent that may have to adopt the flow tries
-/// its upstream and answers when the upstream has responded.
+/// both respond with the owner. An agent whose upstream may have the flow from
+/// before the agent's start adopts the flow and responds when the upstream has
+/// sent or returned a segment of it. An agent that can't have the flow responds
+/// with owner zero; other agents do not respond.
 void handle_locate(pass_agent_state& state, const locate_message& message,
                    const segment_header& s, instant now, pass_actions& out);
 
@@ -259,8 +265,8 @@
 void handle_upstream_segment(pass_agent_state& state, const segment_header& s,
                              byte_view bytes, instant now, pass_actions& out);
 
-/// Handles timeouts: removes expired flows, gives up on unanswered opening
-/// segments, and offers, forwards or refuses queued ones. To be called
+/// Handles timeouts: removes expired flows, sends unanswered opening segments
+/// to other agents, and offers, forwards or refuses queued ones. To be called
 /// periodically.
 void handle_tick(pass_agent_state& state, instant now, pass_actions& out);
 
--- a/src/include/galenafork/pass_balancer.h
+++ b/src/include/galenafork/pass_balancer.h
@@ -25,13 +25,14 @@
 {
     host_address host_;
     data_centre data_centre_;
-    /// Max agents of the balancer's data centre that one opening segment is
-    /// sent to.
+    /// Maximum number of agents of the balancer's data centre that one opening
+    /// segment is sent to, one after the other.
     std::size_t max_near_candidates_ = 4;
-    /// Max agents of other data centres that the segment is sent to after them.
+    /// Maximum number of agents of other data centres that the segment is sent
+    /// to after those.
     std::size_t max_far_candidates_ = 3;
     /// An agent that has sent no status for this time gets no new flows. The
-    /// time covers more than two of an agent's longest status intervals.
+    /// time is longer than two of an agent's longest status intervals.
     duration agent_timeout_ = std::chrono::milliseconds(1600);
     /// A retransmitted opening segment goes to another agent if its agent has
     /// sent no status for this time, which is longer than an agent's status
@@ -44,22 +45,22 @@
     /// Speed of a cold upstream relative to a warm one (the platform's servers
     /// take 1.6 times as long when cold).
     double cold_speed_ = 0.6;
-    /// Max random amount that is added to an agent's load (requests per slot),
-    /// so that balancers with the same statuses do not all choose the same
-    /// agent.
+    /// A random amount up to this is added to an agent's load (requests per
+    /// slot), so that balancers with the same statuses do not all choose the
+    /// same agent.
     double load_jitter_ = 0.35;
     /// Flows that are idle for longer are removed.
     duration flow_idle_timeout_ = std::chrono::seconds(20);
     /// Time for which a finished flow is kept after its last segment.
     duration flow_linger_ = std::chrono::seconds(4);
-    /// Min time between two searches for the owner of one flow. It covers a
-    /// round trip to the agents and their answer.
+    /// Minimum time between two searches for the owner of one flow. It is long
+    /// enough for the responses of the agents to arrive.
     duration locate_interval_ = std::chrono::milliseconds(150);
-    /// Max age of a pending opening segment, half of a caller's attempt. After
-    /// it the segment is refused, and the caller retries at once with a new
-    /// attempt, which can be answered soon.
+    /// Maximum age of a pending opening segment: half of the duration of a
+    /// caller's attempt. An older segment is refused, and the caller starts a
+    /// new attempt at once, which can be answered soon.
     duration max_opening_wait_ = std::chrono::milliseconds(700);
-    /// Max number of pending opening segments.
+    /// Maximum number of pending opening segments; further ones are refused.
     std::size_t max_pending_openings_ = 2000;
     /// Pending segments are placed only while an agent of their service has
     /// fewer requests per slot than this, so that the first agent to come back
@@ -76,7 +77,7 @@
     status_message status_;
     /// When the last status arrived; before the first one, when the agent was
     /// first listed.
-    instant last_heard_{};
+    instant last_status_at_{};
     /// Opening segments sent to the agent since its last status.
     std::uint32_t placed_since_status_ = 0;
     bool has_status_ = false;
@@ -88,11 +89,11 @@
     /// The agent that gets the flow's segments; zero if unknown.
     host_address owner_;
     instant last_active_{};
-    /// When the caller's attempt began, estimated from the retransmission count
-    /// of the first opening segment that arrived.
-    instant first_copy_at_{};
+    /// When the caller's attempt to open the flow started, estimated from the
+    /// retransmission count of the first opening segment that arrived.
+    instant attempt_started_at_{};
     std::uint32_t opening_sequence_ = 0;
-    /// When the last search for the owner began.
+    /// When the last search for the owner started.
     instant locate_sent_at_{};
     /// The caller has finished or reset the flow, or no agent has it.
     bool finished_ = false;
@@ -109,9 +110,9 @@
 {
     segment_header segment_;
     std::vector<std::uint8_t> packet_;
-    /// When the caller's attempt began, estimated from the segment's
-    /// retransmission count.
-    instant first_copy_at_{};
+    /// When the caller's attempt to open the flow started, estimated from the
+    /// segment's retransmission count.
+    instant attempt_started_at_{};
 };
 
 /// All state of a balancer's decisions.
@@ -127,7 +128,8 @@
     /// Flows of `pending_openings_`.
     std::unordered_set<flow_key> pending_flows_;
     std::minstd_rand random_;
-    /// Opening segments refused because no rule has their address.
+    /// Opening segments refused because no rule has their address, since the
+    /// metrics were last updated.
     std::uint64_t refused_no_rule_ = 0;
     /// The registrations of all agents have been read.
     bool members_complete_ = false;
@@ -171,8 +173,8 @@
                        pass_actions& out);
 
 /// Handles a segment that an agent returned because it does not have the flow:
-/// sends the segment to the owner if another one is known by now, or starts a
-/// search.
+/// sends the segment to the flow's owner if that is another agent by now, or
+/// starts a search for the owner.
 void handle_returned_segment(pass_balancer_state& state,
                              const locate_message& message,
                              const segment_header& s, instant now,
--- a/src/include/galenafork/pass_messages.h
+++ b/src/include/galenafork/pass_messages.h
@@ -14,11 +14,12 @@
 namespace galenafork
 {
 
-/// Load of an agent at the time when it forwarded an opening segment.
+/// Load of an agent at the time when it could not offer an opening segment.
 struct agent_visit
 {
     host_address host_;
-    /// Requests in flight and queued opening segments per slot.
+    /// Requests in flight and queued opening segments per slot; higher than any
+    /// real value if the upstream did not accept the segment.
     double backlog_ = 0;
 };
 
@@ -26,35 +27,38 @@
 /// An agent without a free slot forwards it to the next candidate.
 struct place_message
 {
+    /// The bytes of the segment.
     std::vector<std::uint8_t> packet_;
     service_name service_;
-    /// Version of the rules that chose the service.
+    /// Version of the rules by which the service was selected.
     pass_rules_version version_;
     host_address balancer_;
     /// Agents that have not been tried yet, best first.
     std::vector<host_address> candidates_;
-    /// Agents that could not offer the segment, with their load.
+    /// Agents that were full or whose upstream did not accept the segment, with
+    /// their load.
     std::vector<agent_visit> visits_;
     std::uint8_t priority_ = 0;
     bool idempotent_ = true;
     /// All candidates have been tried: the receiver offers, queues or refuses
     /// the segment and does not forward it.
     bool candidates_exhausted_ = false;
-    /// Time since the first transmission of the segment reached a balancer.
+    /// Time since the caller's attempt to open the flow started, as estimated
+    /// by the balancer.
     duration age_{0};
     /// The rule's latency target.
     duration latency_target_{0};
-    /// The agent that an earlier transmission was sent to, if the balancer has
-    /// chosen another agent since; zero for none.
+    /// The agent that an earlier transmission was sent to, if that agent timed
+    /// out and the balancer chose another one; zero otherwise.
     host_address earlier_agent_;
 };
 
-/// Report of a flow's owner from an agent to a balancer. Sent because the flow
-/// is not where the balancer sent it, or as the answer to a `locate_message`.
+/// The owner of a flow, sent by an agent to a balancer because the flow is not
+/// where the balancer sent it, or as the response to a `locate_message`.
 struct flow_owner_message
 {
     flow_key flow_;
-    /// Zero if the sender does not have the flow.
+    /// The agent that has the flow; zero if the sender does not have it.
     host_address owner_;
     /// The opening segment is queued at the owner.
     bool queued_ = false;
@@ -62,19 +66,20 @@
     host_address sender_ = {};
 };
 
-/// A segment of a flow whose owner the sender does not know. A balancer sends
-/// it to agents to find the owner, which sends the segment to its upstream and
-/// answers with a `flow_owner_message`. An agent uses the same message to
+/// A segment whose flow has no known owner. A balancer sends the message to
+/// agents to find the owner, which sends the segment to its upstream and
+/// responds with a `flow_owner_message`. An agent uses the same message to
 /// return a segment of a flow that it does not have.
 struct locate_message
 {
+    /// The bytes of the segment.
     std::vector<std::uint8_t> packet_;
-    /// The sender: the searching balancer or the returning agent.
-    host_address balancer_;
+    /// The searching balancer or the returning agent.
+    host_address sender_;
 };
 
-/// Status of an agent and its upstream; sent to each balancer from which the
-/// agent receives hello messages.
+/// Status of an agent and its upstream; sent to the balancers that the agent
+/// has received hello messages from or has found in the store.
 struct status_message
 {
     host_address host_;
@@ -101,7 +106,7 @@
 {
     host_address host_;
     pass_rules_version version_;
-    /// Number of agents known to the balancer, from which agents derive the
+    /// Number of agents on the balancer's list, from which agents derive the
     /// interval of their status messages.
     std::uint32_t agents_ = 0;
     bool leaving_ = false;
--- a/src/include/galenafork/pass_types.h
+++ b/src/include/galenafork/pass_types.h
@@ -29,11 +29,11 @@
 /// Number of a version of the rules, assigned by the operator. It increases,
 /// but not always by one.
 using pass_rules_version =
-    strong_type<struct config_version_tag, std::uint64_t>;
+    strong_type<struct pass_rules_version_tag, std::uint64_t>;
 
-/// Start of an upstream's process in milliseconds of Unix time, by its own
-/// clock; distinguishes its incarnations.
-using start_time_ms = strong_type<struct start_stamp_tag, std::uint64_t>;
+/// Start of a process in milliseconds of Unix time, by the clock of its
+/// instance. Distinguishes the incarnations of an upstream.
+using start_time_ms = strong_type<struct start_time_ms_tag, std::uint64_t>;
 
 /// Returns the IPv4 address of `e`.
 host_address host_of(const endpoint& e);
@@ -66,7 +66,7 @@
     std::uint8_t hops_ = 0;
     std::uint32_t sequence_ = 0;
     /// Next sequence number that the sender expects. On a caller's opening
-    /// segment: the number of times that it was sent before.
+    /// segment: its retransmission count, zero on the first transmission.
     std::uint32_t ack_number_ = 0;
     std::uint16_t data_bytes_ = 0;
 };
@@ -87,7 +87,7 @@
     bool idempotent_ = true;
     /// 0 is the most important.
     std::uint8_t priority_ = 0;
-    /// An answer within this time is in time, a later one is worth less.
+    /// An answer within this time is in time; a later one is worth less.
     duration latency_target_{0};
     duration timeout_{0};
 };
@@ -133,7 +133,8 @@
     /// Increases with each report of one incarnation.
     std::uint64_t sequence_ = 0;
     start_time_ms started_;
-    /// `started_` on the agent's clock, computed when the report arrived.
+    /// Start of the upstream's process on the agent's monotonic clock, computed
+    /// when the report arrived.
     instant started_monotonic_{};
 };
 
--- a/src/include/galenafork/platform.h
+++ b/src/include/galenafork/platform.h
@@ -1,6 +1,6 @@
 /// \file
-/// The platform's object API as control code sees it: versioned objects,
-/// conditional updates and watches.
+/// The platform's object API as an interface: versioned objects, conditional
+/// updates and watches.
 
 #ifndef GALENAFORK_PLATFORM_H
 #define GALENAFORK_PLATFORM_H
@@ -19,18 +19,18 @@
 namespace galenafork
 {
 
-/// Version of an object in the platform; rises with each write.
+/// Version of an object in the platform; increases with each write.
 using object_version = strong_type<struct object_version_tag, std::uint64_t>;
 
 /// The version of an object that does not exist.
 inline constexpr object_version no_object_version{0};
 
-/// One object as read.
+/// An object as read from the platform.
 struct platform_object
 {
     std::string name_;
     object_version version_;
-    /// A JSON text.
+    /// JSON text.
     std::string value_;
 };
 
@@ -45,135 +45,144 @@
 struct object_write
 {
     std::string name_;
-    /// Written only if this is the version in force; `no_object_version`
-    /// creates.
+    /// The write succeeds only if this is the object's current version;
+    /// `no_object_version` creates the object.
     object_version expected_version_;
-    /// A JSON text that holds `write_id_` as one of its strings.
+    /// JSON text that contains `write_id_` as one of its strings.
     std::string value_;
-    /// Drawn anew for each update: see `make_write_id`.
+    /// Unique for each update, made with `make_write_id`: it shows in a later
+    /// read whether the write took effect.
     write_id write_id_;
 };
 
-/// What became of a conditional update.
+/// The outcome of a conditional update.
 enum class write_outcome
 {
-    /// It took effect, once.
+    /// The update took effect, exactly once.
     accepted,
-    /// It did not take effect and never will.
+    /// The update did not take effect and never will.
     not_accepted,
-    /// It cannot be told (yet) whether it took effect or will.
+    /// The update may have taken effect, or may still do so.
     unknown,
 };
 
-/// `accepted`, `not_accepted` or `unknown`.
+/// Returns `accepted`, `not_accepted` or `unknown`.
 const char* to_string(write_outcome outcome);
 
-/// The outcome of a conditional update and what is known besides.
+/// The outcome of a conditional update, with details.
 struct write_result
 {
     write_outcome outcome_ = write_outcome::unknown;
-    /// For `accepted`: the object's version when the write was seen in it.
+    /// If `accepted`: the version that the write created, or the version of the
+    /// later read that contained the write.
     object_version version_;
-    /// The object in force that was read to tell, if it could be read: the
-    /// winner's if another writer won.
+    /// The current object, if it had to be read to find the outcome and could
+    /// be read. After a conflict this is the object of the other writer.
     std::optional<platform_object> current_;
-    /// Why, unless accepted: `conflict` if another writer won.
+    /// Why the update was not accepted or its outcome is unknown; `conflict` if
+    /// another writer updated the object first.
     error reason_;
 };
 
-/// Result of a watch: the newer object, or nothing if none came in time.
+/// Result of a watch: the newer object, or nothing if there was none in time.
 using watch_result = tl::expected<std::optional<platform_object>, error>;
 
-/// Access to the platform's objects. An interface, so that tests put a fake in
-/// its place. The promises belong to the caller's event loop, and the store
-/// must outlive them. No promise fails: errors are values.
+/// Access to the platform's objects; an interface, so that tests can replace it
+/// by a fake. The promises belong to the caller's event loop, and the store
+/// must outlive them. Errors are returned as values: no promise is rejected.
 class platform_store
 {
 public:
     virtual ~platform_store() noexcept(false) = default;
 
-    /// Reads an object. Fails with `not_found`; with `unavailable`,
-    /// `timed_out` or `refused` if the platform could not be asked.
+    /// Reads an object. Fails with `not_found`; with `unavailable`, `timed_out`
+    /// or `refused` if the platform does not respond, refuses the call or may
+    /// not be called; with `bad_message` if its response is malformed.
     virtual kj::Promise<tl::expected<platform_object, error>>
     get(std::string name) = 0;
 
-    /// Writes an object if its version is the expected one. A lost answer is
-    /// settled before this returns, or the outcome is `unknown`.
+    /// Writes an object if its version is the expected one. If the response is
+    /// lost, this first resolves whether the write took effect; the outcome is
+    /// `unknown` if that fails.
     virtual kj::Promise<write_result> put_if(object_write write) = 0;
 
-    /// Waits up to `wait` for a version above `after`. Older and repeated
-    /// events are dropped and count as "nothing came".
+    /// Waits up to `wait` for a version above `after`. Returns nothing if the
+    /// platform reports none in time, or reports an older or duplicate version.
     virtual kj::Promise<watch_result>
     watch(std::string name, object_version after, duration wait) = 0;
 
-    /// Names and versions of the objects whose names begin with `prefix`.
+    /// Lists the names and versions of the objects whose names begin with
+    /// `prefix`.
     virtual kj::Promise<tl::expected<std::vector<object_entry>, error>>
     list(std::string prefix) = 0;
 };
 
-/// Objects of one collection as read at one moment.
+/// One page of the objects of a collection, or all of its objects.
 struct object_page
 {
     std::vector<platform_object> objects_;
-    /// The store's version when it was read: watches go on from here.
+    /// The store's version at the time of the read, from which a watch can
+    /// continue.
     object_version version_;
-    /// There are more objects after the last of this page.
+    /// True if there are more objects after the last one of this page.
     bool has_more_ = false;
 };
 
-/// One change of a collection.
+/// One change in a collection.
 struct object_change
 {
     platform_object object_;
     bool deleted_ = false;
 };
 
-/// What changed in a collection, oldest first.
+/// The changes in a collection since some version.
 struct object_changes
 {
+    /// Oldest first.
     std::vector<object_change> changes_;
-    /// The next watch goes on from here.
+    /// The store's version from which the next watch continues.
     object_version version_;
 };
 
-/// How old a read may be.
+/// How old the data of a read may be.
 enum class freshness
 {
-    /// What was last written.
+    /// The latest written data.
     current,
-    /// Possibly some seconds old, at a lower price.
+    /// Data that may be some seconds old; the read costs the platform less.
     allow_stale,
 };
 
-/// A platform that keeps its objects in collections: object names read
+/// A platform that keeps its objects in collections. Object names have the form
 /// `COLLECTION/NAME`.
 class collection_store : public platform_store
 {
 public:
-    /// Reads a whole collection.
+    /// Reads all objects of a collection.
     virtual kj::Promise<tl::expected<object_page, error>>
     read_collection(std::string collection, freshness fresh) = 0;
 
-    /// Reads an object that may be old.
+    /// Reads an object with `freshness::allow_stale`.
     virtual kj::Promise<tl::expected<platform_object, error>>
     get_allow_stale(std::string name) = 0;
 
-    /// Waits up to `wait` for changes after `after`. Fails with `not_found` if
-    /// the platform no longer has that history: read all again.
+    /// Waits up to `wait` for changes after version `after`. Fails with
+    /// `not_found` if the platform no longer has the history since `after`; the
+    /// caller then has to read the whole collection again.
     virtual kj::Promise<tl::expected<object_changes, error>>
     watch_collection(std::string collection, object_version after,
                      duration wait) = 0;
 
-    /// Removes an object if its version is `expected`. Success also if there
-    /// was none; fails with `conflict` if it has another version.
+    /// Removes an object if its version is `expected`. Succeeds also if there
+    /// is no such object; fails with `conflict` if it has another version.
     virtual kj::Promise<tl::expected<void, error>>
     remove(std::string name, object_version expected) = 0;
 };
 
-/// A write id of two random numbers.
+/// Makes a write id from two random numbers.
 write_id make_write_id(std::uint64_t high, std::uint64_t low);
 
-/// True if `value` (a JSON text) holds `id` as one of its strings.
+/// True if `value`, a JSON text, contains `id` as one of its strings.
 bool holds_write_id(const std::string& value, const write_id& id);
 
 } // namespace galenafork
--- a/src/include/galenafork/platform_client.h
+++ b/src/include/galenafork/platform_client.h
@@ -1,6 +1,6 @@
 /// \file
-/// The platform over HTTP/JSON, with deadlines, retries, a circuit breaker and
-/// a bound on the calls of this process.
+/// Client of the platform over HTTP/JSON, with deadlines, retries, a circuit
+/// breaker and a limit on this process's rate of calls.
 
 #ifndef GALENAFORK_PLATFORM_CLIENT_H
 #define GALENAFORK_PLATFORM_CLIENT_H
@@ -19,77 +19,84 @@
 namespace galenafork
 {
 
-/// A token bucket: `burst_` at once, `per_second_` in the long run.
+/// Parameters of a token bucket: its capacity is `burst_`, its refill rate
+/// `per_second_`.
 struct token_rate
 {
     double per_second_ = 0;
     double burst_ = 0;
 };
 
-/// How the client calls the platform.
+/// Settings of the client.
 struct platform_settings
 {
     endpoint address_;
-    /// From the call to its result, all attempts together. A watch has its
-    /// wait on top.
+    /// Time limit of a call over all its attempts. For a watch, its wait is
+    /// added.
     duration call_deadline_ = std::chrono::seconds(5);
-    /// One attempt. A watch has its wait on top.
+    /// Time limit of one attempt. For a watch, its wait is added.
     duration attempt_timeout_ = std::chrono::seconds(1);
-    /// Before attempt N the client waits at most `first * 2^(N-1)`, capped.
+    /// Maximum wait before the first retry. It doubles with each further retry,
+    /// up to the cap.
     duration backoff_first_ = std::chrono::milliseconds(50);
     duration backoff_cap_ = std::chrono::seconds(2);
-    /// Attempts after the first, of all calls together.
+    /// Limits the retries of all calls together.
     token_rate retry_rate_{2, 10};
-    /// Every attempt, of all calls together.
+    /// Limits all attempts of all calls together.
     token_rate call_rate_{20, 40};
-    /// Failures in a row that open the circuit breaker.
+    /// Number of consecutive failures that opens the circuit breaker.
     unsigned breaker_failure_threshold_ = 5;
-    /// How long the breaker stays open, doubled while probes fail.
+    /// Maximum time that the breaker stays open at first. It doubles with each
+    /// failed probe, up to the cap.
     duration breaker_open_first_ = std::chrono::milliseconds(500);
     duration breaker_open_cap_ = std::chrono::seconds(10);
 };
 
-/// What the client did since it was made. Each only grows.
+/// Counters of the client since its construction.
 struct platform_counters
 {
-    /// Calls that went to the platform, each attempt one.
+    /// Attempts sent to the platform, by kind of call.
     std::uint64_t gets_ = 0;
     std::uint64_t puts_ = 0;
     std::uint64_t watches_ = 0;
     std::uint64_t lists_ = 0;
-    /// Attempts after the first of a call.
+    /// Attempts after the first one of a call.
     std::uint64_t retries_ = 0;
-    /// Attempts without an answer in time.
+    /// Attempts without a response in time.
     std::uint64_t timeouts_ = 0;
-    /// Attempts whose connection failed, or answered 5xx or nonsense.
+    /// Attempts that failed otherwise: connection errors and responses with a
+    /// status of 429, 5xx or below 200.
     std::uint64_t failures_ = 0;
-    /// Calls given up because the breaker was open.
+    /// Calls that failed because the breaker was open.
     std::uint64_t refused_by_breaker_ = 0;
-    /// Calls given up because a budget was spent.
+    /// Calls that failed because the call or retry budget was exhausted.
     std::uint64_t refused_by_budget_ = 0;
-    /// Writes with a lost answer, by how they were settled.
+    /// Writes whose response was lost or not valid, by the outcome that was
+    /// found afterwards.
     std::uint64_t resolved_accepted_ = 0;
     std::uint64_t resolved_not_accepted_ = 0;
     std::uint64_t unresolved_ = 0;
-    /// Reads and watch events that were older than what was known.
+    /// Dropped results: watch events that were not newer than the version that
+    /// the watch began with, and reads after a write that were older than the
+    /// response to the write or did not return the object.
     std::uint64_t stale_dropped_ = 0;
 };
 
-/// What the client needs from its process.
+/// Resources that the client uses.
 struct platform_dependencies
 {
     kj::Timer& timer_;
     kj::Network& network_;
     std::function<instant()> clock_;
-    /// Uniform in [0, 1).
+    /// Returns uniform random numbers in [0, 1).
     std::function<double()> random_;
 };
 
-/// The platform over HTTP. Belongs to one event loop; not thread-safe.
+/// Accesses the platform over HTTP. Belongs to one event loop; not thread-safe.
 class platform_client final : public collection_store
 {
 public:
-    /// Connects on the first call, not here.
+    /// Does not connect; the first call does.
     platform_client(const platform_settings& settings,
                     platform_dependencies dependencies,
                     const api_dialect& dialect = default_dialect());
@@ -113,7 +120,7 @@
     kj::Promise<tl::expected<void, error>>
     remove(std::string name, object_version expected) override;
 
-    /// The counters so far, for the metrics page.
+    /// Returns the current counters, to be exported as metrics.
     const platform_counters& counters() const;
 
 private:
--- a/src/include/galenafork/platform_setup.h
+++ b/src/include/galenafork/platform_setup.h
@@ -1,6 +1,6 @@
 /// \file
-/// What every daemon needs around the platform client: its settings section,
-/// its metrics and the names of the objects.
+/// Helpers for daemons that use the platform client: reading its settings,
+/// exporting its metrics and naming the platform objects.
 
 #ifndef GALENAFORK_PLATFORM_SETUP_H
 #define GALENAFORK_PLATFORM_SETUP_H
@@ -16,24 +16,25 @@
 namespace galenafork
 {
 
-/// Prefix of the names of all roster objects.
+/// Common prefix of the names of roster objects.
 inline constexpr const char* roster_object_prefix = "roster/";
 
-/// Name of the platform object that holds the roster of `service`.
+/// Returns the name of the platform object that holds the roster of `service`.
 std::string roster_object_name(const service_name& service);
 
-/// Reads the whole `[platform]` section, unknown keys included in its faults.
+/// Reads the `[platform]` section and reports its errors, unknown keys
+/// included, to `section`.
 void read_platform_settings(settings_section section, platform_settings& s);
 
-/// Shows the client's counters as metrics.
+/// Exports the client's counters as metrics.
 class platform_metrics
 {
 public:
-    /// Adds the metrics; `registry` must outlive this.
+    /// Registers the metrics; `registry` must outlive this.
     explicit platform_metrics(metrics_registry& registry);
 
-    /// Brings the metrics up to `now`, the counters of one client.
-    void update(const platform_counters& now);
+    /// Updates the metrics to `current`, the counters of one client.
+    void update(const platform_counters& current);
 
 private:
     struct series
--- a/src/include/galenafork/program_options.h
+++ b/src/include/galenafork/program_options.h
@@ -1,5 +1,5 @@
 /// \file
-/// The command line that every daemon shares.
+/// The command line that all daemons share.
 
 #ifndef GALENAFORK_PROGRAM_OPTIONS_H
 #define GALENAFORK_PROGRAM_OPTIONS_H
@@ -12,45 +12,49 @@
 namespace galenafork
 {
 
-/// How a daemon ends.
+/// Exit code of a daemon.
 enum class exit_code : int
 {
-    /// Stopped as asked, or `--help`, `--version`, `--check` succeeded.
+    /// Stopped on request, or `--help`, `--version` or `--check` succeeded.
     success = 0,
-    /// Failed while it ran, or could not open a socket.
+    /// Failed while running, or could not open a socket.
     failure = 1,
-    /// The command line is wrong.
+    /// The command line is invalid.
     usage = 2,
-    /// The settings file is wrong or can't be read.
+    /// The settings file is invalid or can't be read.
     bad_settings = 3,
-    /// A second SIGTERM or SIGINT ended it at once.
+    /// Ended at once by a second SIGTERM or SIGINT.
     forced = 4,
 };
 
-/// What the command line asks for.
+/// Parsed command line of a daemon.
 struct daemon_arguments
 {
     /// Path of the settings file.
     std::string config_path_;
-    /// Check the settings and exit.
+    /// Whether to check the settings and exit.
     bool check_only_ = false;
 };
 
-/// Reads `--config FILE`, `--check`, `--help` and `--version`. Fails with the
-/// exit code if there is nothing to start; what the user needs to know has
-/// then been printed.
+/// Parses `--config FILE`, `--check`, `--help` and `--version`. If the daemon
+/// is not to start, prints the error, the help text or the version and fails
+/// with the exit code.
 tl::expected<daemon_arguments, exit_code>
 parse_command_line(int argc, const char* const* argv,
                    const std::string& program, const std::string& summary);
 
-/// The whole text of a file. Fails with `not_found`.
+/// Returns the content of a file. Fails with `not_found` if the file can't be
+/// read.
 tl::expected<std::string, error> read_text_file(const std::string& path);
 
-/// Prints `message` to standard error.
+/// Prints `message` to standard error, followed by a newline unless it ends in
+/// one.
 void print_error(const std::string& message);
 
 /// Reads the command line and the settings file of a daemon. Fails with the
-/// exit code if there is nothing to start; all faults have then been printed.
+/// exit code if the daemon is not to start: after an error, which is printed
+/// (for the settings file, all its errors), after `--help` or `--version`, or
+/// after `--check` of a valid file.
 template <class Settings>
 tl::expected<Settings, exit_code>
 settings_from_command_line(int argc, const char* const* argv,
--- a/src/include/galenafork/replicated_state.h
+++ b/src/include/galenafork/replicated_state.h
@@ -1,6 +1,7 @@
 /// \file
-/// What a balancer knows of rules and rosters, and how it spreads among
-/// balancers: merging in any order, digests, and differences.
+/// The state that balancers replicate among each other (rules, rosters and
+/// expired members): updates that can be merged in any order, digests to
+/// compare two replicas, and deltas that bring a replica up to date.
 
 #ifndef GALENAFORK_REPLICATED_STATE_H
 #define GALENAFORK_REPLICATED_STATE_H
@@ -20,7 +21,7 @@
 namespace galenafork
 {
 
-/// One step of the rules: the edit that leads from the version before to
+/// One delta of the rules: the edit that leads from the previous version to
 /// `version_`.
 struct rules_delta
 {
@@ -28,7 +29,8 @@
     text_edit edit_;
 };
 
-/// One step of a roster, which leads to `epoch_`.
+/// One delta of a roster: the change that leads from the previous epoch to
+/// `epoch_`.
 struct roster_delta
 {
     service_name service_;
@@ -36,68 +38,74 @@
     roster_change change_;
 };
 
-/// Lives of one service that have lapsed for good.
+/// Members of one service whose leases have expired for good.
 struct expired_members_update
 {
     service_name service_;
     std::vector<instance_incarnation> incarnations_;
 };
 
-/// Anything that one balancer tells another.
+/// One update that a balancer sends to another.
 using state_update = std::variant<active_rules, rules_delta, roster,
                                   roster_delta, expired_members_update>;
 
-/// What is known of one service.
+/// The replicated state of one service.
 struct service_state
 {
-    /// Null until known.
+    /// Null until a roster is received.
     std::shared_ptr<const roster> roster_;
-    /// Sorted; grows but for lives that are no member any more.
+    /// Sorted. Only grows, except that incarnations which are not in the roster
+    /// are dropped beyond `max_expired_members`.
     expired_members expired_members_;
-    /// The latest steps in order, at most `max_recent_deltas`; the last one
+    /// The latest deltas in order, at most `max_recent_deltas`; the last one
     /// leads to `roster_`.
     std::vector<roster_delta> recent_deltas_;
 };
 
-/// All that a balancer knows. Every part only moves forward: rules by their
-/// version, rosters by their epoch, lapsed lives as a growing set.
+/// A balancer's replica. No part ever goes back: the version of the rules and
+/// the epoch of each roster only increase, and a member that has expired stays
+/// expired.
 struct replicated_state
 {
-    /// Null until known.
+    /// Null until rules are received.
     std::shared_ptr<const active_rules> rules_;
-    /// The latest steps in order, at most `max_recent_deltas`; the last one
+    /// The latest deltas in order, at most `max_recent_deltas`; the last one
     /// leads to `rules_`.
     std::vector<rules_delta> recent_rules_deltas_;
     std::map<service_name, service_state> services_;
 };
 
-/// Steps of the rules and of a roster that are kept for those who lag.
+/// Maximum number of deltas kept, for the rules and for each roster, to bring
+/// lagging balancers up to date.
 inline constexpr std::size_t max_recent_deltas = 8;
 
-/// Lapsed lives kept of one service, beyond those of its members.
+/// Maximum number of expired members kept per service, besides those that are
+/// in its roster.
 inline constexpr std::size_t max_expired_members = 64;
 
-/// Retired rules that are kept; the latest go first.
+/// Maximum number of retired rules; the most recently removed ones are kept.
 inline constexpr std::size_t max_retired_rules = 512;
 
-/// What came of an update.
+/// The outcome of merging an update.
 enum class merge_result
 {
-    /// It was news.
+    /// The update changed the state.
     applied,
-    /// Known already, or older than what is known; nothing changed.
+    /// The state already includes the update or is newer; nothing changed.
     old,
-    /// It builds on an epoch that is not known here: pull the whole roster.
+    /// The update is a delta, but the version or epoch before it has not been
+    /// received: the missing state has to be pulled. Nothing changed.
     gap,
-    /// It contradicts what is known; nothing changed.
+    /// The delta does not fit the state; nothing changed.
     bad,
 };
 
-/// The enumerator's name.
+/// Returns the enumerator's name.
 const char* to_string(merge_result result);
 
 /// \name Merging
-/// Each may come late, twice or out of order; versions never go back.
+/// Merges an update into `state`. Updates may arrive late, twice or out of
+/// order; versions never go back.
 /// @{
 merge_result merge(replicated_state& state, const active_rules& update);
 merge_result merge(replicated_state& state, const rules_delta& update);
@@ -108,41 +116,45 @@
 merge_result merge(replicated_state& state, const state_update& update);
 /// @}
 
-/// The step from `before` to `after`, if there is one step between them whose
-/// outcome `apply` reproduces; else nothing.
+/// Returns the delta from `before` to `after` if their epochs are consecutive
+/// and `apply` reproduces `after` from it; otherwise nothing.
 std::optional<roster_delta> delta_between(const roster& before,
                                           const roster& after);
 
-/// The step from `before` to `after`, if it is one step.
+/// Returns the delta from `before` to `after` if their versions are
+/// consecutive; otherwise nothing.
 std::optional<rules_delta> delta_between(const active_rules& before,
                                          const active_rules& after);
 
-/// The rules after `change`. Fails with `bad_rule` if it does not fit them.
+/// Returns the rules after `delta`. Fails with `bad_rule` if the delta does not
+/// fit `before` or the resulting file is not valid.
 tl::expected<active_rules, error> apply(const active_rules& before,
-                                        const rules_delta& change);
+                                        const rules_delta& delta);
 
-/// The rules of a platform object, with the retired rules out of its history.
-/// Fails with `bad_rule`.
+/// Returns the rules of a platform object, with the retired rules from its
+/// history. Fails with `bad_rule`.
 tl::expected<active_rules, error> make_active_rules(const rules_object& object);
 
-/// The rules of a file accepted as `version`, with the lines of `retired`
-/// rules. Fails with `bad_rule`.
+/// Returns the rules of the rule file `text`, accepted as `version`. `retired`
+/// is a rule file of the retired rules. Fails with `bad_rule`.
 tl::expected<active_rules, error> make_active_rules(rules_version version,
                                                     const std::string& text,
                                                     const std::string& retired);
 
-/// What others need to be told of `update`, which `state` has just taken:
-/// the step that it was, if it was one step, in place of the whole.
+/// Returns the smallest form of `update`, which was just applied to `state`,
+/// for sending to other balancers: the delta if the update advanced the state
+/// by one version or epoch, otherwise the update itself.
 state_update compact_update(const replicated_state& state,
                             const state_update& update);
 
-/// Groups that services fall into by their names.
+/// Number of groups into which services are divided by a hash of their names.
 inline constexpr std::uint16_t digest_group_count = 64;
 
-/// What a balancer knows, in short.
+/// A digest of a replica, which two balancers compare to find differences.
 struct state_digest
 {
     rules_version rules_version_;
+    /// Hash of the rosters' epochs and expired members of each group.
     std::array<std::uint64_t, digest_group_count> groups_{};
 
     friend bool operator==(const state_digest& a, const state_digest& b)
@@ -151,20 +163,21 @@
     }
 };
 
-/// The digest of `state`; equal for states that know the same.
+/// Returns the digest of `state`. Replicas with the same rules version, roster
+/// epochs and expired members have equal digests.
 state_digest digest_of(const replicated_state& state);
 
-/// What is known of one service, in short.
+/// The version of one service's state.
 struct service_version
 {
     service_name service_;
-    /// Zero if no roster is known.
+    /// Zero if there is no roster.
     epoch epoch_;
-    /// Members of that roster that are known to have lapsed.
+    /// Number of members of that roster that have expired.
     std::uint32_t expired_count_ = 0;
 };
 
-/// What is known of the services of some groups.
+/// The version of the rules, and of the services in some groups.
 struct state_versions
 {
     rules_version rules_version_;
@@ -172,21 +185,25 @@
     std::vector<service_version> services_;
 };
 
-/// The versions to send to the peer whose digest is `theirs`, so that it
-/// answers what is missing here. No groups if both know the same.
+/// Returns the versions in `state` of the rules and of the groups that differ
+/// from `peer_digest`; there are no groups if all are equal. The versions are
+/// sent to that peer, which passes them to `updates_since` and responds with
+/// the updates.
 state_versions differing_versions(const replicated_state& state,
-                                  const state_digest& theirs);
+                                  const state_digest& peer_digest);
 
-/// The versions of every group.
+/// Returns the versions of every group.
 state_versions all_versions(const replicated_state& state);
 
-/// What `state` knows beyond `have`: steps where they suffice, else whole
-/// rosters.
+/// Returns the updates that `state` has beyond `peer_versions`, for the rules
+/// and the groups listed there: deltas if the recent ones cover the difference,
+/// otherwise the whole rules or roster. Expired members are included even if
+/// the peer has them.
 std::vector<state_update> updates_since(const replicated_state& state,
-                                        const state_versions& have);
+                                        const state_versions& peer_versions);
 
-/// The table for the traffic threads; null until rules are known. Shares the
-/// unchanged parts of `previous`, which may be null.
+/// Builds the routing snapshot for the traffic threads; returns null if `state`
+/// has no rules. Shares the unchanged parts of `previous`, which may be null.
 std::shared_ptr<const routing_snapshot>
 build_snapshot(const replicated_state& state, const routing_snapshot* previous);
 
--- a/src/include/galenafork/replicated_state_codec.h
+++ b/src/include/galenafork/replicated_state_codec.h
@@ -1,5 +1,5 @@
 /// \file
-/// Spread among balancers as Cap'n Proto messages.
+/// Cap'n Proto encoding of the state that balancers replicate.
 
 #ifndef GALENAFORK_REPLICATED_STATE_CODEC_H
 #define GALENAFORK_REPLICATED_STATE_CODEC_H
@@ -22,7 +22,8 @@
 /// @}
 
 /// \name Reading
-/// Each fails with `bad_message`.
+/// Each fails with `bad_message`; an update with invalid rules fails with
+/// `bad_rule`.
 /// @{
 tl::expected<endpoint, error> read(rpc::Endpoint::Reader in);
 tl::expected<state_digest, error> read(rpc::Digest::Reader in);
--- a/src/include/galenafork/roster.h
+++ b/src/include/galenafork/roster.h
@@ -32,7 +32,7 @@
     draining,
 };
 
-/// `joining`, `serving` or `draining`.
+/// Returns `joining`, `serving` or `draining`.
 const char* to_string(member_state state);
 
 /// One instance of a service.
@@ -54,7 +54,7 @@
     epoch watch_epoch_;
 };
 
-/// Max number of watchers of one member.
+/// Maximum number of watchers of one member.
 inline constexpr std::size_t max_watchers = 2;
 
 /// Index value for "no member".
@@ -91,10 +91,10 @@
     std::vector<instance_incarnation> recent_departures_;
 };
 
-/// Max number of departures that a roster records.
+/// Maximum number of departures that a roster records.
 inline constexpr std::size_t max_recent_departures = 32;
 
-/// Max number of writes that a roster records.
+/// Maximum number of writes that a roster records.
 inline constexpr std::size_t max_recent_writes = 16;
 
 /// Kind of a roster change.
@@ -109,7 +109,7 @@
     undrain,
     /// Removes a lost member.
     remove,
-    /// Removes a draining member that has no flows and requests left.
+    /// Removes a draining member that has no flows or requests left.
     leave,
 };
 
@@ -139,19 +139,22 @@
 /// `undrain`.
 bool is_undone(const roster& r, const roster_change& change);
 
-/// The member named `instance`, or null.
+/// Returns the member named `instance`, or null.
 const member* find_member(const roster& r, const instance_id& instance);
 
-/// The member at `index`, or null for `no_member`.
+/// Returns the member at `index`, or null if `index` is out of range, as
+/// `no_member` always is.
 const member* member_at(const roster& r, member_index index);
 
-/// The home of `bucket`, or null while no member is serving.
+/// Returns the home of `bucket`, or null while no member is serving.
 const member* home_of(const roster& r, bucket_id bucket);
 
-/// The deputy of `bucket`, or null.
+/// Returns the deputy of `bucket`, or null while fewer than two members are
+/// serving.
 const member* deputy_of(const roster& r, bucket_id bucket);
 
-/// Incarnations whose leases have expired for good. The set only grows.
+/// Incarnations whose leases have expired for good, and those that a roster
+/// change removed as lost. The set only grows.
 struct expired_members
 {
     std::vector<instance_incarnation> incarnations_;
@@ -160,7 +163,7 @@
     bool contains(const member& m) const;
 };
 
-/// The member at position `rank` in the order in which members act for
+/// Returns the member at position `rank` in the order in which members act for
 /// `bucket`: home, deputy, then the others in an order fixed by the bucket,
 /// leaving out expired members and those that are not serving. Rank 0 is the
 /// effective home, 1 its journal backup. Null if there is no member of that
@@ -168,11 +171,12 @@
 const member* successor_of(const roster& r, const expired_members& expired,
                            bucket_id bucket, std::size_t rank);
 
-/// The member that places new flows of `bucket`: `successor_of` with rank 0.
+/// Returns the member that places new flows of `bucket`: `successor_of` with
+/// rank 0.
 const member* effective_home_of(const roster& r, const expired_members& expired,
                                 bucket_id bucket);
 
-/// The JSON form that the platform stores.
+/// Returns the JSON form that the platform stores.
 std::string to_json(const roster& r);
 
 /// Parses the output of `to_json`. Fails with `bad_message` if `text` is not a
--- a/src/include/galenafork/routing.h
+++ b/src/include/galenafork/routing.h
@@ -1,6 +1,6 @@
 /// \file
-/// Where a balancer sends a packet: an immutable table made from rules and
-/// rosters that traffic threads read without a lock.
+/// Routing of packets to members: an immutable table, built from rules and
+/// rosters, that traffic threads read without a lock.
 
 #ifndef GALENAFORK_ROUTING_H
 #define GALENAFORK_ROUTING_H
@@ -19,32 +19,33 @@
 namespace galenafork
 {
 
-/// A member as a packet's target.
+/// A member that packets can be sent to.
 struct route_target
 {
     instance_incarnation member_;
-    /// Where its agent takes forwarded packets.
+    /// Where the member's agent receives forwarded packets.
     endpoint packet_endpoint_;
 };
 
-/// The effective homes of one service's buckets.
+/// The effective home of each bucket of one service: the member that packets of
+/// the bucket are sent to, which is the home unless the home cannot serve.
 struct service_route
 {
     service_name service_;
-    /// Epoch of the roster; zero if no roster is known.
+    /// Epoch of the roster; zero if there is no roster.
     epoch epoch_;
     std::vector<route_target> targets_;
-    /// The lapsed lives that `homes_` was made with.
+    /// The expired members that `homes_` was computed with.
     expired_members expired_members_;
-    /// Index into `targets_` for each bucket, or `no_member`.
+    /// Index into `targets_` of each bucket's effective home, or `no_member`.
     std::array<member_index, bucket_count> homes_{};
 };
 
-/// The effective homes of `r` after the lapses in `lapsed`.
+/// Computes the effective homes of `r`, given the expired members.
 std::shared_ptr<const service_route> make_route(const roster& r,
-                                                const expired_members& lapsed);
+                                                const expired_members& expired);
 
-/// The route of a service without a roster: every bucket lacks a home.
+/// Returns the route of a service without a roster: no bucket has a home.
 std::shared_ptr<const service_route> make_empty_route(const service_name& s);
 
 /// The rules that a balancer acts on.
@@ -54,33 +55,35 @@
     /// The rule file as accepted.
     std::string text_;
     std::vector<rule> rules_;
-    /// Removed rules whose address no rule has now: their established flows
-    /// go on.
+    /// Removed rules whose address no active rule uses. Packets of their
+    /// established flows are still forwarded.
     std::vector<rule> retired_;
 };
 
-/// Service of each address, as an open-addressing hash table.
+/// Maps addresses to services, as an open-addressing hash table.
 class address_table
 {
 public:
-    /// One address.
+    /// One address with its service.
     struct entry
     {
         endpoint address_;
-        /// Index into `services`.
+        /// Index into `services()`.
         std::uint32_t service_index_ = 0;
-        /// The rule is retired: no new flow may open.
+        /// True for a retired rule, under which no new flow may open.
         bool established_only_ = false;
         bool used_ = false;
     };
 
-    /// Of `rules_` and `retired_`; an address in both is in force.
+    /// Adds the active and the retired rules; for an address in both, the
+    /// active rule applies.
     explicit address_table(const active_rules& rules);
 
-    /// The entry of `address`, or null. Allocates nothing.
+    /// Returns the entry of `address`, or null. Allocates no memory.
     const entry* find(const endpoint& address) const noexcept;
 
-    /// Names of the services that any rule has, each once.
+    /// Returns the names of the services of all active and retired rules,
+    /// without duplicates.
     const std::vector<service_name>& services() const
     {
         return services_;
@@ -90,13 +93,13 @@
     void insert(const rule& r, bool established_only,
                 std::uint32_t service_index);
 
-    std::vector<entry> slots_;
+    std::vector<entry> entries_;
     std::uint64_t mask_ = 0;
     std::vector<service_name> services_;
 };
 
-/// What is to be done with a packet. If `refusal_` is not `none` the pointers
-/// may be null; they stay valid as long as the snapshot.
+/// Where to send a packet, or why it is refused. The pointers are valid as long
+/// as the snapshot, and may be null if `refusal_` is not `none`.
 struct forwarding_decision
 {
     refusal refusal_ = refusal::none;
@@ -105,18 +108,18 @@
     const route_target* target_ = nullptr;
 };
 
-/// All that a traffic thread needs to know.
+/// The routing state that traffic threads read.
 struct routing_snapshot
 {
     rules_version rules_version_;
     std::shared_ptr<const address_table> addresses_;
-    /// In the order of `addresses_->services()`.
+    /// One route per service, in the order of `addresses_->services()`.
     std::vector<std::shared_ptr<const service_route>> routes_;
 };
 
-/// The target of a packet of `flow`. Refuses with `unknown_service` if no rule
-/// has the address, with `no_home` if nobody serves the bucket. Allocates
-/// nothing.
+/// Returns the target of a packet of `flow`. Refuses with `unknown_service` if
+/// no rule has the service address, and with `no_home` if no member serves the
+/// flow's bucket. Allocates no memory.
 forwarding_decision select_target(const routing_snapshot& snapshot,
                                   const flow_key& flow) noexcept;
 
--- a/src/include/galenafork/rules_object.h
+++ b/src/include/galenafork/rules_object.h
@@ -1,7 +1,7 @@
 /// \file
-/// The rules as the platform keeps them: one object with the file in force
-/// and the changes that led to it, so that one conditional update writes both
-/// or neither.
+/// The rules as stored in the platform: one object with the active file and the
+/// history of changes that led to it, so that one conditional update writes
+/// either both or neither.
 
 #ifndef GALENAFORK_RULES_OBJECT_H
 #define GALENAFORK_RULES_OBJECT_H
@@ -19,11 +19,11 @@
 namespace galenafork
 {
 
-/// Name of the object that holds the rules in force.
+/// Name of the platform object that holds the active rules.
 inline constexpr const char* rules_object_name = "rules/current";
 
-/// Lines replaced by one change. The lines before and after are unchanged, so
-/// the earlier text can be rebuilt from the later one.
+/// A replacement of consecutive lines. All other lines are unchanged, so the
+/// earlier text can be rebuilt from the later one.
 struct text_edit
 {
     /// Index of the first replaced line, from 0.
@@ -37,10 +37,10 @@
 {
     rules_version version_;
     std::string author_;
-    /// UTC, as `2026-12-04T05:30:00Z`.
+    /// Time of the proposal in UTC, as `2026-12-04T05:30:00Z`.
     std::string time_;
     write_id write_id_;
-    /// From the version before to this one.
+    /// The edit that leads from the previous version to this one.
     text_edit edit_;
 };
 
@@ -52,18 +52,19 @@
     std::string author_;
     std::string time_;
     write_id write_id_;
-    /// Oldest first; the last entry is this version. The oldest entries are
-    /// dropped beyond `max_history_entries` or `max_history_bytes`.
+    /// Oldest first; the last entry is the current version. The oldest entries
+    /// beyond `max_history_entries` or `max_history_bytes` are dropped.
     std::vector<rules_history_entry> history_;
 };
 
-/// Most versions in the history.
+/// Maximum number of versions in the history.
 inline constexpr std::size_t max_history_entries = 1000;
 
-/// Most bytes of edits in the history.
+/// Maximum size of all edits in the history; the newest entry is kept whatever
+/// its size.
 inline constexpr std::size_t max_history_bytes = 256UL * 1024;
 
-/// Who changes the rules to what.
+/// A new rule file that is proposed as the next version.
 struct rules_proposal
 {
     std::string text_;
@@ -72,24 +73,25 @@
     write_id write_id_;
 };
 
-/// The object that accepts `proposal` after `current` (none: the first).
+/// Returns the object for the version after `current`, with the contents of
+/// `proposal`. Without a `current` object, the result is version 1.
 rules_object next_rules_object(const std::optional<rules_object>& current,
                                const rules_proposal& proposal);
 
-/// The file at `version`, rebuilt from the history. Fails with `not_found` if
-/// the history does not reach back so far.
+/// Returns the file at `version`, rebuilt from the history. Fails with
+/// `not_found` if the history does not reach back to `version`.
 tl::expected<std::string, error> rules_text_at(const rules_object& object,
                                                rules_version version);
 
-/// The JSON form kept in the platform.
+/// Returns the JSON form that is stored in the platform.
 std::string to_json(const rules_object& object);
 
-/// Reads what `to_json` wrote. Fails with `bad_message`.
+/// Parses the output of `to_json`. Fails with `bad_message`.
 tl::expected<rules_object, error>
 rules_object_from_json(const std::string& text);
 
-/// The parsed rules of `object`. Fails with `bad_rule`, naming the first
-/// fault.
+/// Returns the parsed rules of `object`. Fails with `bad_rule`, naming the
+/// first error in the file.
 tl::expected<rule_set, error> parse_rules_of(const rules_object& object);
 
 } // namespace galenafork
--- a/src/include/galenafork/rules_watch.h
+++ b/src/include/galenafork/rules_watch.h
@@ -12,12 +12,13 @@
 {
 
 /// Mean time between two reads of the rules by any balancer of the fleet. A
-/// watch can miss a change without any sign of it; the balancer that reads next
-/// then notifies the others. Well below the shortest limit for the activation
-/// of new rules (3 s).
+/// watch of the store can miss a change without an error; the balancer that
+/// reads next then notifies the others. The time is well below the shortest
+/// limit for the activation of new rules (3 s).
 inline constexpr duration fleet_read_interval = std::chrono::milliseconds(450);
 
-/// Min and max length of one balancer's watch.
+/// Minimum and maximum length of one balancer's watch, after which it reads the
+/// rules.
 inline constexpr duration min_rules_watch = std::chrono::milliseconds(900);
 inline constexpr duration max_rules_watch = std::chrono::seconds(25);
 
@@ -26,8 +27,8 @@
 {
     /// The balancer's own schedule.
     scheduled,
-    /// A start or an event of the store that made all balancers read at the
-    /// same time.
+    /// The balancer's start, or an event of the store (an outage or lost
+    /// history) that makes all balancers read at the same time.
     shared_event,
 };
 
--- a/src/include/galenafork/settings.h
+++ b/src/include/galenafork/settings.h
@@ -1,6 +1,6 @@
 /// \file
 /// Typed reading of a TOML settings file. The file is checked as a whole: a
-/// daemon declares which keys it reads, and gets all faults of the file at
+/// daemon declares the keys that it reads and gets all errors of the file at
 /// once, each with its line and column.
 
 #ifndef GALENAFORK_SETTINGS_H
@@ -24,7 +24,7 @@
 /// A size in bytes.
 using byte_count = strong_type<struct byte_count_tag, std::uint64_t>;
 
-/// A place in a settings file; both count from 1.
+/// A position in a settings file; line and column count from 1.
 struct settings_position
 {
     std::uint32_t line_ = 1;
@@ -37,7 +37,7 @@
     }
 };
 
-/// One fault of a settings file.
+/// One error in a settings file.
 struct settings_error
 {
     settings_position position_;
@@ -76,8 +76,8 @@
 };
 
 /// \name Conversion of one value
-/// Each fails with the reason for a person, without a position. Durations are
-/// texts such as `"150 ms"` (units us, ms, s, min, h), sizes such as
+/// Each fails with a human-readable reason without a position. Durations are
+/// strings such as `"150 ms"` (units us, ms, s, min, h), sizes such as
 /// `"64 KiB"` (units B, KiB, MiB).
 /// @{
 tl::expected<void, std::string> convert(const setting_value& value,
@@ -108,8 +108,9 @@
 
 } // namespace pvt
 
-/// Converts a text that names a service, an instance or a data centre, or
-/// wraps another number type. Fails like the other conversions.
+/// Converts to a strong type: to a name of a service, an instance or a data
+/// centre if its representation is a string, otherwise to a number. Fails like
+/// the other conversions.
 template <class Tag, class Rep>
 tl::expected<void, std::string> convert(const setting_value& value,
                                         strong_type<Tag, Rep>& out)
@@ -130,7 +131,8 @@
     }
 }
 
-/// Converts an array item by item; the first bad item is the reason.
+/// Converts an array item by item. Fails with the reason of the first invalid
+/// item.
 template <class T>
 tl::expected<void, std::string> convert(const setting_value& value,
                                         std::vector<T>& out)
@@ -151,7 +153,7 @@
     return {};
 }
 
-/// Least and greatest accepted value of a setting.
+/// Range of the accepted values of a setting; both limits are included.
 template <class T>
 struct setting_range
 {
@@ -159,30 +161,33 @@
     T max_;
 };
 
-/// Collects what one reading of a settings file finds wrong.
+/// Collects the errors of one settings file.
 class settings_error_list
 {
 public:
-    /// Notes a fault.
+    /// Adds an error.
     void add(settings_position position, std::string reason);
 
-    /// All faults in the order of the file.
+    /// Returns all errors, sorted by position in the file.
     std::vector<settings_error> sorted() const;
 
 private:
     std::vector<settings_error> errors_;
 };
 
-/// Reads the keys of one table. What is read is known; `report_unknown_keys`
-/// reports the rest as unknown.
+/// Reads the keys of one table. Adds an error for each invalid value and for
+/// each missing mandatory key, and leaves the variable of that key unchanged.
+/// Remembers which keys were read, so that `report_unknown_keys` can report the
+/// others.
 class settings_section
 {
 public:
-    /// Reads `table`, named `name` in reasons; both outlive the section.
+    /// Reads `table` and adds its errors, which call the table `name`, to
+    /// `errors`. Both references must outlive the section.
     settings_section(std::string name, const settings_table& table,
-                     settings_error_list& faults);
+                     settings_error_list& errors);
 
-    /// Reads a key that must be there.
+    /// Reads a mandatory key.
     template <class T>
     settings_section& required(const std::string& key, T& out)
     {
@@ -193,7 +198,7 @@
         return optional(key, out);
     }
 
-    /// Reads a key that must be there and within `range`.
+    /// Reads a mandatory key; reports a value outside `range`.
     template <class T>
     settings_section& required(const std::string& key, T& out,
                                setting_range<T> range)
@@ -205,7 +210,7 @@
         return optional(key, out, range);
     }
 
-    /// Reads a key if it is there; otherwise leaves `out` alone.
+    /// Reads a key if it is present; otherwise leaves `out` unchanged.
     template <class T>
     settings_section& optional(const std::string& key, T& out)
     {
@@ -213,7 +218,8 @@
         return *this;
     }
 
-    /// Reads a key if it is there; reports a value outside `range`.
+    /// Reads a key if it is present; reports a value outside `range`. Leaves
+    /// `out` unchanged if the key is absent or its value is not accepted.
     template <class T>
     settings_section& optional(const std::string& key, T& out,
                                setting_range<T> range)
@@ -229,10 +235,11 @@
         return *this;
     }
 
-    /// The sub-table `[name]`, empty if the file has none. Use each once.
+    /// Returns the table `[name]` inside this one, empty if the file has none.
+    /// Call it once per name: each returned section tracks its own read keys.
     settings_section section(const std::string& name);
 
-    /// Reports what the daemon itself finds wrong with the value of `key`.
+    /// Adds an error that the daemon itself found in the value of `key`.
     void add_error(const std::string& key, const std::string& reason);
 
     /// Reports every key and section that was not read.
@@ -267,16 +274,17 @@
     std::set<std::string> read_keys_;
 };
 
-/// Parses TOML text. Fails with the syntax error.
+/// Parses TOML text. Fails with the first syntax error.
 tl::expected<settings_table, settings_error>
 parse_settings(const std::string& text);
 
-/// One line `file:line:column: reason` for each fault.
+/// Formats each error as one line `file:line:column: reason`.
 std::string format_settings_errors(const std::string& file,
-                                   const std::vector<settings_error>& faults);
+                                   const std::vector<settings_error>& errors);
 
-/// Reads settings of type `Settings` from TOML text by the free function
-/// `read_settings(settings_section&, Settings&)`. Fails with all faults.
+/// Reads settings of type `Settings` from TOML text with the free function
+/// `read_settings(settings_section&, Settings&)`. Fails with the first syntax
+/// error or, if there is none, with all errors of the file, sorted by position.
 template <class Settings>
 tl::expected<Settings, std::vector<settings_error>>
 settings_from_text(const std::string& text)
@@ -286,15 +294,15 @@
     {
         return tl::unexpected(std::vector<settings_error>{table.error()});
     }
-    settings_error_list faults;
-    settings_section top("", *table, faults);
+    settings_error_list errors;
+    settings_section top("", *table, errors);
     Settings settings;
     read_settings(top, settings);
     top.report_unknown_keys();
-    auto found = faults.sorted();
-    if (!found.empty())
+    auto sorted_errors = errors.sorted();
+    if (!sorted_errors.empty())
     {
-        return tl::unexpected(std::move(found));
+        return tl::unexpected(std::move(sorted_errors));
     }
     return settings;
 }
--- a/src/include/galenafork/strong_type.h
+++ b/src/include/galenafork/strong_type.h
@@ -1,6 +1,6 @@
 /// \file
-/// A wrapper that gives a plain value a type of its own, so that two ids or
-/// two units cannot be mixed up.
+/// A wrapper that gives a plain value a type of its own, so that the compiler
+/// catches one kind of id or unit used as another.
 
 #ifndef GALENAFORK_STRONG_TYPE_H
 #define GALENAFORK_STRONG_TYPE_H
@@ -12,7 +12,7 @@
 namespace galenafork
 {
 
-/// A value of type `Rep` that converts to nothing else. `Tag` is any type
+/// A value of type `Rep` without implicit conversions. `Tag` is any type
 /// that names the kind of value; it is never instantiated. Comparison and
 /// hashing are those of `Rep`.
 template <class Tag, class Rep>
@@ -24,7 +24,7 @@
     constexpr strong_type() = default;
     constexpr explicit strong_type(Rep value) : value_(std::move(value)) {}
 
-    /// The wrapped value.
+    /// Returns the wrapped value.
     constexpr const Rep& value() const
     {
         return value_;
--- a/src/include/galenafork/time.h
+++ b/src/include/galenafork/time.h
@@ -1,6 +1,6 @@
 /// \file
-/// Time as the decision code sees it. No decision reads a clock: the caller
-/// passes `now`.
+/// Time types. Code that makes decisions, for example about flows, leases and
+/// placement, reads no clock; its callers pass `now`.
 
 #ifndef GALENAFORK_TIME_H
 #define GALENAFORK_TIME_H
@@ -10,11 +10,11 @@
 namespace galenafork
 {
 
-/// Span of time in microseconds.
+/// A length of time in microseconds.
 using duration = std::chrono::microseconds;
 
-/// Tag type of instants on a monotonic clock that the caller reads: real time
-/// in the daemons, virtual time in replay and tests.
+/// Clock type of `instant`, without `now()`: the caller supplies the time,
+/// which is real in the daemons and virtual in replay and tests.
 struct monotonic_clock
 {
     using duration = galenafork::duration;
@@ -24,11 +24,12 @@
     static constexpr bool is_steady = true;
 };
 
-/// A point on one process's monotonic clock; not comparable between processes.
+/// A point in time on the monotonic clock of one process; not comparable
+/// between processes.
 using instant = monotonic_clock::time_point;
 
-/// Reads the machine's monotonic clock. For daemons only; decision code takes
-/// `now` as an argument.
+/// Reads the machine's monotonic clock, which includes time in suspension. For
+/// daemons only; decision code gets `now` as an argument.
 instant read_monotonic_clock();
 
 } // namespace galenafork
--- a/src/include/galenafork/trace.h
+++ b/src/include/galenafork/trace.h
@@ -10,12 +10,13 @@
 namespace galenafork
 {
 
-/// Ids that tie the spans of one packet's hops together. All zero means that
-/// the packet is not traced.
+/// Ids that link the spans of one packet's hops. All zero means that the packet
+/// is not traced.
 struct trace_context
 {
     std::array<std::uint8_t, 16> trace_id_{};
-    /// Span of the hop that sent the packet; parent of the receiver's span.
+    /// Span of the hop that sent the packet, which is the parent of the
+    /// receiver's span.
     std::array<std::uint8_t, 8> span_id_{};
     bool sampled_ = false;
 };
--- a/src/include/galenafork/trace_export.h
+++ b/src/include/galenafork/trace_export.h
@@ -28,36 +28,38 @@
     std::string value_;
 };
 
-/// What one hop did with one packet.
+/// The handling of one packet at one hop.
 struct span
 {
-    /// Trace and id of this span.
+    /// Trace id and id of this span.
     trace_context context_;
-    /// Span of the hop before; all zero at the first hop.
+    /// Id of the previous hop's span; all zero at the first hop.
     std::array<std::uint8_t, 8> parent_id_{};
     std::string name_;
-    /// Wall clock, in nanoseconds since 1970.
+    /// Start and end in nanoseconds of Unix time.
     std::uint64_t start_ns_ = 0;
     std::uint64_t end_ns_ = 0;
     std::vector<span_attribute> attributes_;
 };
 
-/// Reads the wall clock in nanoseconds since 1970. For daemons only.
+/// Reads the wall clock in nanoseconds of Unix time. For daemons only.
 std::uint64_t read_wall_clock_ns();
 
-/// Draws trace and span ids and decides which packets are traced. One per
-/// thread; allocates nothing.
+/// Decides which packets are traced and generates trace and span ids. Each
+/// thread has its own; allocates no memory.
 class trace_sampler
 {
 public:
-    /// Starts a trace for one packet in `one_in`; for none if 0.
-    trace_sampler(std::uint64_t seed, std::uint64_t one_in);
+    /// Traces one packet in `sample_one_in`; none if 0. `seed` initialises the
+    /// generator of ids.
+    trace_sampler(std::uint64_t seed, std::uint64_t sample_one_in);
 
-    /// Context of a packet that starts here: sampled or all zero.
+    /// Returns the context of a packet at its first hop: a new trace if the
+    /// packet is sampled, otherwise all zero.
     trace_context start_trace();
 
-    /// Context of the next hop: same trace, span id drawn anew. All zero if
-    /// `parent` is not sampled.
+    /// Returns the context of the next hop: the same trace with a new span id.
+    /// All zero if `parent` is not sampled.
     trace_context child_context(const trace_context& parent);
 
 private:
@@ -69,37 +71,39 @@
     std::uint64_t packets_until_sample_ = 0;
 };
 
-/// Where spans go; nowhere if no member is set.
+/// Destination and sampling of spans; without a destination they are discarded.
 struct trace_settings
 {
-    /// File to append one OTLP/JSON line per batch to.
+    /// File to which each batch is appended as one line of OTLP/JSON.
     std::string file_;
-    /// Collector that takes one OTLP/JSON batch per UDP datagram.
+    /// Collector that receives one OTLP/JSON batch per UDP datagram.
     std::optional<endpoint> udp_;
-    /// Collector that takes OTLP over HTTP at `/v1/traces`.
+    /// Collector that receives OTLP/JSON over HTTP at `/v1/traces`.
     std::optional<endpoint> http_;
-    /// Traces one packet in this many; 0 for none.
+    /// Number of packets of which one is traced; 0 to trace none.
     std::uint64_t sample_one_in_ = 1000;
 };
 
-/// Reads the section `[traces]`: `file`, `udp` or `http`, `sample_one_in`.
+/// Reads the section `[traces]`: at most one of `file`, `udp` and `http`, and
+/// `sample_one_in`.
 void read_settings(settings_section& section, trace_settings& settings);
 
-/// Bounded queue of spans. Offering never blocks; what does not fit, or meets
-/// another thread, is dropped and counted.
+/// Bounded queue of spans. Adding never blocks: a span is dropped and counted
+/// if the queue is full or another thread uses it at the same time.
 class span_queue
 {
 public:
-    /// Holds `capacity` spans at most.
+    /// Creates a queue of at most `capacity` spans.
     explicit span_queue(std::size_t capacity) : capacity_(capacity) {}
 
-    /// Adds a span. False if it was dropped. Any thread.
+    /// Adds a span. Returns false if the span was dropped. Any thread may call
+    /// it.
     bool try_push(span s) noexcept;
 
-    /// Takes at most `most` spans out, oldest first.
-    std::vector<span> pop_batch(std::size_t most);
+    /// Removes and returns up to `max_count` spans, oldest first.
+    std::vector<span> pop_batch(std::size_t max_count);
 
-    /// Spans dropped so far.
+    /// Returns the number of spans dropped so far.
     std::uint64_t dropped() const
     {
         return dropped_.load(std::memory_order_relaxed);
@@ -112,7 +116,7 @@
     std::atomic<std::uint64_t> dropped_{0};
 };
 
-/// Spans of one process as one OTLP/JSON document in one line.
+/// Formats spans of one process as an OTLP/JSON document in one line.
 std::string to_otlp_json(const std::string& program,
                          const std::string& instance,
                          const std::vector<span>& spans);
@@ -121,11 +125,13 @@
 class span_writer
 {
 public:
-    /// Opens the file or socket of `settings`. Fails with `bad_setting` if
-    /// the file can't be opened.
-    static tl::expected<span_writer, error> open(const trace_settings& s);
+    /// Opens the file or the socket that `settings` name. Fails with
+    /// `bad_setting` if the file can't be opened. If the socket can't be opened
+    /// or connected, batches are discarded.
+    static tl::expected<span_writer, error>
+    open(const trace_settings& settings);
 
-    /// Writes one batch. A lost datagram is not noticed.
+    /// Writes one batch. Failures to write or send are ignored.
     void write(const std::string& batch);
 
 private:
--- a/src/include/galenafork/unique_fd.h
+++ b/src/include/galenafork/unique_fd.h
@@ -1,5 +1,5 @@
 /// \file
-/// Owner of a file descriptor.
+/// A file descriptor with a unique owner.
 
 #ifndef GALENAFORK_UNIQUE_FD_H
 #define GALENAFORK_UNIQUE_FD_H
@@ -10,12 +10,12 @@
 namespace galenafork
 {
 
-/// Closes its file descriptor when it goes.
+/// Owns a file descriptor and closes it on destruction.
 class unique_fd
 {
 public:
     unique_fd() = default;
-    /// Takes over `fd`; -1 for none.
+    /// Takes ownership of `fd`; -1 for none.
     explicit unique_fd(int fd) : fd_(fd) {}
     ~unique_fd()
     {
@@ -34,13 +34,13 @@
     unique_fd(const unique_fd&) = delete;
     unique_fd& operator=(const unique_fd&) = delete;
 
-    /// The descriptor, or -1.
+    /// Returns the descriptor, or -1 for none.
     int get() const
     {
         return fd_;
     }
 
-    /// True if it owns a descriptor.
+    /// Returns true if the object owns a descriptor.
     explicit operator bool() const
     {
         return fd_ >= 0;
--- a/src/libbalancer/rules_in_force.cpp
+++ b/src/libbalancer/active_rules.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-/// The rule that `line` holds, or nothing.
+/// Returns the rule in `line`, or nothing if there is no valid rule.
 std::optional<rule> parse_line(const std::string& line)
 {
     const auto parsed = parse_rules(line);
@@ -60,30 +60,36 @@
     return text;
 }
 
-/// The least run of lines whose replacement makes `after` of `before`.
+/// Returns the shortest replacement of consecutive lines that turns `before`
+/// into `after`.
 text_edit edit_between(const lines& before, const lines& after)
 {
     const std::size_t shorter = std::min(before.size(), after.size());
-    std::size_t head = 0;
-    while (head < shorter && before[head] == after[head])
+    std::size_t prefix_length = 0;
+    while (prefix_length < shorter &&
+           before[prefix_length] == after[prefix_length])
     {
-        ++head;
+        ++prefix_length;
     }
-    std::size_t tail = 0;
-    while (tail < shorter - head &&
-           before[before.size() - 1 - tail] == after[after.size() - 1 - tail])
+    std::size_t suffix_length = 0;
+    while (suffix_length < shorter - prefix_length &&
+           before[before.size() - 1 - suffix_length] ==
+               after[after.size() - 1 - suffix_length])
     {
-        ++tail;
+        ++suffix_length;
     }
-    const auto cut = [&](const lines& all)
+    const auto changed_lines = [&](const lines& text)
     {
-        const auto first = all.begin() + static_cast<std::ptrdiff_t>(head);
-        return lines(first, all.end() - static_cast<std::ptrdiff_t>(tail));
+        const auto first =
+            text.begin() + static_cast<std::ptrdiff_t>(prefix_length);
+        return lines(first,
+                     text.end() - static_cast<std::ptrdiff_t>(suffix_length));
     };
-    return {head, cut(before), cut(after)};
+    return {prefix_length, changed_lines(before), changed_lines(after)};
 }
 
-/// The lines after `edit`, or nothing if it does not fit.
+/// Returns the lines after `edit`, or nothing if the lines to remove are not
+/// there.
 std::optional<lines> apply_edit(lines text, const text_edit& edit)
 {
     if (edit.first_line_ > text.size() ||
@@ -98,8 +104,8 @@
     {
         return std::nullopt;
     }
-    const auto at = text.erase(first, last);
-    text.insert(at, edit.added_.begin(), edit.added_.end());
+    const auto position = text.erase(first, last);
+    text.insert(position, edit.added_.begin(), edit.added_.end());
     return text;
 }
 
@@ -113,14 +119,15 @@
     return addresses;
 }
 
-/// Adds rules that are retired unless their address is in `taken`.
-void add_retired(std::vector<rule>& retired, std::set<endpoint>& taken,
+/// Adds the removed rules whose addresses are not in `used_addresses`, until
+/// there are `max_retired_rules`.
+void add_retired(std::vector<rule>& retired, std::set<endpoint>& used_addresses,
                  const std::vector<rule>& removed)
 {
     for (const rule& r : removed)
     {
         if (retired.size() < max_retired_rules &&
-            taken.insert(r.address_).second)
+            used_addresses.insert(r.address_).second)
         {
             retired.push_back(r);
         }
@@ -154,22 +161,24 @@
 }
 
 tl::expected<active_rules, error> apply(const active_rules& before,
-                                        const rules_delta& change)
+                                        const rules_delta& delta)
 {
-    const auto text = apply_edit(split_lines(before.text_), change.edit_);
+    const auto text = apply_edit(split_lines(before.text_), delta.edit_);
     if (!text)
     {
         return tl::unexpected(
-            error{error_code::bad_rule, "the step does not fit the rules"});
+            error{error_code::bad_rule,
+                  "the delta does not fit the current version of the rules"});
     }
-    auto result = parse_text(change.version_, join_lines(*text));
+    auto result = parse_text(delta.version_, join_lines(*text));
     if (!result)
     {
         return result;
     }
-    auto taken = addresses_of(result->rules_);
-    add_retired(result->retired_, taken, parse_lines(change.edit_.removed_));
-    add_retired(result->retired_, taken, before.retired_);
+    auto used_addresses = addresses_of(result->rules_);
+    add_retired(result->retired_, used_addresses,
+                parse_lines(delta.edit_.removed_));
+    add_retired(result->retired_, used_addresses, before.retired_);
     return result;
 }
 
@@ -180,11 +189,11 @@
     {
         return result;
     }
-    auto taken = addresses_of(result->rules_);
+    auto used_addresses = addresses_of(result->rules_);
     for (auto entry = object.history_.rbegin(); entry != object.history_.rend();
          ++entry)
     {
-        add_retired(result->retired_, taken,
+        add_retired(result->retired_, used_addresses,
                     parse_lines(entry->edit_.removed_));
     }
     return result;
--- a/src/libbalancer/build_snapshot.cpp
+++ b/src/libbalancer/build_snapshot.cpp
@@ -6,7 +6,7 @@
 namespace
 {
 
-/// True if `route` is what `make_route` would yield for `service`.
+/// True if `make_route` would return the same route for `service`.
 bool is_current(const service_route& route, const service_state& service)
 {
     return route.epoch_ == service.roster_->epoch_ &&
@@ -60,12 +60,12 @@
     next->addresses_ =
         same_rules ? previous->addresses_
                    : std::make_shared<const address_table>(*state.rules_);
-    const auto earlier = routes_by_name(previous);
+    const auto previous_routes = routes_by_name(previous);
     for (const service_name& name : next->addresses_->services())
     {
-        const auto at = earlier.find(name);
-        next->routes_.push_back(
-            route_of(name, state, at == earlier.end() ? nullptr : at->second));
+        const auto at = previous_routes.find(name);
+        next->routes_.push_back(route_of(
+            name, state, at == previous_routes.end() ? nullptr : at->second));
     }
     return next;
 }
--- a/src/libbalancer/change_between.cpp
+++ b/src/libbalancer/delta_between.cpp
@@ -33,32 +33,37 @@
     return true;
 }
 
-/// The step that changed member `was` (null: new) to `is` (null: gone).
-std::optional<roster_change_kind> kind_of(const roster& after,
-                                          const member* was, const member* is)
+/// Returns the kind of change that turned `old_member` (null if it was added)
+/// into `new_member` (null if it was removed), or nothing if neither its
+/// incarnation nor its state changed.
+std::optional<roster_change_kind>
+kind_of(const roster& after, const member* old_member, const member* new_member)
 {
-    if (is == nullptr)
+    if (new_member == nullptr)
     {
-        const bool left =
-            !after.recent_departures_.empty() &&
-            after.recent_departures_.front().instance_ == was->instance_ &&
-            after.recent_departures_.front().incarnation_ == was->incarnation_;
+        const bool left = !after.recent_departures_.empty() &&
+                          after.recent_departures_.front().instance_ ==
+                              old_member->instance_ &&
+                          after.recent_departures_.front().incarnation_ ==
+                              old_member->incarnation_;
         return left ? roster_change_kind::leave : roster_change_kind::remove;
     }
-    if (was == nullptr || was->incarnation_ != is->incarnation_)
+    if (old_member == nullptr ||
+        old_member->incarnation_ != new_member->incarnation_)
     {
         return roster_change_kind::join;
     }
-    if (was->state_ == is->state_)
+    if (old_member->state_ == new_member->state_)
     {
         return std::nullopt;
     }
-    if (is->state_ == member_state::draining)
+    if (new_member->state_ == member_state::draining)
     {
         return roster_change_kind::drain;
     }
-    return was->state_ == member_state::draining ? roster_change_kind::undrain
-                                                 : roster_change_kind::join;
+    return old_member->state_ == member_state::draining
+               ? roster_change_kind::undrain
+               : roster_change_kind::join;
 }
 
 } // namespace
@@ -71,37 +76,39 @@
     {
         return std::nullopt;
     }
-    const auto attempt = [&](const member* was,
-                             const member* is) -> std::optional<roster_delta>
+    const auto delta_for =
+        [&](const member* old_member,
+            const member* new_member) -> std::optional<roster_delta>
     {
-        const auto kind = kind_of(after, was, is);
+        const auto kind = kind_of(after, old_member, new_member);
         if (!kind)
         {
             return std::nullopt;
         }
-        roster_delta step{after.service_, after.epoch_, {}};
-        step.change_ = {*kind, is == nullptr ? *was : *is,
-                        after.recent_writes_.front()};
-        const auto outcome = apply(before, step.change_);
+        roster_delta delta{after.service_, after.epoch_, {}};
+        delta.change_ = {*kind,
+                         new_member == nullptr ? *old_member : *new_member,
+                         after.recent_writes_.front()};
+        const auto outcome = apply(before, delta.change_);
         if (!outcome || !same_roster(*outcome, after))
         {
             return std::nullopt;
         }
-        return step;
+        return delta;
     };
     for (const member& m : before.members_)
     {
-        if (auto step = attempt(&m, find_member(after, m.instance_)))
+        if (auto delta = delta_for(&m, find_member(after, m.instance_)))
         {
-            return step;
+            return delta;
         }
     }
     for (const member& m : after.members_)
     {
         const bool is_new = find_member(before, m.instance_) == nullptr;
-        if (auto step = is_new ? attempt(nullptr, &m) : std::nullopt)
+        if (auto delta = is_new ? delta_for(nullptr, &m) : std::nullopt)
         {
-            return step;
+            return delta;
         }
     }
     return std::nullopt;
--- a/src/libbalancer/digest.cpp
+++ b/src/libbalancer/digest.cpp
@@ -9,7 +9,8 @@
 constexpr std::uint64_t fnv_offset = 0xcbf29ce484222325U;
 constexpr std::uint64_t fnv_prime = 0x100000001b3U;
 
-// FNV-1a: the same on every machine, which std::hash need not be.
+// FNV-1a, because all balancers have to compute the same value, which std::hash
+// does not guarantee.
 std::uint64_t add_text(std::uint64_t hash, const std::string& text)
 {
     for (const char c : text)
@@ -19,12 +20,12 @@
     return hash;
 }
 
-std::uint64_t add_number(std::uint64_t hash, std::uint64_t number)
+std::uint64_t add_number(std::uint64_t hash, std::uint64_t value)
 {
     constexpr unsigned byte_bits = 8;
-    for (unsigned i = 0; i < sizeof number; ++i)
+    for (unsigned i = 0; i < sizeof value; ++i)
     {
-        hash = (hash ^ (number >> (i * byte_bits) & 0xffU)) * fnv_prime;
+        hash = (hash ^ (value >> (i * byte_bits) & 0xffU)) * fnv_prime;
     }
     return hash;
 }
@@ -40,9 +41,9 @@
     return service.roster_ ? service.roster_->epoch_ : epoch();
 }
 
-// Counts members only: other lapsed lives change no decision, and a balancer
-// may have dropped them.
-std::uint32_t lapsed_members(const service_state& service)
+// Counts members of the roster only: other expired incarnations do not affect
+// routing, and a balancer may have dropped them.
+std::uint32_t count_expired_members(const service_state& service)
 {
     std::uint32_t count = 0;
     if (service.roster_)
@@ -70,62 +71,63 @@
     return hash;
 }
 
-bool is_known(const service_state& service)
+bool has_roster(const service_state& service)
 {
     return service.roster_ != nullptr;
 }
 
 void add_rules_updates(const replicated_state& state,
-                       std::uint64_t version_there,
+                       std::uint64_t peer_version,
                        std::vector<state_update>& out)
 {
-    if (!state.rules_ || state.rules_->version_.value() <= version_there)
+    if (!state.rules_ || state.rules_->version_.value() <= peer_version)
     {
         return;
     }
     const auto& recent = state.recent_rules_deltas_;
-    const bool steps_suffice =
-        version_there != 0 && !recent.empty() &&
-        recent.front().version_.value() <= version_there + 1;
-    if (!steps_suffice)
+    const bool deltas_suffice =
+        peer_version != 0 && !recent.empty() &&
+        recent.front().version_.value() <= peer_version + 1;
+    if (!deltas_suffice)
     {
         out.emplace_back(*state.rules_);
     }
-    for (const rules_delta& step : recent)
+    for (const rules_delta& delta : recent)
     {
-        if (steps_suffice && step.version_.value() > version_there)
+        if (deltas_suffice && delta.version_.value() > peer_version)
         {
-            out.emplace_back(step);
+            out.emplace_back(delta);
         }
     }
 }
 
 void add_service_updates(const service_name& name, const service_state& service,
-                         const service_version& have,
+                         const service_version& peer,
                          std::vector<state_update>& out)
 {
-    const std::uint64_t epoch_here = epoch_of(service).value();
-    const std::uint64_t epoch_there = have.epoch_.value();
-    if (epoch_here > epoch_there)
+    const std::uint64_t own_epoch = epoch_of(service).value();
+    const std::uint64_t peer_epoch = peer.epoch_.value();
+    if (own_epoch > peer_epoch)
     {
         const auto& recent = service.recent_deltas_;
-        const bool steps_suffice =
-            epoch_there != 0 && !recent.empty() &&
-            recent.front().epoch_.value() <= epoch_there + 1;
-        if (!steps_suffice)
+        const bool deltas_suffice =
+            peer_epoch != 0 && !recent.empty() &&
+            recent.front().epoch_.value() <= peer_epoch + 1;
+        if (!deltas_suffice)
         {
             out.emplace_back(*service.roster_);
         }
-        for (const roster_delta& step : recent)
+        for (const roster_delta& delta : recent)
         {
-            if (steps_suffice && step.epoch_.value() > epoch_there)
+            if (deltas_suffice && delta.epoch_.value() > peer_epoch)
             {
-                out.emplace_back(step);
+                out.emplace_back(delta);
             }
         }
     }
-    // Sent whenever there are any: a count cannot tell which are known there.
-    if (epoch_here >= epoch_there && lapsed_members(service) != 0)
+    // Expired members are sent whenever the roster has any, because the peer's
+    // count does not show which ones the peer has.
+    if (own_epoch >= peer_epoch && count_expired_members(service) != 0)
     {
         out.emplace_back(expired_members_update{
             name, service.expired_members_.incarnations_});
@@ -147,10 +149,10 @@
     }
     for (const auto& [name, service] : state.services_)
     {
-        if (wanted[group_of(name)] && is_known(service))
+        if (wanted[group_of(name)] && has_roster(service))
         {
             result.services_.push_back(
-                {name, epoch_of(service), lapsed_members(service)});
+                {name, epoch_of(service), count_expired_members(service)});
         }
     }
     return result;
@@ -167,7 +169,7 @@
     }
     for (const auto& [name, service] : state.services_)
     {
-        if (is_known(service))
+        if (has_roster(service))
         {
             digest.groups_[group_of(name)] ^= hash_of(name, service);
         }
@@ -176,13 +178,13 @@
 }
 
 state_versions differing_versions(const replicated_state& state,
-                                  const state_digest& theirs)
+                                  const state_digest& peer_digest)
 {
-    const state_digest ours = digest_of(state);
+    const state_digest own_digest = digest_of(state);
     std::array<bool, digest_group_count> wanted{};
     for (std::uint16_t group = 0; group < digest_group_count; ++group)
     {
-        wanted[group] = ours.groups_[group] != theirs.groups_[group];
+        wanted[group] = own_digest.groups_[group] != peer_digest.groups_[group];
     }
     return versions_of(state, wanted);
 }
@@ -195,25 +197,25 @@
 }
 
 std::vector<state_update> updates_since(const replicated_state& state,
-                                        const state_versions& have)
+                                        const state_versions& peer_versions)
 {
     std::vector<state_update> updates;
-    add_rules_updates(state, have.rules_version_.value(), updates);
-    std::map<service_name, service_version> theirs;
-    for (const service_version& version : have.services_)
+    add_rules_updates(state, peer_versions.rules_version_.value(), updates);
+    std::map<service_name, service_version> peer_services;
+    for (const service_version& version : peer_versions.services_)
     {
-        theirs[version.service_] = version;
+        peer_services[version.service_] = version;
     }
     std::array<bool, digest_group_count> wanted{};
-    for (const std::uint16_t group : have.groups_)
+    for (const std::uint16_t group : peer_versions.groups_)
     {
         wanted[group % digest_group_count] = true;
     }
     for (const auto& [name, service] : state.services_)
     {
-        if (wanted[group_of(name)] && is_known(service))
+        if (wanted[group_of(name)] && has_roster(service))
         {
-            add_service_updates(name, service, theirs[name], updates);
+            add_service_updates(name, service, peer_services[name], updates);
         }
     }
     return updates;
--- a/src/libbalancer/forwarder.cpp
+++ b/src/libbalancer/forwarder.cpp
@@ -5,14 +5,14 @@
 namespace galenafork
 {
 
-forwarder::forwarder(const endpoint& notices, trace_sampler traces)
+forwarder::forwarder(const endpoint& notice_endpoint, trace_sampler traces)
     : traces_(traces)
 {
-    const std::string longest(max_name_bytes, 'x');
-    packet_.service_ = service_name(longest);
-    packet_.target_.instance_ = instance_id(longest);
+    const std::string longest_name(max_name_bytes, 'x');
+    packet_.service_ = service_name(longest_name);
+    packet_.target_.instance_ = instance_id(longest_name);
     packet_.payload_.reserve(max_datagram_bytes);
-    packet_.balancer_ = notices;
+    packet_.balancer_ = notice_endpoint;
 }
 
 forward_result forwarder::forward(const routing_snapshot& snapshot,
@@ -39,7 +39,7 @@
     result.trace_ = header.trace_.sampled_
                         ? traces_.child_context(header.trace_)
                         : traces_.start_trace();
-    fill(snapshot, decision, flow, result.trace_);
+    fill_packet(snapshot, decision, flow, result.trace_);
     packet_.fabric_ = in.answer_endpoint_;
     packet_.payload_.assign(in.bytes_ + parsed->payload_offset_,
                             in.bytes_ + in.size_);
@@ -52,9 +52,9 @@
     return result;
 }
 
-void forwarder::fill(const routing_snapshot& snapshot,
-                     const forwarding_decision& decision, const flow_key& flow,
-                     const trace_context& trace)
+void forwarder::fill_packet(const routing_snapshot& snapshot,
+                            const forwarding_decision& decision,
+                            const flow_key& flow, const trace_context& trace)
 {
     packet_.service_ = decision.route_->service_;
     packet_.target_ = decision.target_->member_;
--- a/src/libbalancer/merge.cpp
+++ b/src/libbalancer/merge.cpp
@@ -8,45 +8,51 @@
 namespace
 {
 
-bool is_member(const roster& r, const instance_incarnation& life)
+bool is_member(const roster& r, const instance_incarnation& instance)
 {
-    const member* m = find_member(r, life.instance_);
-    return m != nullptr && m->incarnation_ == life.incarnation_;
+    const member* m = find_member(r, instance.instance_);
+    return m != nullptr && m->incarnation_ == instance.incarnation_;
 }
 
-// Lives that are no member cannot come back, but a life that is newer than
-// the roster known here looks the same: only a bound drops them.
+// An expired incarnation that is not in the roster was either removed from it
+// and cannot rejoin, or joined after the epoch of the local roster. The two
+// cases look the same, so these incarnations are kept, up to a limit.
 void trim_expired_members(service_state& service)
 {
-    auto& lives = service.expired_members_.incarnations_;
-    const auto is_idle = [&](const instance_incarnation& life)
-    { return !service.roster_ || !is_member(*service.roster_, life); };
-    auto idle = static_cast<std::size_t>(
-        std::count_if(lives.begin(), lives.end(), is_idle));
-    const auto drop = [&](const instance_incarnation& life)
-    {
-        const bool dropped = idle > max_expired_members && is_idle(life);
-        idle -= dropped ? 1 : 0;
-        return dropped;
+    auto& incarnations = service.expired_members_.incarnations_;
+    const auto is_removable = [&](const instance_incarnation& instance)
+    { return !service.roster_ || !is_member(*service.roster_, instance); };
+    auto removable_count = static_cast<std::size_t>(
+        std::count_if(incarnations.begin(), incarnations.end(), is_removable));
+    const auto should_drop = [&](const instance_incarnation& instance)
+    {
+        const bool drop =
+            removable_count > max_expired_members && is_removable(instance);
+        removable_count -= drop ? 1 : 0;
+        return drop;
     };
-    lives.erase(std::remove_if(lives.begin(), lives.end(), drop), lives.end());
+    incarnations.erase(
+        std::remove_if(incarnations.begin(), incarnations.end(), should_drop),
+        incarnations.end());
 }
 
-std::uint64_t number_of(const roster_delta& change)
+std::uint64_t version_number(const roster_delta& delta)
 {
-    return change.epoch_.value();
+    return delta.epoch_.value();
 }
 
-std::uint64_t number_of(const rules_delta& change)
+std::uint64_t version_number(const rules_delta& delta)
 {
-    return change.version_.value();
+    return delta.version_.value();
 }
 
-/// Adds a step to those kept, which stay without gaps.
-template <class Change>
-void remember_change(std::vector<Change>& recent, const Change& change)
+/// Appends `delta` to the recent ones. Clears them first if it does not follow
+/// the last one, so that they never have a gap.
+template <class Delta>
+void append_delta(std::vector<Delta>& recent, const Delta& delta)
 {
-    if (!recent.empty() && number_of(recent.back()) + 1 != number_of(change))
+    if (!recent.empty() &&
+        version_number(recent.back()) + 1 != version_number(delta))
     {
         recent.clear();
     }
@@ -54,10 +60,10 @@
     {
         recent.erase(recent.begin());
     }
-    recent.push_back(change);
+    recent.push_back(delta);
 }
 
-void take_roster(service_state& service, std::shared_ptr<const roster> next)
+void replace_roster(service_state& service, std::shared_ptr<const roster> next)
 {
     service.roster_ = std::move(next);
     trim_expired_members(service);
@@ -89,9 +95,9 @@
     }
     if (state.rules_)
     {
-        if (const auto step = delta_between(*state.rules_, update))
+        if (const auto delta = delta_between(*state.rules_, update))
         {
-            remember_change(state.recent_rules_deltas_, *step);
+            append_delta(state.recent_rules_deltas_, *delta);
         }
         else
         {
@@ -104,13 +110,13 @@
 
 merge_result merge(replicated_state& state, const rules_delta& update)
 {
-    const std::uint64_t known =
+    const std::uint64_t current =
         state.rules_ ? state.rules_->version_.value() : 0;
-    if (!state.rules_ || known + 1 < update.version_.value())
+    if (!state.rules_ || current + 1 < update.version_.value())
     {
         return merge_result::gap;
     }
-    if (update.version_.value() <= known)
+    if (update.version_.value() <= current)
     {
         return merge_result::old;
     }
@@ -119,7 +125,7 @@
     {
         return merge_result::bad;
     }
-    remember_change(state.recent_rules_deltas_, update);
+    append_delta(state.recent_rules_deltas_, update);
     state.rules_ = std::make_shared<const active_rules>(std::move(*next));
     return merge_result::applied;
 }
@@ -127,46 +133,48 @@
 merge_result merge(replicated_state& state, const roster& update)
 {
     service_state& service = state.services_[update.service_];
-    const roster* known = service.roster_.get();
-    if (known != nullptr && update.epoch_ <= known->epoch_)
+    const roster* current = service.roster_.get();
+    if (current != nullptr && update.epoch_ <= current->epoch_)
     {
         return merge_result::old;
     }
-    if (known != nullptr)
+    if (current != nullptr)
     {
-        if (const auto step = delta_between(*known, update))
+        if (const auto delta = delta_between(*current, update))
         {
-            remember_change(service.recent_deltas_, *step);
+            append_delta(service.recent_deltas_, *delta);
         }
         else
         {
             service.recent_deltas_.clear();
         }
     }
-    take_roster(service, std::make_shared<const roster>(update));
+    replace_roster(service, std::make_shared<const roster>(update));
     return merge_result::applied;
 }
 
 merge_result merge(replicated_state& state, const roster_delta& update)
 {
     const auto at = state.services_.find(update.service_);
-    const roster* known =
+    const roster* current =
         at == state.services_.end() ? nullptr : at->second.roster_.get();
-    if (known == nullptr || known->epoch_.value() + 1 < update.epoch_.value())
+    if (current == nullptr ||
+        current->epoch_.value() + 1 < update.epoch_.value())
     {
         return merge_result::gap;
     }
-    if (update.epoch_ <= known->epoch_)
+    if (update.epoch_ <= current->epoch_)
     {
         return merge_result::old;
     }
-    auto next = apply(*known, update.change_);
+    auto next = apply(*current, update.change_);
     if (!next)
     {
         return merge_result::bad;
     }
-    remember_change(at->second.recent_deltas_, update);
-    take_roster(at->second, std::make_shared<const roster>(std::move(*next)));
+    append_delta(at->second.recent_deltas_, update);
+    replace_roster(at->second,
+                   std::make_shared<const roster>(std::move(*next)));
     return merge_result::applied;
 }
 
@@ -174,14 +182,15 @@
                    const expired_members_update& update)
 {
     service_state& service = state.services_[update.service_];
-    auto& lives = service.expired_members_.incarnations_;
-    const auto before = lives;
-    lives.insert(lives.end(), update.incarnations_.begin(),
-                 update.incarnations_.end());
-    std::sort(lives.begin(), lives.end());
-    lives.erase(std::unique(lives.begin(), lives.end()), lives.end());
+    auto& incarnations = service.expired_members_.incarnations_;
+    const auto before = incarnations;
+    incarnations.insert(incarnations.end(), update.incarnations_.begin(),
+                        update.incarnations_.end());
+    std::sort(incarnations.begin(), incarnations.end());
+    incarnations.erase(std::unique(incarnations.begin(), incarnations.end()),
+                       incarnations.end());
     trim_expired_members(service);
-    return lives == before ? merge_result::old : merge_result::applied;
+    return incarnations == before ? merge_result::old : merge_result::applied;
 }
 
 state_update compact_update(const replicated_state& state,
@@ -190,16 +199,16 @@
     if (const auto* rules = std::get_if<active_rules>(&update))
     {
         const auto& recent = state.recent_rules_deltas_;
-        const bool one_step =
+        const bool one_delta =
             !recent.empty() && recent.back().version_ == rules->version_;
-        return one_step ? state_update(recent.back()) : update;
+        return one_delta ? state_update(recent.back()) : update;
     }
     if (const auto* whole = std::get_if<roster>(&update))
     {
         const auto& recent = state.services_.at(whole->service_).recent_deltas_;
-        const bool one_step =
+        const bool one_delta =
             !recent.empty() && recent.back().epoch_ == whole->epoch_;
-        return one_step ? state_update(recent.back()) : update;
+        return one_delta ? state_update(recent.back()) : update;
     }
     return update;
 }
--- a/src/libbalancer/relay.cpp
+++ b/src/libbalancer/relay.cpp
@@ -9,7 +9,8 @@
 namespace
 {
 
-// Two renewals may be lost before the place is.
+// A relay that renews whenever a renewal is due keeps its lease even if two in
+// a row fail.
 constexpr int renewals_per_lease = 3;
 
 const relay_entry* find(const relay_list& list, const instance_id& instance)
@@ -20,14 +21,16 @@
     return at == list.relays_.end() ? nullptr : &*at;
 }
 
-bool same_beat(const relay_entry& a, const relay_entry& b)
+bool same_renewal(const relay_entry& a, const relay_entry& b)
 {
     return a.incarnation_ == b.incarnation_ &&
            a.renewal_count_ == b.renewal_count_;
 }
 
-// FNV-1a: the same on every machine, which std::hash need not be.
-std::uint64_t hash_of(const instance_id& relay, const service_name& service)
+// FNV-1a, because all balancers have to compute the same value, which std::hash
+// does not guarantee.
+std::uint64_t rendezvous_weight(const instance_id& relay,
+                                const service_name& service)
 {
     constexpr std::uint64_t fnv_offset = 0xcbf29ce484222325U;
     constexpr std::uint64_t fnv_prime = 0x100000001b3U;
@@ -36,7 +39,8 @@
     {
         hash = (hash ^ static_cast<unsigned char>(c)) * fnv_prime;
     }
-    // The last bytes alone would not reach the high bits.
+    // FNV-1a hardly carries the last bytes into the high bits, which decide a
+    // comparison, so the hash is mixed once more.
     hash = (hash ^ (hash >> 32U)) * fnv_prime;
     return hash ^ (hash >> 29U);
 }
@@ -54,9 +58,10 @@
     for (const relay_entry& relay : list.relays_)
     {
         const relay_entry* before = find(view.list_, relay.instance_);
-        const bool stood = before != nullptr && same_beat(*before, relay);
+        const bool is_unchanged =
+            before != nullptr && same_renewal(*before, relay);
         seen[relay.instance_] =
-            stood ? view.renewal_seen_at_[relay.instance_] : now;
+            is_unchanged ? view.renewal_seen_at_[relay.instance_] : now;
     }
     view.list_ = list;
     view.renewal_seen_at_ = std::move(seen);
@@ -77,18 +82,18 @@
     for (const relay_entry& relay : view.list_.relays_)
     {
         const auto seen = view.renewal_seen_at_.find(relay.instance_);
-        const bool holds = seen != view.renewal_seen_at_.end() &&
-                           now - seen->second < settings.lease_;
-        if (holds && relay.instance_ != self.instance_)
+        const bool has_valid_lease = seen != view.renewal_seen_at_.end() &&
+                                     now - seen->second < settings.lease_;
+        if (has_valid_lease && relay.instance_ != self.instance_)
         {
             next.relays_.push_back(relay);
         }
     }
-    const bool relay_now = is_relay(view, self);
-    const bool due =
+    const bool already_relay = is_relay(view, self);
+    const bool renewal_due =
         now - view.last_renewed_at_ >= settings.lease_ / renewals_per_lease;
-    const bool place_free = next.relays_.size() < settings.relay_count_;
-    if (relay_now ? !due : !place_free)
+    const bool has_vacancy = next.relays_.size() < settings.relay_count_;
+    if (already_relay ? !renewal_due : !has_vacancy)
     {
         return std::nullopt;
     }
@@ -105,12 +110,13 @@
 bool is_assigned_relay(const relay_list& list, const instance_id& relay,
                        const service_name& service)
 {
-    const std::uint64_t mine = hash_of(relay, service);
+    const std::uint64_t own_weight = rendezvous_weight(relay, service);
     return std::none_of(list.relays_.begin(), list.relays_.end(),
                         [&](const relay_entry& other)
                         {
                             return other.instance_ != relay &&
-                                   hash_of(other.instance_, service) > mine;
+                                   rendezvous_weight(other.instance_, service) >
+                                       own_weight;
                         });
 }
 
--- a/src/libbalancer/replicated_state_codec.cpp
+++ b/src/libbalancer/replicated_state_codec.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-tl::unexpected<error> bad(const char* what)
+tl::unexpected<error> malformed(const char* what)
 {
     return tl::unexpected(error{error_code::bad_message, what});
 }
@@ -18,7 +18,7 @@
     return {in.begin(), in.size()};
 }
 
-/// A name, empty if it is not a valid one.
+/// Returns the name in `in`, or an empty one if it is not valid.
 template <class Name>
 Name name_of(capnp::Text::Reader in)
 {
@@ -32,7 +32,7 @@
     out.setIncarnation(value.incarnation_.value());
 }
 
-instance_incarnation read_life(rpc::Life::Reader in)
+instance_incarnation read_incarnation(rpc::Life::Reader in)
 {
     return {name_of<instance_id>(in.getInstance()),
             incarnation(in.getIncarnation())};
@@ -54,14 +54,15 @@
     const auto control = read(in.getControl());
     const auto state = static_cast<member_state>(in.getState());
     member result;
-    const instance_incarnation life = read_life(in.getLife());
-    result.instance_ = life.instance_;
-    result.incarnation_ = life.incarnation_;
+    const instance_incarnation instance = read_incarnation(in.getLife());
+    result.instance_ = instance.instance_;
+    result.incarnation_ = instance.incarnation_;
     result.data_centre_ = name_of<data_centre>(in.getDataCentre());
     if (!packets || !control || state > member_state::draining ||
         result.instance_.value().empty())
     {
-        return bad("bad member");
+        return malformed(
+            "member has an invalid endpoint, state or instance name");
     }
     result.packet_endpoint_ = *packets;
     result.control_endpoint_ = *control;
@@ -133,17 +134,17 @@
     {
         auto out = out_.initLapsed();
         out.setService(value.service_.value().c_str());
-        auto lives =
+        auto incarnations =
             out.initLives(static_cast<unsigned>(value.incarnations_.size()));
-        for (unsigned i = 0; i < lives.size(); ++i)
+        for (unsigned i = 0; i < incarnations.size(); ++i)
         {
-            write(lives[i], value.incarnations_[i]);
+            write(incarnations[i], value.incarnations_[i]);
         }
     }
 };
 
 template <class T>
-tl::expected<state_update, error> as_update(tl::expected<T, error>&& value)
+tl::expected<state_update, error> to_update(tl::expected<T, error>&& value)
 {
     if (!value)
     {
@@ -152,14 +153,15 @@
     return state_update(std::move(*value));
 }
 
-tl::expected<state_update, error> read_change(rpc::Change::Reader in)
+tl::expected<state_update, error> read_roster_delta(rpc::Change::Reader in)
 {
     const auto kind = static_cast<roster_change_kind>(in.getKind());
     auto changed = read_member(in.getMember());
     const auto service = name_of<service_name>(in.getService());
     if (!changed || kind > roster_change_kind::leave || service.value().empty())
     {
-        return bad("bad roster change");
+        return malformed(
+            "roster change has an invalid member, kind or service name");
     }
     return roster_delta{
         service,
@@ -167,17 +169,17 @@
         {kind, std::move(*changed), write_id(text_of(in.getWrite()))}};
 }
 
-tl::expected<state_update, error> read_lapsed(rpc::Lapsed::Reader in)
+tl::expected<state_update, error> read_expired_members(rpc::Lapsed::Reader in)
 {
     expired_members_update result;
     result.service_ = name_of<service_name>(in.getService());
     if (result.service_.value().empty())
     {
-        return bad("bad service name");
+        return malformed("expired members have an invalid service name");
     }
-    for (const auto life : in.getLives())
+    for (const auto instance : in.getLives())
     {
-        result.incarnations_.push_back(read_life(life));
+        result.incarnations_.push_back(read_incarnation(instance));
     }
     return result;
 }
@@ -231,7 +233,7 @@
     const auto bytes = in.getAddress();
     if (bytes.size() != result.address_.bytes_.size())
     {
-        return bad("bad address");
+        return malformed("address is not 16 bytes long");
     }
     std::copy(bytes.begin(), bytes.end(), result.address_.bytes_.begin());
     result.port_ = in.getPort();
@@ -243,7 +245,7 @@
     const auto groups = in.getGroups();
     if (groups.size() != digest_group_count)
     {
-        return bad("bad digest");
+        return malformed("digest has a wrong number of groups");
     }
     state_digest result;
     result.rules_version_ = rules_version(in.getRulesVersion());
@@ -262,7 +264,7 @@
     {
         if (group >= digest_group_count)
         {
-            return bad("bad group");
+            return malformed("group number is out of range");
         }
         result.groups_.push_back(group);
     }
@@ -282,7 +284,7 @@
     case rpc::Update::RULES:
     {
         const auto rules = in.getRules();
-        return as_update(make_active_rules(rules_version(rules.getVersion()),
+        return to_update(make_active_rules(rules_version(rules.getVersion()),
                                            text_of(rules.getText()),
                                            text_of(rules.getRetired())));
     }
@@ -295,13 +297,13 @@
                             read_lines(change.getAdded())}};
     }
     case rpc::Update::ROSTER:
-        return as_update(roster_from_json(text_of(in.getRoster().getJson())));
+        return to_update(roster_from_json(text_of(in.getRoster().getJson())));
     case rpc::Update::CHANGE:
-        return read_change(in.getChange());
+        return read_roster_delta(in.getChange());
     case rpc::Update::LAPSED:
-        return read_lapsed(in.getLapsed());
+        return read_expired_members(in.getLapsed());
     }
-    return bad("unknown update");
+    return malformed("unknown kind of update");
 }
 
 } // namespace galenafork
--- a/src/libbalancer/replicated_state_test.cpp
+++ b/src/libbalancer/replicated_state_test.cpp
@@ -13,14 +13,14 @@
 namespace
 {
 
-/// All updates of one service's life, in the order they were made: joins,
-/// lapses and removals as steps and as whole rosters.
+/// Returns all updates of service `seed` in order: joins and removals, each as
+/// a delta and as a whole roster, and an expiry.
 std::vector<state_update> make_history(std::uint16_t seed)
 {
     std::vector<state_update> updates;
     roster r;
     r.service_ = make_service(seed);
-    const auto step = [&](const roster_change& change)
+    const auto apply_change = [&](const roster_change& change)
     {
         r = *apply(r, change);
         updates.emplace_back(roster_delta{r.service_, r.epoch_, change});
@@ -28,18 +28,19 @@
     };
     for (std::uint16_t i = 0; i < 5; ++i)
     {
-        step(make_join(i));
+        apply_change(make_join(i));
     }
-    const auto gone = static_cast<std::uint16_t>(seed % 5);
-    updates.emplace_back(expired_members_update{
-        r.service_,
-        {{make_member(gone).instance_, make_member(gone).incarnation_}}});
-    step(make_remove(gone));
-    step(make_join(gone, 2));
+    const auto removed_index = static_cast<std::uint16_t>(seed % 5);
+    updates.emplace_back(
+        expired_members_update{r.service_,
+                               {{make_member(removed_index).instance_,
+                                 make_member(removed_index).incarnation_}}});
+    apply_change(make_remove(removed_index));
+    apply_change(make_join(removed_index, 2));
     return updates;
 }
 
-/// The state that a balancer has once it knows everything.
+/// Returns the state after merging all `updates`.
 replicated_state final_state(const std::vector<state_update>& updates)
 {
     replicated_state state;
@@ -69,34 +70,34 @@
     return *copy;
 }
 
-/// `to` gets from `from` what it lacks, as over RPC.
-void pull(replicated_state& to, const replicated_state& from)
+/// Lets `receiver` pull what it lacks from `sender`, through the RPC encoding.
+void pull(replicated_state& receiver, const replicated_state& sender)
 {
-    const auto have = differing_versions(to, digest_of(from));
-    for (const state_update& update : updates_since(from, have))
+    const auto versions = differing_versions(receiver, digest_of(sender));
+    for (const state_update& update : updates_since(sender, versions))
     {
-        merge(to, through_codec(update));
+        merge(receiver, through_codec(update));
     }
 }
 
 } // namespace
 
-TEST_CASE("updates in any order and number never take a version back")
+TEST_CASE("versions never go back, in whatever order updates are merged")
 {
     const bool held = rc::check(
-        [](const std::vector<std::uint8_t>& picks)
+        [](const std::vector<std::uint8_t>& indexes)
         {
             auto updates = make_history(3);
             updates.emplace_back(make_rules(1, 2));
             updates.emplace_back(make_rules(2, 3));
             replicated_state state;
-            for (const std::uint8_t pick : picks)
+            for (const std::uint8_t index : indexes)
             {
                 const std::uint64_t rules_before =
                     state.rules_ ? state.rules_->version_.value() : 0;
                 const std::uint64_t epoch_before =
                     epoch_in(state, make_service(3));
-                merge(state, updates[pick % updates.size()]);
+                merge(state, updates[index % updates.size()]);
                 const std::uint64_t rules_after =
                     state.rules_ ? state.rules_->version_.value() : 0;
                 RC_ASSERT(rules_after >= rules_before);
@@ -106,7 +107,7 @@
     CHECK(held);
 }
 
-TEST_CASE("whoever got all whole rosters in any order knows the same")
+TEST_CASE("replicas that merged the same rosters in any order are equal")
 {
     const bool held = rc::check(
         [](const std::vector<std::uint8_t>& swaps)
@@ -120,45 +121,48 @@
                 std::swap(updates[i % updates.size()],
                           updates[swaps[i] % updates.size()]);
             }
-            const auto again = updates;
-            updates.insert(updates.end(), again.begin(), again.end());
+            const auto copies = updates;
+            updates.insert(updates.end(), copies.begin(), copies.end());
             RC_ASSERT(digest_of(final_state(updates)) == expected);
         });
     CHECK(held);
 }
 
-TEST_CASE("one pull makes up for whatever was missed")
+TEST_CASE("one pull restores all missed updates")
 {
     const bool held = rc::check(
-        [](const std::vector<std::uint8_t>& missed)
+        [](const std::vector<std::uint8_t>& removed_positions)
         {
-            std::vector<state_update> all;
+            std::vector<state_update> complete;
             for (std::uint16_t i = 0; i < 10; ++i)
             {
                 const auto history = make_history(i);
-                all.insert(all.end(), history.begin(), history.end());
+                complete.insert(complete.end(), history.begin(), history.end());
             }
-            all.emplace_back(make_rules(7, 10));
-            auto some = all;
-            for (const std::uint8_t at : missed)
+            complete.emplace_back(make_rules(7, 10));
+            auto incomplete = complete;
+            for (const std::uint8_t at : removed_positions)
             {
-                some.erase(some.begin() + at % static_cast<int>(some.size()));
-                if (some.empty())
+                incomplete.erase(incomplete.begin() +
+                                 at % static_cast<int>(incomplete.size()));
+                if (incomplete.empty())
                 {
                     break;
                 }
             }
-            const replicated_state full = final_state(all);
-            replicated_state behind = final_state(some);
-            pull(behind, full);
-            RC_ASSERT(digest_of(behind) == digest_of(full));
-            RC_ASSERT(updates_since(full, all_versions(behind)).size() ==
-                      updates_since(full, all_versions(full)).size());
+            const replicated_state complete_state = final_state(complete);
+            replicated_state behind = final_state(incomplete);
+            pull(behind, complete_state);
+            RC_ASSERT(digest_of(behind) == digest_of(complete_state));
+            RC_ASSERT(
+                updates_since(complete_state, all_versions(behind)).size() ==
+                updates_since(complete_state, all_versions(complete_state))
+                    .size());
         });
     CHECK(held);
 }
 
-TEST_CASE("a step whose predecessor is unknown is a gap, not a change")
+TEST_CASE("a delta whose predecessor is missing is a gap and changes nothing")
 {
     roster r = make_roster(make_service(0), 2);
     replicated_state state;
@@ -172,7 +176,8 @@
           merge_result::bad);
 }
 
-TEST_CASE("who lags by a few steps gets steps, who lags further the roster")
+TEST_CASE(
+    "a lagging peer gets deltas, a peer without a roster gets the whole one")
 {
     roster r = make_roster(make_service(0), 2);
     replicated_state ahead;
@@ -183,50 +188,51 @@
         r = *apply(r, make_join(i));
         merge(ahead, r);
     }
-    const auto steps = updates_since(ahead, all_versions(behind));
-    REQUIRE(steps.size() == 2);
-    CHECK(std::holds_alternative<roster_delta>(steps[0]));
+    const auto deltas = updates_since(ahead, all_versions(behind));
+    REQUIRE(deltas.size() == 2);
+    CHECK(std::holds_alternative<roster_delta>(deltas[0]));
     const auto whole = updates_since(ahead, all_versions(replicated_state()));
     REQUIRE(whole.size() == 1);
     CHECK(std::holds_alternative<roster>(whole[0]));
 }
 
-TEST_CASE("a change of rules travels as the lines that changed")
+TEST_CASE("an update of the rules is sent as the lines that changed")
 {
-    const auto text = [](int port)
+    const auto rules_text = [](int port)
     {
         return "udp 10.9.0.1:1 -> a # J\nudp 10.9.0.2:" + std::to_string(port) +
                " -> b # J\nudp 10.9.0.3:3 -> c # J\n";
     };
     replicated_state relay;
-    merge(relay, *make_active_rules(rules_version(1), text(1), ""));
+    merge(relay, *make_active_rules(rules_version(1), rules_text(1), ""));
     replicated_state other = relay;
     for (int version = 2; version < 5; ++version)
     {
         const state_update whole(*make_active_rules(
-            rules_version(static_cast<std::uint64_t>(version)), text(version),
-            ""));
+            rules_version(static_cast<std::uint64_t>(version)),
+            rules_text(version), ""));
         CHECK(merge(relay, whole) == merge_result::applied);
-        const auto step = through_codec(compact_update(relay, whole));
-        REQUIRE(std::holds_alternative<rules_delta>(step));
-        CHECK(std::get<rules_delta>(step).edit_.added_.size() == 1);
-        CHECK(merge(other, step) == merge_result::applied);
-        CHECK(merge(other, step) == merge_result::old);
+        const auto delta = through_codec(compact_update(relay, whole));
+        REQUIRE(std::holds_alternative<rules_delta>(delta));
+        CHECK(std::get<rules_delta>(delta).edit_.added_.size() == 1);
+        CHECK(merge(other, delta) == merge_result::applied);
+        CHECK(merge(other, delta) == merge_result::old);
     }
     CHECK(other.rules_->text_ == relay.rules_->text_);
     CHECK(other.rules_->rules_ == relay.rules_->rules_);
-    // The addresses that versions 1 to 3 had.
+    // Each of the versions 1 to 3 has one address that the next version
+    // removes.
     CHECK(other.rules_->retired_.size() == 3);
 
     replicated_state older;
     merge(older, *make_active_rules(rules_version(1), "", ""));
-    const rules_delta strange{rules_version(2), {7, {"x"}, {}}};
-    CHECK(merge(older, strange) == merge_result::bad);
+    const rules_delta unfitting{rules_version(2), {7, {"x"}, {}}};
+    CHECK(merge(older, unfitting) == merge_result::bad);
     const rules_delta later{rules_version(3), {}};
     CHECK(merge(older, later) == merge_result::gap);
 }
 
-TEST_CASE("lapsed lives that are no member are bounded")
+TEST_CASE("the number of expired incarnations outside the roster is limited")
 {
     replicated_state state;
     merge(state, make_roster(make_service(0), 3));
@@ -237,12 +243,12 @@
         update.incarnations_.push_back({instance_id("a-gone"), incarnation(i)});
     }
     CHECK(merge(state, update) == merge_result::applied);
-    const auto& lapsed = state.services_[make_service(0)].expired_members_;
-    CHECK(lapsed.incarnations_.size() == max_expired_members + 1);
-    CHECK(lapsed.contains(make_member(1)));
+    const auto& expired = state.services_[make_service(0)].expired_members_;
+    CHECK(expired.incarnations_.size() == max_expired_members + 1);
+    CHECK(expired.contains(make_member(1)));
 }
 
-TEST_CASE("removed rules are retired until their address is used again")
+TEST_CASE("a removed rule is retired unless an active rule has its address")
 {
     const rules_proposal first{"udp 10.9.0.1:1 -> a # J\n"
                                "udp 10.9.0.2:1 -> b # J\n",
--- a/src/libbalancer/routing.cpp
+++ b/src/libbalancer/routing.cpp
@@ -9,48 +9,49 @@
 namespace
 {
 
-constexpr std::size_t least_slots = 16;
+constexpr std::size_t min_capacity = 16;
 
-std::uint64_t load_word(const std::uint8_t* bytes)
+std::uint64_t load_integer(const std::uint8_t* bytes)
 {
-    std::uint64_t word = 0;
-    std::memcpy(&word, bytes, sizeof word);
-    return word;
+    std::uint64_t integer = 0;
+    std::memcpy(&integer, bytes, sizeof integer);
+    return integer;
 }
 
-// Used within one process only, so the byte order does not matter.
+// The hash depends on the machine's byte order, which is fine as it is only
+// used within one process.
 std::uint64_t hash_of(const endpoint& e) noexcept
 {
-    constexpr std::uint64_t odd_a = 0x9e3779b97f4a7c15U;
-    constexpr std::uint64_t odd_b = 0xbf58476d1ce4e5b9U;
-    const std::uint64_t high = load_word(e.address_.bytes_.data());
-    const std::uint64_t low = load_word(e.address_.bytes_.data() + 8);
-    std::uint64_t x = (high ^ (low * odd_a)) + e.port_;
-    x = (x ^ (x >> 32U)) * odd_b;
-    x = (x ^ (x >> 29U)) * odd_a;
+    constexpr std::uint64_t multiplier_a = 0x9e3779b97f4a7c15U;
+    constexpr std::uint64_t multiplier_b = 0xbf58476d1ce4e5b9U;
+    const std::uint64_t high = load_integer(e.address_.bytes_.data());
+    const std::uint64_t low = load_integer(e.address_.bytes_.data() + 8);
+    std::uint64_t x = (high ^ (low * multiplier_a)) + e.port_;
+    x = (x ^ (x >> 32U)) * multiplier_b;
+    x = (x ^ (x >> 29U)) * multiplier_a;
     return x ^ (x >> 32U);
 }
 
-std::size_t slots_for(std::size_t entries)
+std::size_t capacity_for(std::size_t entries)
 {
-    std::size_t slots = least_slots;
-    // At most half full, so that probes stay short.
-    while (slots < 2 * entries)
+    std::size_t capacity = min_capacity;
+    // The table is at most half full, which keeps probe sequences short.
+    while (capacity < 2 * entries)
     {
-        slots *= 2;
+        capacity *= 2;
     }
-    return slots;
+    return capacity;
 }
 
 } // namespace
 
 std::shared_ptr<const service_route> make_route(const roster& r,
-                                                const expired_members& lapsed)
+                                                const expired_members& expired)
 {
     auto route = std::make_shared<service_route>();
     route->service_ = r.service_;
     route->epoch_ = r.epoch_;
-    route->expired_members_ = lapsed;
+    route->expired_members_ = expired;
     for (const member& m : r.members_)
     {
         route->targets_.push_back(
@@ -58,7 +59,7 @@
     }
     for (std::uint16_t bucket = 0; bucket < bucket_count; ++bucket)
     {
-        const member* home = effective_home_of(r, lapsed, bucket_id(bucket));
+        const member* home = effective_home_of(r, expired, bucket_id(bucket));
         route->homes_[bucket] = home == nullptr
                                     ? no_member
                                     : member_index(static_cast<std::uint16_t>(
@@ -76,14 +77,14 @@
 }
 
 address_table::address_table(const active_rules& rules)
-    : slots_(slots_for(rules.rules_.size() + rules.retired_.size())),
-      mask_(slots_.size() - 1)
+    : entries_(capacity_for(rules.rules_.size() + rules.retired_.size())),
+      mask_(entries_.size() - 1)
 {
-    std::map<service_name, std::uint32_t> indexes;
+    std::map<service_name, std::uint32_t> index_by_service;
     const auto index_of = [&](const service_name& service)
     {
         const auto next = static_cast<std::uint32_t>(services_.size());
-        const auto [at, added] = indexes.emplace(service, next);
+        const auto [at, added] = index_by_service.emplace(service, next);
         if (added)
         {
             services_.push_back(service);
@@ -104,26 +105,26 @@
                            std::uint32_t service_index)
 {
     std::uint64_t at = hash_of(r.address_) & mask_;
-    while (slots_[at].used_)
+    while (entries_[at].used_)
     {
-        if (slots_[at].address_ == r.address_)
+        if (entries_[at].address_ == r.address_)
         {
             return;
         }
         at = (at + 1) & mask_;
     }
-    slots_[at] = {r.address_, service_index, established_only, true};
+    entries_[at] = {r.address_, service_index, established_only, true};
 }
 
 const address_table::entry*
 address_table::find(const endpoint& address) const noexcept
 {
     std::uint64_t at = hash_of(address) & mask_;
-    while (slots_[at].used_)
+    while (entries_[at].used_)
     {
-        if (slots_[at].address_ == address)
+        if (entries_[at].address_ == address)
         {
-            return &slots_[at];
+            return &entries_[at];
         }
         at = (at + 1) & mask_;
     }
