--- a/src/libbalancer/routing_test.cpp
+++ b/src/libbalancer/routing_test.cpp
@@ -19,26 +19,27 @@
 
 } // namespace
 
-TEST_CASE("each address leads to its own service's home")
+TEST_CASE("each address is routed to the home in its own service's roster")
 {
     const replicated_state state = make_state(50, 4);
     const auto snapshot = build_snapshot(state, nullptr);
     for (std::size_t i = 0; i < 50; ++i)
     {
         const flow_key flow = make_flow(i, static_cast<std::uint16_t>(99 + i));
-        const forwarding_decision d = select_target(*snapshot, flow);
-        REQUIRE(d.refusal_ == refusal::none);
-        CHECK(d.route_->service_ == make_service(i));
+        const forwarding_decision decision = select_target(*snapshot, flow);
+        REQUIRE(decision.refusal_ == refusal::none);
+        CHECK(decision.route_->service_ == make_service(i));
         const roster& r = *state.services_.at(make_service(i)).roster_;
         const member* home = effective_home_of(r, {}, bucket_of(flow));
-        CHECK(d.target_->member_.instance_ == home->instance_);
-        CHECK(d.target_->packet_endpoint_ == home->packet_endpoint_);
+        CHECK(decision.target_->member_.instance_ == home->instance_);
+        CHECK(decision.target_->packet_endpoint_ == home->packet_endpoint_);
     }
     CHECK(select_target(*snapshot, make_flow(51, 1)).refusal_ ==
           refusal::unknown_service);
 }
 
-TEST_CASE("a lapse moves packets to the deputy; unchanged parts are shared")
+TEST_CASE(
+    "packets of an expired member are rerouted; unchanged parts are shared")
 {
     replicated_state state = make_state(3, 3);
     const auto before = build_snapshot(state, nullptr);
@@ -52,7 +53,7 @@
     CHECK(after->routes_[1] != before->routes_[1]);
 }
 
-TEST_CASE("a service without a roster refuses with no_home")
+TEST_CASE("packets of a service without a roster are refused with no_home")
 {
     replicated_state state;
     CHECK(build_snapshot(state, nullptr) == nullptr);
@@ -62,7 +63,7 @@
           refusal::no_home);
 }
 
-TEST_CASE("packets of retired rules are for established flows only")
+TEST_CASE("packets of retired rules are marked as established flows only")
 {
     replicated_state state;
     auto rules = *make_active_rules(rules_version(1), "",
@@ -76,12 +77,12 @@
     CHECK(decision.established_only_);
 }
 
-TEST_CASE("a fabric's datagram becomes the agent's")
+TEST_CASE("a datagram from the fabric is encoded for the agent")
 {
     const auto snapshot = build_snapshot(make_state(2, 3), nullptr);
-    const endpoint notices{make_v4(10, 1, 1, 1), 77};
-    const endpoint answers{make_v4(10, 1, 1, 2), 78};
-    forwarder f(notices, trace_sampler(1, 1));
+    const endpoint notice_endpoint{make_v4(10, 1, 1, 1), 77};
+    const endpoint answer_endpoint{make_v4(10, 1, 1, 2), 78};
+    forwarder f(notice_endpoint, trace_sampler(1, 1));
     const flow_key flow = make_flow(1, 5);
     const byte_buffer payload{1, 2, 3};
     const byte_buffer in =
@@ -89,23 +90,25 @@
     std::vector<std::uint64_t> out(max_datagram_bytes / 8);
     auto* bytes = reinterpret_cast<std::uint8_t*>(out.data());
 
-    const forward_result done = f.forward(
-        *snapshot, {in.data(), in.size(), answers}, bytes, max_datagram_bytes);
-    REQUIRE(done.refusal_ == refusal::none);
-    const auto message = decode(bytes, done.size_);
+    const forward_result result =
+        f.forward(*snapshot, {in.data(), in.size(), answer_endpoint}, bytes,
+                  max_datagram_bytes);
+    REQUIRE(result.refusal_ == refusal::none);
+    const auto message = decode(bytes, result.size_);
     REQUIRE(message.has_value());
     const auto& packet = std::get<forwarded_packet>(*message);
     CHECK(packet.service_ == make_service(1));
     CHECK(packet.flow_ == flow);
     CHECK(packet.payload_ == payload);
-    CHECK(packet.balancer_ == notices);
-    CHECK(packet.fabric_ == answers);
+    CHECK(packet.balancer_ == notice_endpoint);
+    CHECK(packet.fabric_ == answer_endpoint);
     CHECK(packet.rules_version_ == rules_version(1));
     CHECK(packet.epoch_ == epoch(3));
     CHECK(packet.trace_.sampled_);
 
-    CHECK(f.forward(*snapshot, {in.data(), 20, answers}, bytes, 64).refusal_ ==
-          refusal::malformed);
-    CHECK(f.forward(*snapshot, {in.data(), in.size(), answers}, bytes, 64)
+    CHECK(f.forward(*snapshot, {in.data(), 20, answer_endpoint}, bytes, 64)
               .refusal_ == refusal::malformed);
+    CHECK(
+        f.forward(*snapshot, {in.data(), in.size(), answer_endpoint}, bytes, 64)
+            .refusal_ == refusal::malformed);
 }
--- a/src/libbalancer/samples.h
+++ b/src/libbalancer/samples.h
@@ -12,12 +12,12 @@
 namespace galenafork::samples
 {
 
-/// Member number `i` of a service; its port is 10000 + i.
-inline member make_member(std::uint16_t i, std::uint64_t life = 1)
+/// Returns member `i` of a service. Its ports are 10000 + `i`.
+inline member make_member(std::uint16_t i, std::uint64_t incarnation_number = 1)
 {
     member m;
     m.instance_ = instance_id("m-" + std::to_string(i));
-    m.incarnation_ = incarnation(life);
+    m.incarnation_ = incarnation(incarnation_number);
     m.data_centre_ = data_centre("dc-" + std::to_string(i % 3));
     m.packet_endpoint_ = {make_v4(10, 0, 0, 1),
                           static_cast<std::uint16_t>(10'000 + i)};
@@ -28,27 +28,31 @@
     return m;
 }
 
-/// A join of member number `i`.
-inline roster_change make_join(std::uint16_t i, std::uint64_t life = 1)
+/// Returns the change that adds member `i`.
+inline roster_change make_join(std::uint16_t i,
+                               std::uint64_t incarnation_number = 1)
 {
-    return {roster_change_kind::join, make_member(i, life),
-            write_id("w" + std::to_string(i) + "." + std::to_string(life))};
+    return {roster_change_kind::join, make_member(i, incarnation_number),
+            write_id("w" + std::to_string(i) + "." +
+                     std::to_string(incarnation_number))};
 }
 
-/// A removal of member number `i`.
-inline roster_change make_remove(std::uint16_t i, std::uint64_t life = 1)
+/// Returns the change that removes member `i`.
+inline roster_change make_remove(std::uint16_t i,
+                                 std::uint64_t incarnation_number = 1)
 {
-    return {roster_change_kind::remove, make_member(i, life),
-            write_id("r" + std::to_string(i) + "." + std::to_string(life))};
+    return {roster_change_kind::remove, make_member(i, incarnation_number),
+            write_id("r" + std::to_string(i) + "." +
+                     std::to_string(incarnation_number))};
 }
 
-/// Name of service number `i`.
+/// Returns the name of service `i`.
 inline service_name make_service(std::size_t i)
 {
     return service_name("service-" + std::to_string(i));
 }
 
-/// The roster of `service` after `members` joined.
+/// Returns the roster of `service` after members 0 to `members` - 1 joined.
 inline roster make_roster(const service_name& service, std::uint16_t members)
 {
     roster r;
@@ -60,7 +64,7 @@
     return r;
 }
 
-/// Address of rule number `i`.
+/// Returns the address of rule `i`.
 inline endpoint make_address(std::size_t i)
 {
     return {make_v4(10, 9, static_cast<std::uint8_t>(i / 250),
@@ -68,7 +72,7 @@
             5683};
 }
 
-/// Rules for `count` services, one address each.
+/// Returns rules for `count` services with one address each.
 inline active_rules make_rules(std::uint64_t version, std::size_t count)
 {
     std::vector<rule> rules;
@@ -80,7 +84,8 @@
     return *make_active_rules(rules_version(version), format_rules(rules), "");
 }
 
-/// Knows `services` services with `members` members each.
+/// Returns the state with rules and rosters of `services` services, each with
+/// `members` members.
 inline replicated_state make_state(std::size_t services, std::uint16_t members)
 {
     replicated_state state;
--- a/src/libbase/base_test.cpp
+++ b/src/libbase/base_test.cpp
@@ -6,7 +6,7 @@
 
 using namespace galenafork;
 
-TEST_CASE("endpoints are read back as they were written")
+TEST_CASE("an endpoint is formatted as it was parsed")
 {
     for (const char* text : {"10.0.0.1:80", "[2001:db8::1]:5683"})
     {
@@ -16,7 +16,7 @@
     }
 }
 
-TEST_CASE("bad endpoints are refused")
+TEST_CASE("malformed endpoints are rejected")
 {
     for (const char* text : {"", ":80", "10.0.0.1", "10.0.0.1:0", "host:80",
                              "10.0.0.1:65536", "[::1]", "1.2.3.4:80x"})
@@ -28,7 +28,7 @@
     }
 }
 
-TEST_CASE("names take lower-case letters, digits and dashes only")
+TEST_CASE("names consist of lower-case letters, digits and dashes only")
 {
     CHECK(is_valid_name("orders-1"));
     CHECK_FALSE(is_valid_name(""));
@@ -36,7 +36,7 @@
     CHECK_FALSE(is_valid_name(std::string(max_name_bytes + 1, 'a')));
 }
 
-TEST_CASE("flows of one caller spread over all buckets")
+TEST_CASE("flows of one caller are distributed evenly over all buckets")
 {
     std::array<int, bucket_count> hits{};
     flow_key flow;
@@ -49,7 +49,8 @@
     }
     for (const int count : hits)
     {
-        // 256 expected; six standard deviations of a binomial are 96.
+        // 65535 flows in 256 buckets: the mean is 256, and six standard
+        // deviations of the binomial distribution are 96.
         CHECK(count > 160);
         CHECK(count < 352);
     }
--- a/src/libbase/flow.cpp
+++ b/src/libbase/flow.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-// Finaliser of SplitMix64: a bijection with good avalanche.
+// The finaliser of SplitMix64, a bijection with a good avalanche effect.
 std::uint64_t mix(std::uint64_t x)
 {
     x ^= x >> 30U;
--- a/src/libbase/time.cpp
+++ b/src/libbase/time.cpp
@@ -7,8 +7,8 @@
 
 instant read_monotonic_clock()
 {
-    // Unlike CLOCK_MONOTONIC it goes on while the machine is suspended, so
-    // that leases and ages do not outlive a suspension.
+    // CLOCK_BOOTTIME, unlike CLOCK_MONOTONIC, advances while the machine is
+    // suspended, so that leases and ages also expire during a suspension.
     timespec now{};
     ::clock_gettime(CLOCK_BOOTTIME, &now);
     return instant(std::chrono::duration_cast<duration>(
--- a/src/libdaemon/control.capnp
+++ b/src/libdaemon/control.capnp
@@ -1,67 +1,74 @@
 @0xf49e22309f32b708;
 
-# RPC between the control threads of daemons, and from operators' tools.
+# RPC interfaces of the daemons' control threads, for other daemons and for
+# operators' tools.
 # src/libdaemon/generate.sh makes control.capnp.h and control.capnp.c++.
 
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("galenafork::rpc");
 
 interface Control {
-  # Every daemon.
+  # Information for operators.
 
   status @0 () -> (json :Text);
-  # What /status says.
+  # Returns the same JSON as the HTTP page /status.
 
   explain @1 (caller :Text, service :Text) -> (json :Text);
-  # Where a packet from `caller` to the service address goes, and why.
+  # Returns where a packet from `caller` to the service address `service` goes,
+  # and why. Both have the form `IP:PORT`; fails otherwise.
 }
 
 interface Subscriber {
   push @0 (updates :List(Update)) -> ();
-  # Old and repeated updates do no harm.
+  # Applies `updates`. Updates may arrive late, twice or out of order.
 
   ended @1 () -> ();
-  # The sender is no relay any more and will push nothing.
+  # Notifies the subscriber that the sender has stopped being a relay and will
+  # push no more updates.
 }
 
 interface Balancer extends(Control, Subscriber) {
-  # Spread of rules and rosters among balancers. Any balancer may push news.
+  # Replication of rules, rosters and expired members among balancers. Any
+  # balancer may push updates to any other.
 
   digest @0 (caller :Endpoint) -> (digest :Digest, ready :Bool,
                                    peers :List(Endpoint));
-  # What this balancer knows, in short, and some other balancers. `caller` is
-  # where the caller takes calls; port 0 for one that takes none.
+  # Returns the digest of this balancer's state, whether the balancer is ready,
+  # and the addresses of some of its peers. `caller` is the address at which the
+  # caller accepts calls; port 0 if it accepts none.
 
   pull @1 (have :Versions) -> (updates :List(Update));
-  # What this balancer knows beyond `have`.
+  # Returns the updates that this balancer's state has beyond `have`.
 
   subscribe @2 (subscriber :Subscriber) -> ();
-  # Sends `subscriber` what is news here, until the connection breaks. Fails
-  # if this balancer is no relay.
+  # Pushes every later update to `subscriber`, until a push fails or this
+  # balancer stops being a relay. Fails if this balancer is not a relay.
 }
 
 struct Digest {
   rulesVersion @0 :UInt64;
   groups @1 :List(UInt64);
-  # Hash of the versions of all services of a group.
+  # For each group of services, a hash of its rosters' epochs and expired
+  # members.
 }
 
 struct Versions {
   rulesVersion @0 :UInt64;
   groups @1 :List(UInt16);
-  # The answer is limited to services of these groups.
+  # Groups of services to which the updates are limited.
   services @2 :List(ServiceVersion);
-  # All that the caller knows in these groups.
+  # Versions of all services of these groups that the caller has.
 }
 
 struct ServiceVersion {
   service @0 :Text;
   epoch @1 :UInt64;
   lapsed @2 :UInt32;
-  # Number of lapsed lives known.
+  # Number of members of that roster that have expired.
 }
 
 struct Life {
+  # One incarnation of an instance.
   instance @0 :Text;
   incarnation @1 :UInt64;
 }
@@ -80,11 +87,12 @@
   version @0 :UInt64;
   text @1 :Text;
   retired @2 :Text;
-  # Lines of removed rules whose established flows go on.
+  # Rule file of the retired rules: they have been removed, but their
+  # established flows continue.
 }
 
 struct RulesChange {
-  # One step of the rules, from `version` - 1 to `version`.
+  # Delta of the rules from `version` - 1 to `version`.
   version @0 :UInt64;
   firstLine @1 :UInt32;
   removed @2 :List(Text);
@@ -93,11 +101,11 @@
 
 struct Roster {
   json @0 :Text;
-  # The form kept in the platform.
+  # The JSON form that is stored in the platform.
 }
 
 struct Change {
-  # One step of a roster, from `epoch` - 1 to `epoch`.
+  # Delta of a roster from `epoch` - 1 to `epoch`.
   service @0 :Text;
   epoch @1 :UInt64;
   kind @2 :UInt8;
@@ -112,16 +120,18 @@
   control @3 :Endpoint;
   slots @4 :UInt32;
   state @5 :UInt8;
-  # Watchers are left out: the receiver works them out.
+  # Watchers are left out, because the receiver assigns them when it applies
+  # the delta.
 }
 
 struct Endpoint {
   address @0 :Data;
-  # 16 bytes.
+  # 16 bytes; IPv4 addresses are in v4-mapped form.
   port @1 :UInt16;
 }
 
 struct Lapsed {
+  # Members of a service whose leases have expired for good.
   service @0 :Text;
   lives @1 :List(Life);
 }
--- a/src/libdaemon/control_loop.cpp
+++ b/src/libdaemon/control_loop.cpp
@@ -15,22 +15,23 @@
 namespace
 {
 
-constexpr duration flush_interval = std::chrono::milliseconds(200);
+constexpr duration span_flush_interval = std::chrono::milliseconds(200);
 
 kj::Duration to_kj(duration d)
 {
     return d.count() * kj::MICROSECONDS;
 }
 
-// kj's interfaces have no virtual destructor: kj::Own knows the real type.
+// kj's interfaces have no virtual destructors: kj::Own disposes of an object by
+// its actual type.
 #pragma GCC diagnostic push
 #pragma GCC diagnostic ignored "-Wnon-virtual-dtor"
 
-/// Logs what background work fails with.
+/// Logs failures of background tasks.
 class failure_log final : public kj::TaskSet::ErrorHandler
 {
 public:
-    // NOLINTNEXTLINE(readability-identifier-naming): kj's name.
+    // NOLINTNEXTLINE(readability-identifier-naming): overrides kj's function.
     void taskFailed(kj::Exception&& failure) override
     {
         log_event(log_level::warning, "task_failed",
@@ -56,11 +57,11 @@
     explicit state(const metrics_registry& metrics)
         : io_(set_up_io()), service_(headers_, metrics),
           server_(io_.provider->getTimer(), headers_, service_),
-          tasks_(kj::heap<kj::TaskSet>(failures_))
+          tasks_(kj::heap<kj::TaskSet>(failure_log_))
     {
         auto pair = kj::newPromiseAndFulfiller<void>();
-        stopped_ = kj::mv(pair.promise);
-        stop_ = kj::mv(pair.fulfiller);
+        stop_promise_ = kj::mv(pair.promise);
+        stop_fulfiller_ = kj::mv(pair.fulfiller);
     }
 
     kj::Own<kj::ConnectionReceiver> listen(const endpoint& at)
@@ -79,17 +80,17 @@
         }
         stopping_ = true;
         auto drained = drain_ ? drain_() : kj::Promise<void>(kj::READY_NOW);
-        tasks_->add(drained.then([this] { stop_->fulfill(); },
+        tasks_->add(drained.then([this] { stop_fulfiller_->fulfill(); },
                                  [this](kj::Exception&& failure)
                                  {
-                                     failures_.taskFailed(kj::mv(failure));
-                                     stop_->fulfill();
+                                     failure_log_.taskFailed(kj::mv(failure));
+                                     stop_fulfiller_->fulfill();
                                  }));
     }
 
-    void on_signal(int number)
+    void on_signal(int signal_number)
     {
-        const char* name = number == SIGTERM ? "SIGTERM" : "SIGINT";
+        const char* name = signal_number == SIGTERM ? "SIGTERM" : "SIGINT";
         log_event(log_level::info, "signal",
                   {{"name", name}, {"second", stopping_}});
         if (stopping_)
@@ -99,14 +100,15 @@
         begin_stop();
     }
 
-    kj::Promise<void> watch_signal(int number)
+    kj::Promise<void> watch_signal(int signal_number)
     {
-        return io_.unixEventPort.onSignal(number).then(
-            [this, number](siginfo_t)
-            {
-                on_signal(number);
-                return watch_signal(number);
-            });
+        return io_.unixEventPort.onSignal(signal_number)
+            .then(
+                [this, signal_number](siginfo_t)
+                {
+                    on_signal(signal_number);
+                    return watch_signal(signal_number);
+                });
     }
 
     kj::Promise<void> watch_hangup()
@@ -124,43 +126,45 @@
             });
     }
 
-    kj::Promise<void> repeat(kj::Duration interval, std::function<void()> act)
+    kj::Promise<void> run_periodically(kj::Duration interval,
+                                       std::function<void()> callback)
     {
         return io_.provider->getTimer().afterDelay(interval).then(
-            [this, interval, act = std::move(act)]() mutable
+            [this, interval, callback = std::move(callback)]() mutable
             {
-                act();
-                return repeat(interval, std::move(act));
+                callback();
+                return run_periodically(interval, std::move(callback));
             });
     }
 
     kj::Promise<void> watch_fd(kj::UnixEventPort::FdObserver& observer,
-                               std::function<void()> act)
+                               std::function<void()> callback)
     {
         return observer.whenBecomesReadable().then(
-            [this, &observer, act = std::move(act)]() mutable
+            [this, &observer, callback = std::move(callback)]() mutable
             {
-                act();
-                return watch_fd(observer, std::move(act));
+                callback();
+                return watch_fd(observer, std::move(callback));
             });
     }
 
     kj::AsyncIoContext io_;
-    failure_log failures_;
+    failure_log failure_log_;
     kj::HttpHeaderTable headers_;
     pvt::http_service service_;
     kj::HttpServer server_;
-    kj::Promise<void> stopped_ = nullptr;
-    kj::Own<kj::PromiseFulfiller<void>> stop_;
+    kj::Promise<void> stop_promise_ = nullptr;
+    kj::Own<kj::PromiseFulfiller<void>> stop_fulfiller_;
     bool stopping_ = false;
     std::function<kj::Promise<void>()> drain_;
     std::function<void()> reload_;
     std::vector<kj::Own<kj::UnixEventPort::FdObserver>> observers_;
     std::vector<std::unique_ptr<pvt::span_exporter>> exporters_;
-    kj::Own<kj::ConnectionReceiver> http_port_;
-    std::vector<kj::Own<kj::ConnectionReceiver>> more_http_ports_;
-    kj::Own<kj::ConnectionReceiver> rpc_port_;
-    // Declared last, so that what runs in the background goes first.
+    kj::Own<kj::ConnectionReceiver> http_receiver_;
+    std::vector<kj::Own<kj::ConnectionReceiver>> additional_http_receivers_;
+    kj::Own<kj::ConnectionReceiver> rpc_receiver_;
+    // Declared last and so destroyed first: tasks and RPC calls use the other
+    // members.
     std::unique_ptr<capnp::TwoPartyServer> rpc_server_;
     kj::Own<kj::TaskSet> tasks_;
 };
@@ -176,11 +180,11 @@
     auto s = std::make_unique<state>(metrics);
     try
     {
-        s->http_port_ = s->listen(addresses.http_);
-        s->rpc_port_ = s->listen(addresses.rpc_);
+        s->http_receiver_ = s->listen(addresses.http_);
+        s->rpc_receiver_ = s->listen(addresses.rpc_);
         for (const endpoint& at : addresses.additional_http_)
         {
-            s->more_http_ports_.push_back(s->listen(at));
+            s->additional_http_receivers_.push_back(s->listen(at));
         }
     }
     catch (const kj::Exception& failure)
@@ -188,10 +192,10 @@
         return tl::unexpected(
             error{error_code::unavailable, failure.getDescription().cStr()});
     }
-    s->tasks_->add(s->server_.listenHttp(*s->http_port_));
-    for (auto& port : s->more_http_ports_)
+    s->tasks_->add(s->server_.listenHttp(*s->http_receiver_));
+    for (auto& receiver : s->additional_http_receivers_)
     {
-        s->tasks_->add(s->server_.listenHttp(*port));
+        s->tasks_->add(s->server_.listenHttp(*receiver));
     }
     s->tasks_->add(s->watch_hangup());
     s->tasks_->add(s->watch_signal(SIGTERM));
@@ -209,14 +213,14 @@
     return state_->io_.provider->getTimer();
 }
 
-void control_loop::set_readiness_handler(std::function<readiness()> read)
+void control_loop::set_readiness_handler(std::function<readiness()> handler)
 {
-    state_->service_.readiness_ = std::move(read);
+    state_->service_.readiness_ = std::move(handler);
 }
 
-void control_loop::set_status_handler(std::function<std::string()> read)
+void control_loop::set_status_handler(std::function<std::string()> handler)
 {
-    state_->service_.status_ = std::move(read);
+    state_->service_.status_ = std::move(handler);
 }
 
 void control_loop::set_http_handler(http_handler handler)
@@ -233,7 +237,7 @@
 {
     state_->rpc_server_ =
         std::make_unique<capnp::TwoPartyServer>(kj::mv(bootstrap));
-    state_->tasks_->add(state_->rpc_server_->listen(*state_->rpc_port_));
+    state_->tasks_->add(state_->rpc_server_->listen(*state_->rpc_receiver_));
 }
 
 void control_loop::set_drain_handler(std::function<kj::Promise<void>()> drain)
@@ -241,9 +245,10 @@
     state_->drain_ = std::move(drain);
 }
 
-void control_loop::run_every(duration interval, std::function<void()> act)
+void control_loop::run_every(duration interval, std::function<void()> callback)
 {
-    state_->tasks_->add(state_->repeat(to_kj(interval), std::move(act)));
+    state_->tasks_->add(
+        state_->run_periodically(to_kj(interval), std::move(callback)));
 }
 
 void control_loop::add_task(const std::string& name, kj::Promise<void> task)
@@ -257,13 +262,13 @@
         }));
 }
 
-void control_loop::add_fd_handler(int fd, std::function<void()> act)
+void control_loop::add_fd_handler(int fd, std::function<void()> callback)
 {
     using observer = kj::UnixEventPort::FdObserver;
-    auto watched = kj::heap<observer>(state_->io_.unixEventPort, fd,
-                                      observer::OBSERVE_READ);
-    state_->tasks_->add(state_->watch_fd(*watched, std::move(act)));
-    state_->observers_.push_back(kj::mv(watched));
+    auto fd_observer = kj::heap<observer>(state_->io_.unixEventPort, fd,
+                                          observer::OBSERVE_READ);
+    state_->tasks_->add(state_->watch_fd(*fd_observer, std::move(callback)));
+    state_->observers_.push_back(kj::mv(fd_observer));
 }
 
 tl::expected<void, error>
@@ -280,7 +285,7 @@
         queue, std::move(*writer), settings.http_, program, instance,
         state_->headers_, state_->io_));
     pvt::span_exporter& exporter = *state_->exporters_.back();
-    run_every(flush_interval, [this, &exporter]
+    run_every(span_flush_interval, [this, &exporter]
               { add_task("export_spans", exporter.flush()); });
     return {};
 }
@@ -303,8 +308,8 @@
 
 exit_code control_loop::run()
 {
-    state_->stopped_.wait(state_->io_.waitScope);
-    // Tasks hold on to what the daemon takes down next.
+    state_->stop_promise_.wait(state_->io_.waitScope);
+    // Cancels tasks that refer to objects which the daemon destroys next.
     state_->tasks_ = nullptr;
     return exit_code::success;
 }
--- a/src/libdaemon/control_loop_test.cpp
+++ b/src/libdaemon/control_loop_test.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-/// A loop on free loopback ports.
+/// Opens a control loop on free loopback ports and sets `at` to them.
 std::unique_ptr<control_loop> open_loop(const metrics_registry& metrics,
                                         control_addresses& at)
 {
@@ -27,14 +27,14 @@
     return nullptr;
 }
 
-struct http_answer
+struct fetched_response
 {
     unsigned status_ = 0;
     std::string body_;
 };
 
-kj::Promise<http_answer> get(control_loop& loop, const endpoint& at,
-                             const std::string& path)
+kj::Promise<fetched_response> get(control_loop& loop, const endpoint& at,
+                                  const std::string& path)
 {
     static const kj::HttpHeaderTable table;
     auto client = kj::newHttpClient(loop.timer(), table,
@@ -50,7 +50,7 @@
                 return response.body->readAllText()
                     .then(
                         [status](kj::String&& text) {
-                            return http_answer{status, text.cStr()};
+                            return fetched_response{status, text.cStr()};
                         })
                     .attach(kj::mv(response.body));
             })
@@ -59,7 +59,7 @@
 
 } // namespace
 
-TEST_CASE("health, readiness, metrics and status answer over HTTP")
+TEST_CASE("health, readiness, metrics and status are served over HTTP")
 {
     metrics_registry metrics;
     metrics.add_counter("seen_total", "Seen.").add(7);
@@ -67,22 +67,22 @@
     auto loop = open_loop(metrics, at);
     REQUIRE(loop != nullptr);
     auto& scope = loop->io().waitScope;
-    const auto ask = [&](const std::string& path)
+    const auto fetch = [&](const std::string& path)
     { return get(*loop, at.http_, path).wait(scope); };
 
-    CHECK(ask("/healthz").status_ == 200);
-    CHECK(ask("/readyz").status_ == 503);
+    CHECK(fetch("/healthz").status_ == 200);
+    CHECK(fetch("/readyz").status_ == 503);
     loop->set_readiness_handler([] { return readiness{false, "no rules"}; });
-    CHECK(ask("/readyz").body_ == "unready: no rules\n");
+    CHECK(fetch("/readyz").body_ == "unready: no rules\n");
     loop->set_readiness_handler([] { return readiness{true, ""}; });
-    CHECK(ask("/readyz").status_ == 200);
-    CHECK(ask("/metrics").body_.find("seen_total 7") != std::string::npos);
+    CHECK(fetch("/readyz").status_ == 200);
+    CHECK(fetch("/metrics").body_.find("seen_total 7") != std::string::npos);
     loop->set_status_handler([] { return std::string("{\"a\":1}"); });
-    CHECK(ask("/status").body_ == "{\"a\":1}\n");
-    CHECK(ask("/nothing").status_ == 404);
+    CHECK(fetch("/status").body_ == "{\"a\":1}\n");
+    CHECK(fetch("/nothing").status_ == 404);
 }
 
-TEST_CASE("SIGTERM runs the drain before the loop ends")
+TEST_CASE("SIGTERM runs the drain handler before the loop ends")
 {
     metrics_registry metrics;
     control_addresses at;
@@ -101,17 +101,17 @@
     CHECK(drained);
 }
 
-TEST_CASE("mail and timers reach the control thread")
+TEST_CASE("messages and timers are handled on the control thread")
 {
     metrics_registry metrics;
     control_addresses at;
-    mailbox<int> mail(10);
+    mailbox<int> messages(10);
     auto loop = open_loop(metrics, at);
     REQUIRE(loop != nullptr);
     int ticks = 0;
     int sum = 0;
     loop->run_every(std::chrono::milliseconds(1), [&] { ++ticks; });
-    loop->add_mailbox_handler<int>(mail,
+    loop->add_mailbox_handler<int>(messages,
                                    [&](int&& value)
                                    {
                                        sum += value;
@@ -120,23 +120,24 @@
                                            loop->stop();
                                        }
                                    });
-    mail.post(1);
-    mail.post(2);
-    loop->run_every(std::chrono::milliseconds(3), [&] { mail.post(3); });
+    messages.post(1);
+    messages.post(2);
+    loop->run_every(std::chrono::milliseconds(3), [&] { messages.post(3); });
     CHECK(loop->run() == exit_code::success);
     CHECK(sum >= 6);
     CHECK(ticks >= 1);
 }
 
-TEST_CASE("an address that is taken is an error")
+TEST_CASE("opening a control loop on an address in use fails")
 {
     metrics_registry metrics;
     control_addresses at;
     auto loop = open_loop(metrics, at);
     REQUIRE(loop != nullptr);
     bool refused = false;
-    // A thread has one event loop at most.
-    std::thread second([&] { refused = !control_loop::open(at, metrics); });
-    second.join();
+    // kj allows only one event loop per thread.
+    std::thread second_thread([&]
+                              { refused = !control_loop::open(at, metrics); });
+    second_thread.join();
     CHECK(refused);
 }
--- a/src/libdaemon/flow_timeline.cpp
+++ b/src/libdaemon/flow_timeline.cpp
@@ -13,30 +13,32 @@
 namespace
 {
 
-// The value of `key=value` in a log line; the values looked for are unquoted.
+// Returns the value of `key` in a log line, or nothing if the line does not
+// have the key. Quoted values are not supported: the fields that are read here
+// never need quotes.
 std::optional<std::string> field_of(const std::string& line,
                                     const std::string& key)
 {
-    const std::string start = key + "=";
-    const bool leads = line.compare(0, start.size(), start) == 0;
-    const std::size_t at = leads ? 0 : line.find(" " + start);
+    const std::string prefix = key + "=";
+    const bool at_line_start = line.compare(0, prefix.size(), prefix) == 0;
+    const std::size_t at = at_line_start ? 0 : line.find(" " + prefix);
     if (at == std::string::npos)
     {
         return std::nullopt;
     }
-    const std::size_t begin = at + start.size() + (leads ? 0 : 1);
+    const std::size_t begin = at + prefix.size() + (at_line_start ? 0 : 1);
     return line.substr(begin, line.find(' ', begin) - begin);
 }
 
-// Reads `2026-12-04T12:17:24.665Z`.
-std::optional<duration> read_time(const std::string& text)
+// Parses the form `2026-12-04T12:17:24.665Z`.
+std::optional<duration> parse_time(const std::string& text)
 {
     std::tm parts{};
     std::istringstream in(text);
     in >> std::get_time(&parts, "%Y-%m-%dT%H:%M:%S");
-    char point = 0;
+    char decimal_point = 0;
     int milliseconds = 0;
-    if (!in || !(in >> point >> milliseconds) || point != '.')
+    if (!in || !(in >> decimal_point >> milliseconds) || decimal_point != '.')
     {
         return std::nullopt;
     }
@@ -44,7 +46,7 @@
            std::chrono::milliseconds(milliseconds);
 }
 
-bool names(const std::string& field, const std::string& flow)
+bool matches_flow(const std::string& field, const std::string& flow)
 {
     return field.compare(0, flow.size(), flow) == 0 &&
            (field.size() == flow.size() || field[flow.size()] == '>' ||
@@ -55,42 +57,42 @@
 
 void collect_flow_log(std::istream& log, const std::string& source,
                       const std::string& flow,
-                      std::vector<flow_log_entry>& steps)
+                      std::vector<flow_log_entry>& entries)
 {
     for (std::string line; std::getline(log, line);)
     {
         const auto field = field_of(line, "flow");
-        const auto written = field_of(line, "time");
-        if (!field || !written || !names(*field, flow))
+        const auto time_text = field_of(line, "time");
+        if (!field || !time_text || !matches_flow(*field, flow))
         {
             continue;
         }
-        const auto time = read_time(*written);
+        const auto time = parse_time(*time_text);
         if (!time)
         {
             continue;
         }
         const std::string ago = field_of(line, "ago_us").value_or("0");
-        const std::size_t rest = line.find("program=");
-        steps.push_back(
+        const std::size_t text_begin = line.find("program=");
+        entries.push_back(
             {*time - duration(std::strtoll(ago.c_str(), nullptr, 10)), source,
-             line.substr(rest == std::string::npos ? 0 : rest)});
+             line.substr(text_begin == std::string::npos ? 0 : text_begin)});
     }
 }
 
-std::string format_flow_timeline(std::vector<flow_log_entry> steps)
+std::string format_flow_timeline(std::vector<flow_log_entry> entries)
 {
-    std::stable_sort(steps.begin(), steps.end(),
+    std::stable_sort(entries.begin(), entries.end(),
                      [](const flow_log_entry& a, const flow_log_entry& b)
                      { return a.time_ < b.time_; });
     std::ostringstream out;
     out << std::fixed << std::setprecision(3);
-    for (const flow_log_entry& step : steps)
+    for (const flow_log_entry& entry : entries)
     {
-        const std::chrono::duration<double, std::milli> since =
-            step.time_ - steps.front().time_;
-        out << std::setw(10) << since.count() << " ms  " << step.source_ << "  "
-            << step.text_ << '\n';
+        const std::chrono::duration<double, std::milli> elapsed =
+            entry.time_ - entries.front().time_;
+        out << std::setw(10) << elapsed.count() << " ms  " << entry.source_
+            << "  " << entry.text_ << '\n';
     }
     return out.str();
 }
--- a/src/libdaemon/http_service.cpp
+++ b/src/libdaemon/http_service.cpp
@@ -11,21 +11,21 @@
 constexpr unsigned status_method_not_allowed = 405;
 constexpr unsigned status_unavailable = 503;
 
-// No call to a daemon is longer.
-constexpr std::uint64_t max_call_bytes = 64U << 10U;
+// No client of a daemon sends a longer request body.
+constexpr std::uint64_t max_request_body_bytes = 64U << 10U;
 
 const char* status_text(unsigned status)
 {
-    constexpr unsigned first_failure = 400;
-    constexpr unsigned first_server_failure = 500;
-    if (status < first_failure)
+    constexpr unsigned first_client_error = 400;
+    constexpr unsigned first_server_error = 500;
+    if (status < first_client_error)
     {
         return "OK";
     }
-    return status < first_server_failure ? "Refused" : "Service Unavailable";
+    return status < first_server_error ? "Refused" : "Service Unavailable";
 }
 
-struct answer
+struct response_content
 {
     unsigned status_ = status_ok;
     const char* status_text_ = "OK";
@@ -33,12 +33,14 @@
     std::string body_;
 };
 
-answer answer_readiness(const std::function<readiness()>& read)
+response_content readiness_response(const std::function<readiness()>& handler)
 {
-    const readiness now = read ? read() : readiness{false, "starting"};
-    answer result;
-    result.body_ = now.ready_ ? "ready\n" : "unready: " + now.reason_ + "\n";
-    if (!now.ready_)
+    const readiness current =
+        handler ? handler() : readiness{false, "starting"};
+    response_content result;
+    result.body_ =
+        current.ready_ ? "ready\n" : "unready: " + current.reason_ + "\n";
+    if (!current.ready_)
     {
         result.status_ = status_unavailable;
         result.status_text_ = "Service Unavailable";
@@ -46,14 +48,15 @@
     return result;
 }
 
-kj::Promise<void> send(const answer& a, const kj::HttpHeaderTable& table,
+kj::Promise<void> send(const response_content& content,
+                       const kj::HttpHeaderTable& table,
                        kj::HttpService::Response& response)
 {
     kj::HttpHeaders headers(table);
-    headers.set(kj::HttpHeaderId::CONTENT_TYPE, a.content_type_);
-    auto body = kj::heapString(a.body_.data(), a.body_.size());
-    auto stream =
-        response.send(a.status_, a.status_text_, headers, a.body_.size());
+    headers.set(kj::HttpHeaderId::CONTENT_TYPE, content.content_type_);
+    auto body = kj::heapString(content.body_.data(), content.body_.size());
+    auto stream = response.send(content.status_, content.status_text_, headers,
+                                content.body_.size());
     auto written = stream->write(body.begin(), body.size());
     return written.attach(kj::mv(stream), kj::mv(body));
 }
@@ -66,24 +69,25 @@
 {
 }
 
-kj::Promise<void> http_service::pass_to_handler(kj::HttpMethod method,
-                                                kj::StringPtr url,
-                                                kj::AsyncInputStream& body,
-                                                Response& response)
+kj::Promise<void> http_service::call_handler(kj::HttpMethod method,
+                                             kj::StringPtr url,
+                                             kj::AsyncInputStream& body,
+                                             Response& response)
 {
-    http_request call{kj::str(method).cStr(), url.cStr(), {}};
-    return body.readAllText(max_call_bytes)
+    http_request handler_request{kj::str(method).cStr(), url.cStr(), {}};
+    return body.readAllText(max_request_body_bytes)
         .then(
-            [this, call = std::move(call),
+            [this, handler_request = std::move(handler_request),
              &response](const kj::String& text) mutable
             {
-                call.body_.assign(text.begin(), text.size());
-                const auto reply = handler_(call);
-                answer result;
+                handler_request.body_.assign(text.begin(), text.size());
+                const auto handler_response = handler_(handler_request);
+                response_content result;
                 result.content_type_ = "application/json";
-                result.status_ = reply ? reply->status_ : status_not_found;
+                result.status_ = handler_response ? handler_response->status_
+                                                  : status_not_found;
                 result.status_text_ = status_text(result.status_);
-                result.body_ = reply ? reply->body_ : "";
+                result.body_ = handler_response ? handler_response->body_ : "";
                 return send(result, headers_, response);
             });
 }
@@ -94,13 +98,13 @@
                                         kj::AsyncInputStream& body,
                                         Response& response)
 {
-    const bool is_own = url == "/healthz" || url == "/readyz" ||
-                        url == "/metrics" || url == "/status";
-    if (handler_ && !is_own)
+    const bool is_builtin = url == "/healthz" || url == "/readyz" ||
+                            url == "/metrics" || url == "/status";
+    if (handler_ && !is_builtin)
     {
-        return pass_to_handler(method, url, body, response);
+        return call_handler(method, url, body, response);
     }
-    answer result;
+    response_content result;
     if (method != kj::HttpMethod::GET)
     {
         result.status_ = status_method_not_allowed;
@@ -112,7 +116,7 @@
     }
     else if (url == "/readyz")
     {
-        result = answer_readiness(readiness_);
+        result = readiness_response(readiness_);
     }
     else if (url == "/metrics")
     {
--- a/src/libdaemon/http_service.h
+++ b/src/libdaemon/http_service.h
@@ -1,5 +1,5 @@
 /// \file
-/// Health, readiness, metrics and status over HTTP.
+/// HTTP service of a daemon for health, readiness, metrics and status.
 
 #ifndef GALENAFORK_LIBDAEMON_HTTP_SERVICE_H
 #define GALENAFORK_LIBDAEMON_HTTP_SERVICE_H
@@ -11,15 +11,17 @@
 namespace galenafork::pvt
 {
 
-// kj's interfaces have no virtual destructor: kj::Own knows the real type.
+// kj's interfaces have no virtual destructors: kj::Own disposes of an object by
+// its actual type.
 #pragma GCC diagnostic push
 #pragma GCC diagnostic ignored "-Wnon-virtual-dtor"
 
-/// Answers `/healthz`, `/readyz`, `/metrics` and `/status`; 404 otherwise.
+/// Serves `/healthz`, `/readyz`, `/metrics` and `/status`. Requests to other
+/// paths go to the daemon's own handler or, without one, get status 404.
 class http_service final : public kj::HttpService
 {
 public:
-    /// Both outlive the service.
+    /// Both references must outlive the service.
     http_service(const kj::HttpHeaderTable& headers,
                  const metrics_registry& metrics);
 
@@ -33,9 +35,9 @@
                               Response& response) override;
 
 private:
-    kj::Promise<void> pass_to_handler(kj::HttpMethod method, kj::StringPtr url,
-                                      kj::AsyncInputStream& body,
-                                      Response& response);
+    kj::Promise<void> call_handler(kj::HttpMethod method, kj::StringPtr url,
+                                   kj::AsyncInputStream& body,
+                                   Response& response);
 
     const kj::HttpHeaderTable& headers_;
     const metrics_registry& metrics_;
--- a/src/libdaemon/interval_timer.cpp
+++ b/src/libdaemon/interval_timer.cpp
@@ -14,11 +14,12 @@
 
 timespec to_timespec(duration d)
 {
-    const auto whole = std::chrono::duration_cast<std::chrono::seconds>(d);
-    const std::chrono::nanoseconds rest = d - whole;
+    const auto whole_seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(d);
+    const std::chrono::nanoseconds remainder = d - whole_seconds;
     timespec result{};
-    result.tv_sec = whole.count();
-    result.tv_nsec = rest.count();
+    result.tv_sec = whole_seconds.count();
+    result.tv_nsec = remainder.count();
     return result;
 }
 
@@ -39,7 +40,8 @@
 void interval_timer::clear() const noexcept
 {
     std::uint64_t expirations = 0;
-    // Nothing to read only means that it has not fired again.
+    // The read fails if the timer has not fired since the last read, which is
+    // no error.
     [[maybe_unused]] const ssize_t size =
         ::read(fd_.get(), &expirations, sizeof expirations);
 }
--- a/src/libdaemon/log.cpp
+++ b/src/libdaemon/log.cpp
@@ -22,7 +22,7 @@
 namespace
 {
 
-log_level least_level = log_level::info;
+log_level min_log_level = log_level::info;
 
 std::string& program_name()
 {
@@ -30,7 +30,7 @@
     return name;
 }
 
-bool is_plain(char c)
+bool is_unquoted_char(char c)
 {
     const auto byte = static_cast<unsigned char>(c);
     return byte > ' ' && byte < 0x7f && c != '"' && c != '=' && c != '\\';
@@ -38,7 +38,7 @@
 
 void append_escaped(std::string& out, char c)
 {
-    static constexpr char digits[] = "0123456789abcdef";
+    static constexpr char hex_digits[] = "0123456789abcdef";
     const auto byte = static_cast<unsigned char>(c);
     if (c == '"' || c == '\\')
     {
@@ -48,8 +48,8 @@
     else if (byte < ' ' || byte == 0x7f)
     {
         out += "\\x";
-        out += digits[byte >> 4U];
-        out += digits[byte & 0xfU];
+        out += hex_digits[byte >> 4U];
+        out += hex_digits[byte & 0xfU];
     }
     else
     {
@@ -57,7 +57,7 @@
     }
 }
 
-std::string utc_now()
+std::string current_utc_time()
 {
     using namespace std::chrono;
     const auto now = system_clock::now();
@@ -72,13 +72,13 @@
     return std::string(text.data()) + "." + fraction + "Z";
 }
 
-// The kernel takes this much without blocking when the output polls ready.
+// A pipe that polls writable accepts this many bytes without blocking.
 constexpr std::size_t atomic_write_bytes = PIPE_BUF;
 
 std::atomic<std::uint64_t> dropped_lines{0};
 
-// Set while a `log_batch` of this thread gathers lines.
-thread_local std::string* gathered = nullptr;
+// Lines of this thread's `log_batch`; null without a batch.
+thread_local std::string* batched_lines = nullptr;
 
 void write_without_blocking(const std::string& text)
 {
@@ -105,16 +105,16 @@
     }
 }
 
-/// Takes the lines that easylogging++ hands out.
+/// Receives the lines that are logged through easylogging++.
 class line_output final : public el::LogDispatchCallback
 {
 protected:
     void handle(const el::LogDispatchData* data) override
     {
         const std::string line = data->logMessage()->message() + "\n";
-        if (gathered != nullptr)
+        if (batched_lines != nullptr)
         {
-            *gathered += line;
+            *batched_lines += line;
             return;
         }
         write_without_blocking(line);
@@ -165,9 +165,9 @@
     return "error";
 }
 
-void configure_log(log_level least, const std::string& program)
+void configure_log(log_level min_level, const std::string& program)
 {
-    least_level = least;
+    min_log_level = min_level;
     program_name() = program;
     el::Configurations configuration;
     configuration.setToDefault();
@@ -180,12 +180,13 @@
 
 log_batch::log_batch()
 {
-    gathered = new std::string();
+    batched_lines = new std::string();
 }
 
 log_batch::~log_batch()
 {
-    const std::unique_ptr<std::string> lines(std::exchange(gathered, nullptr));
+    const std::unique_ptr<std::string> lines(
+        std::exchange(batched_lines, nullptr));
     write_without_blocking(*lines);
 }
 
@@ -196,7 +197,8 @@
 
 std::string quoted_log_value(const std::string& value)
 {
-    if (!value.empty() && std::all_of(value.begin(), value.end(), is_plain))
+    if (!value.empty() &&
+        std::all_of(value.begin(), value.end(), is_unquoted_char))
     {
         return value;
     }
@@ -211,11 +213,12 @@
 void log_event(log_level level, const std::string& event,
                std::initializer_list<log_field> fields)
 {
-    if (level < least_level)
+    if (level < min_log_level)
     {
         return;
     }
-    std::string line = "time=" + utc_now() + " level=" + to_string(level) +
+    std::string line = "time=" + current_utc_time() +
+                       " level=" + to_string(level) +
                        " program=" + program_name() + " event=" + event;
     for (const log_field& field : fields)
     {
--- a/src/libdaemon/mailbox.cpp
+++ b/src/libdaemon/mailbox.cpp
@@ -18,14 +18,15 @@
 void wake_event::signal() const noexcept
 {
     const std::uint64_t one = 1;
-    // Fails only if the counter is full, and then it is readable already.
-    [[maybe_unused]] const auto written = ::write(fd_.get(), &one, sizeof one);
+    // The write fails only if the counter is at its maximum; the descriptor is
+    // readable then.
+    [[maybe_unused]] const auto size = ::write(fd_.get(), &one, sizeof one);
 }
 
 void wake_event::clear() const noexcept
 {
     std::uint64_t count = 0;
-    [[maybe_unused]] const auto got = ::read(fd_.get(), &count, sizeof count);
+    [[maybe_unused]] const auto size = ::read(fd_.get(), &count, sizeof count);
 }
 
 } // namespace galenafork
--- a/src/libdaemon/metrics.cpp
+++ b/src/libdaemon/metrics.cpp
@@ -17,7 +17,7 @@
 
 namespace acc = boost::accumulators;
 
-constexpr std::array<double, 4> probabilities{0.5, 0.9, 0.99, 0.999};
+constexpr std::array<double, 4> quantile_probabilities{0.5, 0.9, 0.99, 0.999};
 
 using sample_set =
     acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum,
@@ -65,7 +65,8 @@
 
 struct distribution::accumulator
 {
-    sample_set samples_{acc::extended_p_square_probabilities = probabilities};
+    sample_set samples_{acc::extended_p_square_probabilities =
+                            quantile_probabilities};
 };
 
 distribution::distribution() : accumulator_(std::make_unique<accumulator>()) {}
@@ -93,10 +94,11 @@
     }
     result.sum_ = acc::sum(samples);
     const auto estimates = acc::extended_p_square(samples);
-    for (std::size_t i = 0; i < probabilities.size(); ++i)
+    for (std::size_t i = 0; i < quantile_probabilities.size(); ++i)
     {
         result.quantiles_.emplace_back(
-            probabilities[i], estimates[static_cast<std::ptrdiff_t>(i)]);
+            quantile_probabilities[i],
+            estimates[static_cast<std::ptrdiff_t>(i)]);
     }
     return result;
 }
--- a/src/libdaemon/observability_test.cpp
+++ b/src/libdaemon/observability_test.cpp
@@ -9,7 +9,8 @@
 
 using namespace galenafork;
 
-TEST_CASE("log values are quoted when they are not plain words")
+TEST_CASE(
+    "log values are quoted if they contain special characters or are empty")
 {
     CHECK(quoted_log_value("plain-1.2:3") == "plain-1.2:3");
     CHECK(quoted_log_value("") == "\"\"");
@@ -17,7 +18,7 @@
     CHECK(quoted_log_value("a=\"b\"\n") == "\"a=\\\"b\\\"\\x0a\"");
 }
 
-TEST_CASE("metrics are written as Prometheus text")
+TEST_CASE("metrics are exported as Prometheus text")
 {
     metrics_registry registry;
     counter& drops =
@@ -39,7 +40,7 @@
     metrics_registry registry;
     distribution& d = registry.add_distribution("t_seconds", "T.");
     CHECK(d.read().quantiles_.empty());
-    // A permutation of 0..9999: 7919 is prime to 10000.
+    // A permutation of 0..9999, because 7919 and 10000 are coprime.
     for (int i = 0; i < 10'000; ++i)
     {
         d.record((i * 7919) % 10'000);
@@ -54,15 +55,15 @@
           std::string::npos);
 }
 
-TEST_CASE("one packet in N starts a trace and hops keep its id")
+TEST_CASE("one packet in N starts a trace and all hops keep the trace id")
 {
-    trace_sampler source(42, 10);
+    trace_sampler sampler(42, 10);
     int sampled = 0;
     for (int i = 0; i < 1'000; ++i)
     {
-        const trace_context root = source.start_trace();
+        const trace_context root = sampler.start_trace();
         sampled += root.sampled_ ? 1 : 0;
-        const trace_context hop = source.child_context(root);
+        const trace_context hop = sampler.child_context(root);
         CHECK(hop.sampled_ == root.sampled_);
         CHECK(hop.trace_id_ == root.trace_id_);
         CHECK((!root.sampled_ || hop.span_id_ != root.span_id_));
@@ -71,11 +72,11 @@
     CHECK_FALSE(trace_sampler(1, 0).start_trace().sampled_);
 }
 
-TEST_CASE("spans become OTLP/JSON")
+TEST_CASE("spans are exported as OTLP/JSON")
 {
-    trace_sampler source(1, 1);
+    trace_sampler sampler(1, 1);
     span s;
-    s.context_ = source.start_trace();
+    s.context_ = sampler.start_trace();
     s.name_ = "forward";
     s.start_ns_ = 5;
     s.attributes_ = {{"service", "orders"}};
@@ -92,7 +93,7 @@
     CHECK(written["attributes"][0]["key"] == "service");
 }
 
-TEST_CASE("a full span queue drops and counts")
+TEST_CASE("a full span queue drops and counts further spans")
 {
     span_queue queue(2);
     CHECK(queue.try_push({}));
@@ -103,27 +104,29 @@
     CHECK(queue.pop_batch(9).size() == 1);
 }
 
-TEST_CASE("a mailbox hands over each value once, in order, within its bound")
+TEST_CASE(
+    "a mailbox returns each value once, in order, and drops values beyond "
+    "its capacity")
 {
-    mailbox<int> mail(1'000);
+    mailbox<int> messages(1'000);
     std::thread writer(
         [&]
         {
             for (int i = 0; i < 1'000; ++i)
             {
-                mail.post(i);
+                messages.post(i);
             }
         });
-    std::vector<int> got;
-    while (got.size() < 1'000)
+    std::vector<int> received;
+    while (received.size() < 1'000)
     {
-        const auto taken = mail.pop_all();
-        got.insert(got.end(), taken.begin(), taken.end());
+        const auto popped = messages.pop_all();
+        received.insert(received.end(), popped.begin(), popped.end());
     }
     writer.join();
     for (int i = 0; i < 1'000; ++i)
     {
-        CHECK(got[static_cast<std::size_t>(i)] == i);
+        CHECK(received[static_cast<std::size_t>(i)] == i);
     }
     mailbox<int> small(1);
     CHECK(small.post(1));
--- a/src/libdaemon/program_options.cpp
+++ b/src/libdaemon/program_options.cpp
@@ -63,8 +63,8 @@
         std::cout << "usage: " << program << " --config FILE [--check]\n"
                   << summary << "\n\n"
                   << description
-                  << "\nExit codes: 0 stopped as asked, 1 failed, 2 wrong "
-                     "command line,\n3 wrong settings, 4 ended at once by a "
+                  << "\nExit codes: 0 stopped on request, 1 failed, 2 invalid "
+                     "command line,\n3 invalid settings, 4 ended at once by a "
                      "second signal.\n";
         return tl::unexpected(exit_code::success);
     }
--- a/src/libdaemon/settings.cpp
+++ b/src/libdaemon/settings.cpp
@@ -14,7 +14,7 @@
 
 using outcome = tl::expected<void, std::string>;
 
-tl::unexpected<std::string> bad(std::string reason)
+tl::unexpected<std::string> conversion_error(std::string reason)
 {
     return tl::unexpected<std::string>(std::move(reason));
 }
@@ -104,7 +104,8 @@
     return found == units.end() ? nullptr : &*found;
 }
 
-/// Reads "NUMBER UNIT" into a count of the smallest unit.
+/// Parses "NUMBER UNIT" into a multiple of the smallest unit. Returns false if
+/// the text has another form or the value is out of range.
 template <std::size_t Count>
 bool parse_quantity(const std::string& text,
                     const std::array<unit, Count>& units, std::uint64_t& out)
@@ -117,9 +118,9 @@
         return false;
     }
     const unit* found = find_unit(units, std::string(result.ptr + 1, end));
-    // Halved, so that the value fits a signed count as well.
-    constexpr auto most = std::numeric_limits<std::uint64_t>::max() / 2;
-    if (found == nullptr || number > most / found->scale_)
+    // Half of the range, so that the value fits a signed integer too.
+    constexpr auto max_value = std::numeric_limits<std::uint64_t>::max() / 2;
+    if (found == nullptr || number > max_value / found->scale_)
     {
         return false;
     }
@@ -131,15 +132,16 @@
 std::string quantity_text(std::uint64_t value,
                           const std::array<unit, Count>& units)
 {
-    const unit* best = &units[0];
+    const unit* largest_unit = &units[0];
     for (const unit& u : units)
     {
         if (value != 0 && value % u.scale_ == 0)
         {
-            best = &u;
+            largest_unit = &u;
         }
     }
-    return std::to_string(value / best->scale_) + " " + best->name_;
+    return std::to_string(value / largest_unit->scale_) + " " +
+           largest_unit->name_;
 }
 
 } // namespace
@@ -148,7 +150,7 @@
 {
     if (value.kind_ != setting_kind::text)
     {
-        return bad("must be a text in quotes");
+        return conversion_error("must be a string in quotes");
     }
     out = value.text_;
     return {};
@@ -158,7 +160,7 @@
 {
     if (value.kind_ != setting_kind::boolean)
     {
-        return bad("must be true or false");
+        return conversion_error("must be true or false");
     }
     out = value.boolean_;
     return {};
@@ -168,7 +170,7 @@
 {
     if (value.kind_ != setting_kind::integer || value.integer_ < 0)
     {
-        return bad("must be a whole number of 0 or more");
+        return conversion_error("must be a whole number of 0 or more");
     }
     out = static_cast<std::uint64_t>(value.integer_);
     return {};
@@ -183,7 +185,7 @@
     }
     if (value.kind_ != setting_kind::floating)
     {
-        return bad("must be a number");
+        return conversion_error("must be a number");
     }
     out = value.floating_;
     return {};
@@ -193,12 +195,12 @@
 {
     if (value.kind_ != setting_kind::text)
     {
-        return bad("must be an address and port in quotes");
+        return conversion_error("must be an address and port in quotes");
     }
     const auto parsed = parse_endpoint(value.text_);
     if (!parsed)
     {
-        return bad(parsed.error().message_);
+        return conversion_error(parsed.error().message_);
     }
     out = *parsed;
     return {};
@@ -210,8 +212,9 @@
     if (value.kind_ != setting_kind::text ||
         !parse_quantity(value.text_, duration_units, microseconds))
     {
-        return bad("must be a time with its unit, such as \"150 ms\" "
-                   "(us, ms, s, min, h)");
+        return conversion_error(
+            "must be a time with its unit, such as \"150 ms\" "
+            "(us, ms, s, min, h)");
     }
     out = duration(static_cast<std::int64_t>(microseconds));
     return {};
@@ -223,8 +226,9 @@
     if (value.kind_ != setting_kind::text ||
         !parse_quantity(value.text_, size_units, bytes))
     {
-        return bad("must be a size with its unit, such as \"64 KiB\" "
-                   "(B, KiB, MiB)");
+        return conversion_error(
+            "must be a size with its unit, such as \"64 KiB\" "
+            "(B, KiB, MiB)");
     }
     out = byte_count(bytes);
     return {};
@@ -237,7 +241,8 @@
 {
     if (value.kind_ != setting_kind::text || !is_valid_name(value.text_))
     {
-        return bad("must be a name in quotes: 1 to 63 of a-z, 0-9 and -");
+        return conversion_error(
+            "must be a name in quotes: 1 to 63 of a-z, 0-9 and -");
     }
     out = value.text_;
     return {};
@@ -287,8 +292,8 @@
 
 settings_section::settings_section(std::string name,
                                    const settings_table& table,
-                                   settings_error_list& faults)
-    : name_(std::move(name)), table_(&table), errors_(&faults)
+                                   settings_error_list& errors)
+    : name_(std::move(name)), table_(&table), errors_(&errors)
 {
 }
 
@@ -383,14 +388,13 @@
 }
 
 std::string format_settings_errors(const std::string& file,
-                                   const std::vector<settings_error>& faults)
+                                   const std::vector<settings_error>& errors)
 {
     std::string text;
-    for (const settings_error& fault : faults)
+    for (const settings_error& e : errors)
     {
-        text += file + ":" + std::to_string(fault.position_.line_) + ":" +
-                std::to_string(fault.position_.column_) + ": " + fault.reason_ +
-                "\n";
+        text += file + ":" + std::to_string(e.position_.line_) + ":" +
+                std::to_string(e.position_.column_) + ": " + e.reason_ + "\n";
     }
     return text;
 }
--- a/src/libdaemon/settings_test.cpp
+++ b/src/libdaemon/settings_test.cpp
@@ -36,7 +36,7 @@
     inner.report_unknown_keys();
 }
 
-std::string faults_of(const std::string& text)
+std::string errors_of(const std::string& text)
 {
     const auto result = settings_from_text<sample_settings>(text);
     return result ? "" : format_settings_errors("x.toml", result.error());
@@ -44,7 +44,7 @@
 
 } // namespace
 
-TEST_CASE("settings with units become strong types")
+TEST_CASE("settings with units are converted to strong types")
 {
     const auto result = settings_from_text<sample_settings>(R"(
 instance = "b-1"
@@ -64,9 +64,9 @@
     CHECK(result->inner_.buffer_ == byte_count(65536));
 }
 
-TEST_CASE("all faults of a file are reported at once, in order")
+TEST_CASE("all errors of a file are reported at once, in order")
 {
-    CHECK(faults_of(R"(instance = "Not A Name"
+    CHECK(errors_of(R"(instance = "Not A Name"
 listen = "localhost:80"
 peers = ["127.0.0.1:1", "nowhere"]
 threads = 100
@@ -89,25 +89,28 @@
        "x.toml:9:2: outer is not a known section\n");
 }
 
-TEST_CASE("missing keys, wrong shapes and times out of range are faults")
+TEST_CASE(
+    "missing keys, values in place of sections and durations out of range are "
+    "errors")
 {
-    CHECK(faults_of("instance = \"a\"\ninner = 3\n") ==
+    CHECK(errors_of("instance = \"a\"\ninner = 3\n") ==
           "x.toml:1:1: listen is missing\n"
           "x.toml:1:1: inner.wait is missing\n"
           "x.toml:2:1: inner must be a section\n");
-    CHECK(faults_of("instance = \"a\"\nlisten = \"1.2.3.4:5\"\n"
+    CHECK(errors_of("instance = \"a\"\nlisten = \"1.2.3.4:5\"\n"
                     "[threads]\n[inner]\nwait = \"6 s\"\n") ==
           "x.toml:3:2: threads must be a value, not a section\n"
           "x.toml:5:1: inner.wait must be from 1 ms to 5 s\n");
 }
 
-TEST_CASE("a syntax error names its place")
+TEST_CASE("a syntax error is reported with its line and column")
 {
-    const std::string text = faults_of("instance = \"a\"\nlisten = = 3\n");
+    const std::string text = errors_of("instance = \"a\"\nlisten = = 3\n");
     CHECK(text.rfind("x.toml:2:10: ", 0) == 0);
 }
 
-TEST_CASE("quantities that overflow or lack a unit are refused")
+TEST_CASE(
+    "quantities that overflow, lack a unit or have another form are rejected")
 {
     for (const char* text : {"150", "ms", "150ms", "-1 s", "1.5 s",
                              "99999999999999999999 s", "9999999999999999 h"})
--- a/src/libdaemon/span_exporter.cpp
+++ b/src/libdaemon/span_exporter.cpp
@@ -6,8 +6,9 @@
 namespace
 {
 
-// Keeps a batch of ordinary spans within one UDP datagram.
-constexpr std::size_t batch_spans = 64;
+// Limits the number of spans in a batch, so that a batch of typical spans fits
+// into one UDP datagram.
+constexpr std::size_t max_batch_spans = 64;
 
 } // namespace
 
@@ -26,11 +27,11 @@
 
 kj::Promise<void> span_exporter::flush()
 {
-    if (busy_)
+    if (post_in_flight_)
     {
         return kj::READY_NOW;
     }
-    const auto spans = queue_.pop_batch(batch_spans);
+    const auto spans = queue_.pop_batch(max_batch_spans);
     if (spans.empty())
     {
         return kj::READY_NOW;
@@ -41,10 +42,11 @@
     {
         return kj::READY_NOW;
     }
-    busy_ = true;
-    // A collector that is away costs the spans of this batch, no more.
-    return post(batch).then([this] { busy_ = false; },
-                            [this](kj::Exception&&) { busy_ = false; });
+    post_in_flight_ = true;
+    // If the collector can't be reached, only the spans of this batch are lost.
+    return post(batch).then([this] { post_in_flight_ = false; },
+                            [this](kj::Exception&&)
+                            { post_in_flight_ = false; });
 }
 
 kj::Promise<void> span_exporter::post(const std::string& batch)
@@ -58,8 +60,8 @@
     auto written = request.body->write(body.begin(), body.size())
                        .attach(kj::mv(body), kj::mv(request.body));
     return written
-        .then([answer = kj::mv(request.response)]() mutable
-              { return kj::mv(answer); })
+        .then([response = kj::mv(request.response)]() mutable
+              { return kj::mv(response); })
         .then(
             [](kj::HttpClient::Response&& response)
             {
--- a/src/libdaemon/span_exporter.h
+++ b/src/libdaemon/span_exporter.h
@@ -1,5 +1,5 @@
 /// \file
-/// Moves spans from the queue to their collector.
+/// Exports spans from the queue to a file or a collector.
 
 #ifndef GALENAFORK_LIBDAEMON_SPAN_EXPORTER_H
 #define GALENAFORK_LIBDAEMON_SPAN_EXPORTER_H
@@ -13,17 +13,18 @@
 namespace galenafork::pvt
 {
 
-/// Sends batches of spans; at most one HTTP request at a time.
+/// Exports spans in batches, with at most one HTTP request in flight.
 class span_exporter
 {
 public:
-    /// All arguments but the texts outlive the exporter.
+    /// `queue`, `headers` and `io` must outlive the exporter.
     span_exporter(span_queue& queue, span_writer writer,
                   std::optional<endpoint> http, std::string program,
                   std::string instance, const kj::HttpHeaderTable& headers,
                   kj::AsyncIoContext& io);
 
-    /// Sends what the queue holds, at most one batch.
+    /// Exports up to one batch of the queued spans. Does nothing while the HTTP
+    /// request of an earlier batch is in flight.
     kj::Promise<void> flush();
 
 private:
@@ -36,7 +37,7 @@
     std::string instance_;
     const kj::HttpHeaderTable& headers_;
     kj::Own<kj::HttpClient> client_;
-    bool busy_ = false;
+    bool post_in_flight_ = false;
 };
 
 } // namespace galenafork::pvt
--- a/src/libdaemon/trace_export.cpp
+++ b/src/libdaemon/trace_export.cpp
@@ -16,12 +16,12 @@
 template <std::size_t Size>
 std::string hex(const std::array<std::uint8_t, Size>& bytes)
 {
-    static constexpr char digits[] = "0123456789abcdef";
+    static constexpr char hex_digits[] = "0123456789abcdef";
     std::string text;
     for (const std::uint8_t byte : bytes)
     {
-        text += digits[byte >> 4U];
-        text += digits[byte & 0xfU];
+        text += hex_digits[byte >> 4U];
+        text += hex_digits[byte & 0xfU];
     }
     return text;
 }
@@ -33,7 +33,7 @@
 
 nlohmann::json span_json(const span& s)
 {
-    // OTLP numbers span kinds; 2 is "server".
+    // SPAN_KIND_SERVER in OTLP.
     constexpr int kind_server = 2;
     nlohmann::json json = {{"traceId", hex(s.context_.trace_id_)},
                            {"spanId", hex(s.context_.span_id_)},
@@ -53,7 +53,7 @@
     return json;
 }
 
-unique_fd connect_udp(const endpoint& to)
+unique_fd connect_collector(const endpoint& to)
 {
     unique_fd socket(::socket(AF_INET6, SOCK_DGRAM | SOCK_CLOEXEC, 0));
     sockaddr_in6 address{};
@@ -78,8 +78,8 @@
     return static_cast<std::uint64_t>(duration_cast<nanoseconds>(now).count());
 }
 
-trace_sampler::trace_sampler(std::uint64_t seed, std::uint64_t one_in)
-    : state_(seed), sample_one_in_(one_in)
+trace_sampler::trace_sampler(std::uint64_t seed, std::uint64_t sample_one_in)
+    : state_(seed), sample_one_in_(sample_one_in)
 {
 }
 
@@ -122,7 +122,7 @@
 
 std::array<std::uint8_t, 8> trace_sampler::random_span_id()
 {
-    // W3C forbids an all-zero id.
+    // W3C Trace Context forbids an all-zero id.
     const std::uint64_t id = next_random() | 1U;
     std::array<std::uint8_t, 8> bytes{};
     std::memcpy(bytes.data(), &id, sizeof id);
@@ -145,12 +145,13 @@
     {
         settings.http_ = http;
     }
-    const int sinks = (settings.file_.empty() ? 0 : 1) +
-                      (settings.udp_ ? 1 : 0) + (settings.http_ ? 1 : 0);
-    if (sinks > 1)
+    const int destinations = (settings.file_.empty() ? 0 : 1) +
+                             (settings.udp_ ? 1 : 0) + (settings.http_ ? 1 : 0);
+    if (destinations > 1)
     {
-        section.add_error(settings.file_.empty() ? "udp" : "file",
-                          "excludes the other places to send traces to");
+        section.add_error(
+            settings.file_.empty() ? "udp" : "file",
+            "can't be combined with another destination of traces");
     }
 }
 
@@ -166,16 +167,16 @@
     return true;
 }
 
-std::vector<span> span_queue::pop_batch(std::size_t most)
+std::vector<span> span_queue::pop_batch(std::size_t max_count)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto count =
-        static_cast<std::ptrdiff_t>(std::min(most, spans_.size()));
+        static_cast<std::ptrdiff_t>(std::min(max_count, spans_.size()));
     const auto end = spans_.begin() + count;
-    std::vector<span> taken(std::make_move_iterator(spans_.begin()),
-                            std::make_move_iterator(end));
+    std::vector<span> popped(std::make_move_iterator(spans_.begin()),
+                             std::make_move_iterator(end));
     spans_.erase(spans_.begin(), end);
-    return taken;
+    return popped;
 }
 
 std::string to_otlp_json(const std::string& program,
@@ -193,27 +194,28 @@
           attribute("service.instance.id", instance)}}};
     const nlohmann::json scope = {{"scope", {{"name", "galenafork"}}},
                                   {"spans", list}};
-    const nlohmann::json all = {
+    const nlohmann::json document = {
         {"resourceSpans", {{{"resource", resource}, {"scopeSpans", {scope}}}}}};
-    return all.dump();
+    return document.dump();
 }
 
-tl::expected<span_writer, error> span_writer::open(const trace_settings& s)
+tl::expected<span_writer, error>
+span_writer::open(const trace_settings& settings)
 {
     span_writer writer;
-    if (!s.file_.empty())
+    if (!settings.file_.empty())
     {
-        writer.file_.open(s.file_, std::ios::app);
+        writer.file_.open(settings.file_, std::ios::app);
         if (!writer.file_)
         {
             return tl::unexpected(
                 error{error_code::bad_setting,
-                      s.file_ + ": can't be opened for traces"});
+                      settings.file_ + ": can't be opened for traces"});
         }
     }
-    if (s.udp_)
+    if (settings.udp_)
     {
-        writer.socket_ = connect_udp(*s.udp_);
+        writer.socket_ = connect_collector(*settings.udp_);
     }
     return writer;
 }
--- a/src/libdaemon/udp_socket.cpp
+++ b/src/libdaemon/udp_socket.cpp
@@ -17,12 +17,13 @@
 
 constexpr std::size_t alignment = 8;
 
-// Rides out the gap until a traffic thread is scheduled under load.
+// Holds the datagrams that arrive under load until a traffic thread is
+// scheduled again.
 constexpr int socket_buffer_bytes = 4 * 1024 * 1024;
 
-using word = std::uint64_t;
+using buffer_unit = std::uint64_t;
 
-std::size_t words_for(std::size_t bytes)
+std::size_t units_for(std::size_t bytes)
 {
     return (bytes + alignment - 1) / alignment;
 }
@@ -66,7 +67,7 @@
             ntohs(address.sin_port)};
 }
 
-/// Room for an address of either family.
+/// Socket address of either family.
 union any_sockaddr
 {
     sockaddr_in6 v6_{};
@@ -78,20 +79,20 @@
     ::setsockopt(fd, level, option, &value, sizeof value);
 }
 
-/// Headers, addresses and buffers of one system call.
+/// Message headers, addresses and buffers of one `recvmmsg` or `sendmmsg` call.
 struct message_batch
 {
     message_batch(std::size_t max_bytes, ip_family family)
-        : family_(family), words_(words_for(max_bytes)),
-          buffers_(words_ * udp_batch_size)
+        : family_(family), units_per_buffer_(units_for(max_bytes)),
+          buffers_(units_per_buffer_ * udp_batch_size)
     {
         for (std::size_t i = 0; i < udp_batch_size; ++i)
         {
-            parts_[i] = {buffer(i), max_bytes};
+            iovecs_[i] = {buffer(i), max_bytes};
             msghdr& header = headers_[i].msg_hdr;
             header.msg_name = &addresses_[i];
             header.msg_namelen = address_size();
-            header.msg_iov = &parts_[i];
+            header.msg_iov = &iovecs_[i];
             header.msg_iovlen = 1;
         }
     }
@@ -99,7 +100,7 @@
     std::uint8_t* buffer(std::size_t index)
     {
         return reinterpret_cast<std::uint8_t*>(buffers_.data() +
-                                               index * words_);
+                                               index * units_per_buffer_);
     }
 
     socklen_t address_size() const
@@ -125,28 +126,29 @@
     }
 
     ip_family family_;
-    std::size_t words_;
-    std::vector<word> buffers_;
+    std::size_t units_per_buffer_;
+    std::vector<buffer_unit> buffers_;
     std::array<mmsghdr, udp_batch_size> headers_{};
-    std::array<iovec, udp_batch_size> parts_{};
+    std::array<iovec, udp_batch_size> iovecs_{};
     std::array<any_sockaddr, udp_batch_size> addresses_{};
 };
 
-constexpr std::size_t stamp_space = CMSG_SPACE(sizeof(timespec));
+constexpr std::size_t cmsg_bytes = CMSG_SPACE(sizeof(timespec));
 
-/// Room for the kernel's time stamp of each datagram of a batch.
-struct stamp_batch
+/// Control buffers for the kernel's receive timestamp of each datagram in a
+/// batch.
+struct timestamp_batch
 {
-    explicit stamp_batch(message_batch& messages) : messages_(messages) {}
+    explicit timestamp_batch(message_batch& messages) : messages_(messages) {}
 
-    // The kernel changes the lengths with each call.
+    // Resets the lengths, which the kernel overwrites in each call.
     void prepare()
     {
         for (std::size_t i = 0; i < udp_batch_size; ++i)
         {
             msghdr& header = messages_.headers_[i].msg_hdr;
-            header.msg_control = &buffers_[i * stamp_space];
-            header.msg_controllen = stamp_space;
+            header.msg_control = &buffers_[i * cmsg_bytes];
+            header.msg_controllen = cmsg_bytes;
             header.msg_namelen = messages_.address_size();
         }
     }
@@ -154,22 +156,23 @@
     duration age_of(std::size_t index) const
     {
         msghdr& header = messages_.headers_[index].msg_hdr;
-        const cmsghdr* part = CMSG_FIRSTHDR(&header);
-        if (part == nullptr || part->cmsg_type != SCM_TIMESTAMPNS)
+        const cmsghdr* control_header = CMSG_FIRSTHDR(&header);
+        if (control_header == nullptr ||
+            control_header->cmsg_type != SCM_TIMESTAMPNS)
         {
             return duration(0);
         }
-        timespec stamp{};
-        std::memcpy(&stamp, CMSG_DATA(part), sizeof stamp);
-        const auto received = std::chrono::seconds(stamp.tv_sec) +
-                              std::chrono::nanoseconds(stamp.tv_nsec);
+        timespec timestamp{};
+        std::memcpy(&timestamp, CMSG_DATA(control_header), sizeof timestamp);
+        const auto received = std::chrono::seconds(timestamp.tv_sec) +
+                              std::chrono::nanoseconds(timestamp.tv_nsec);
         const auto age =
             std::chrono::system_clock::now().time_since_epoch() - received;
         return std::max(duration(0), std::chrono::duration_cast<duration>(age));
     }
 
     message_batch& messages_;
-    alignas(cmsghdr) std::array<char, stamp_space * udp_batch_size> buffers_{};
+    alignas(cmsghdr) std::array<char, cmsg_bytes * udp_batch_size> buffers_{};
 };
 
 } // namespace
@@ -252,12 +255,12 @@
 struct receive_batch::state
 {
     state(std::size_t max_bytes, ip_family family)
-        : messages_(max_bytes, family), stamps_(messages_)
+        : messages_(max_bytes, family), timestamps_(messages_)
     {
     }
 
     message_batch messages_;
-    stamp_batch stamps_;
+    timestamp_batch timestamps_;
 };
 
 receive_batch::receive_batch(std::size_t max_bytes, ip_family family)
@@ -270,7 +273,7 @@
 std::size_t receive_batch::receive(const unique_fd& fd)
 {
     auto& headers = state_->messages_.headers_;
-    state_->stamps_.prepare();
+    state_->timestamps_.prepare();
     const int count = ::recvmmsg(fd.get(), headers.data(), headers.size(),
                                  MSG_DONTWAIT | MSG_TRUNC, nullptr);
     return count < 0 ? 0 : static_cast<std::size_t>(count);
@@ -280,7 +283,8 @@
 {
     auto& messages = state_->messages_;
     return {messages.address(index), messages.buffer(index),
-            messages.headers_[index].msg_len, state_->stamps_.age_of(index)};
+            messages.headers_[index].msg_len,
+            state_->timestamps_.age_of(index)};
 }
 
 struct send_batch::state
@@ -310,7 +314,7 @@
 {
     auto& messages = state_->messages_;
     messages.set_address(state_->count_, to);
-    messages.parts_[state_->count_].iov_len = size;
+    messages.iovecs_[state_->count_].iov_len = size;
     ++state_->count_;
 }
 
@@ -328,7 +332,8 @@
         const int count = ::sendmmsg(
             fd.get(), state_->messages_.headers_.data() + sent,
             static_cast<unsigned>(state_->count_ - sent), MSG_DONTWAIT);
-        // Only the first datagram of a call can fail: skip it.
+        // An error always concerns the first datagram of a call, which is
+        // skipped.
         refused += count < 0 ? 1 : 0;
         sent += count < 0 ? 1 : static_cast<std::size_t>(count);
     }
--- a/src/libdaemon/udp_socket_test.cpp
+++ b/src/libdaemon/udp_socket_test.cpp
@@ -17,7 +17,8 @@
 
 } // namespace
 
-TEST_CASE("a batch of datagrams arrives whole, with its sender")
+TEST_CASE(
+    "a batch of datagrams is received unchanged, with the sender's address")
 {
     const unique_fd from = open_any();
     const unique_fd to = open_any();
@@ -43,7 +44,7 @@
     CHECK(in.receive(to) == 0);
 }
 
-TEST_CASE("an address that is taken is refused")
+TEST_CASE("opening a socket on an address in use fails")
 {
     const unique_fd first = open_any();
     CHECK_FALSE(open_udp(local_endpoint(first), false).has_value());
--- a/src/libflow/agent_core.cpp
+++ b/src/libflow/agent_core.cpp
@@ -148,8 +148,8 @@
     }
 }
 
-// A member whose lease is missing may have been removed by a roster that it has
-// not received.
+// Fetches the newest roster while the lease is missing: a roster that this
+// member has not received may have removed it.
 void request_newer_roster(agent_state& state, instant now, agent_actions& out)
 {
     const auto& missing = state.lease_.missing_since_;
@@ -309,8 +309,8 @@
                      former_member) != r.recent_departures_.end();
 }
 
-// Members that are absent from the new roster without having left; they are
-// treated like expired ones.
+// Returns the serving and draining members that are absent from the new roster
+// without having left; they are treated like expired ones.
 std::vector<instance_incarnation> find_lost_members(const roster& before,
                                                     const member_view& after)
 {
@@ -402,12 +402,12 @@
     }
 }
 
-void merge_expired_members(agent_state& state,
+void apply_expired_members(agent_state& state,
                            const std::vector<instance_incarnation>& expired,
                            instant now, agent_actions& out)
 {
     record_member_losses(state, newly_expired(state.view_, expired), now);
-    if (!merge_expired(state.view_, expired))
+    if (!add_expired_members(state.view_, expired))
     {
         return;
     }
@@ -484,7 +484,7 @@
     {
         state.member_loss_times_.emplace(lost_member, now);
     }
-    merge_expired(state.view_, lost);
+    add_expired_members(state.view_, lost);
     pvt::apply_view_change(state, now, out);
     pvt::notify_all_balancers(state, now, out);
     pvt::retry_held_packets(state, now, out);
@@ -506,7 +506,7 @@
     {
         out.push_back(fetch_roster{from.epoch_});
     }
-    pvt::merge_expired_members(state, from.expired_members_, now, out);
+    pvt::apply_expired_members(state, from.expired_members_, now, out);
     if (!state.fenced_)
     {
         std::visit(pvt::peer_message_handler{state, from, now, out},
@@ -531,7 +531,7 @@
     update_lease_state(state.lease_, state.watch_, state.view_, lease, now);
     pvt::send_heartbeats(state, now, out);
     pvt::send_expiry_promises(state, now, out);
-    pvt::merge_expired_members(
+    pvt::apply_expired_members(
         state, find_expired(state.watch_, state.view_, lease, now), now, out);
     pvt::request_newer_roster(state, now, out);
     pvt::request_member_removals(state, now, out);
--- a/src/libflow/agent_property_test.cpp
+++ b/src/libflow/agent_property_test.cpp
@@ -79,7 +79,7 @@
     }
 }
 
-// Number of agents that would serve a packet of the flow now.
+// Returns the number of agents that would serve a packet of the flow now.
 int count_acting_owners(const service_fixture& service, const flow_key& flow)
 {
     int owners = 0;
--- a/src/libflow/agent_pvt.h
+++ b/src/libflow/agent_pvt.h
@@ -1,6 +1,6 @@
 /// \file
 /// Functions of the agent's side of the flow protocol that its source files
-/// share. Each appends the actions to perform to `out`.
+/// share. Those with a parameter `out` append the actions to perform to it.
 
 #ifndef GALENAFORK_LIBFLOW_AGENT_PVT_H
 #define GALENAFORK_LIBFLOW_AGENT_PVT_H
@@ -14,7 +14,7 @@
 void send_to(const agent_state& state, const member& peer, peer_body body,
              agent_actions& out);
 
-/// The next random number.
+/// Returns the next random 64-bit number.
 std::uint64_t next_random(agent_state& state);
 
 /// Serves, forwards, holds or drops a packet whose service and target have been
@@ -32,7 +32,7 @@
 
 /// Adds `expired` to the expired members and applies the change. Fences this
 /// agent if it is one of them.
-void merge_expired_members(agent_state& state,
+void apply_expired_members(agent_state& state,
                            const std::vector<instance_incarnation>& expired,
                            instant now, agent_actions& out);
 
@@ -79,7 +79,8 @@
                         agent_actions& out);
 
 /// Starts a new non-idempotent request, answers a duplicate from its journal
-/// entry, and ignores a duplicate of a request in progress.
+/// entry, and ignores a duplicate of a request in progress. Refuses a request
+/// whose journal entry may be missing.
 void handle_non_idempotent_request(agent_state& state,
                                    const forwarded_packet& packet,
                                    const request_info& request, instant now,
--- a/src/libflow/agent_test.cpp
+++ b/src/libflow/agent_test.cpp
@@ -21,7 +21,8 @@
     }
 }
 
-// Number of flows whose packets were served by more than one upstream.
+// Returns the number of flows whose packets were served by more than one
+// upstream.
 int count_flows_with_several_owners(const service_fixture& service)
 {
     int count = 0;
@@ -160,7 +161,8 @@
             owners.emplace(make_flow(n), owner_of(service, make_flow(n)));
         }
         service.kill(lost);
-        // Time limits: 2 s with the platform up, 5 s with it down.
+        // The flows must have a new owner within 2 s if the platform is up,
+        // within 5 s if it is down.
         service.run_for(platform_up ? seconds(2) : seconds(5));
         service.served_by_.clear();
         send_to_flows(service);
@@ -275,7 +277,7 @@
         service.run_for(milliseconds(20));
     }
     CHECK(count_runs(service, request.key_) == 1);
-    CHECK(service.stored_replies_.size() == 1);
+    CHECK(service.stored_answers_.size() == 1);
 }
 
 TEST_CASE("a request sent again after the owner's loss does not run again")
--- a/src/libflow/directory.cpp
+++ b/src/libflow/directory.cpp
@@ -18,9 +18,9 @@
            incarnations.end();
 }
 
-// True if this agent has a complete copy of the journal of `home` that covers
-// every other expired member. A copy made before the home had received an
-// expired owner's entries is not valid.
+// True if this agent has a complete copy of the journal of `home` for `bucket`
+// that covers every other expired member. A copy made before the home had
+// received an expired owner's entries is not valid.
 bool has_valid_copy(const agent_state& state, bucket_id bucket,
                     const instance_incarnation& home)
 {
--- a/src/libflow/lease.cpp
+++ b/src/libflow/lease.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-// Only acks of the latest heartbeats, up to this number, count.
+// Number of latest heartbeats whose acks are accepted.
 constexpr std::size_t max_sent_heartbeats = 16;
 
 template <class Contacts>
@@ -87,10 +87,10 @@
            m.watchers_.end();
 }
 
-// The members that `self` watches under the view's roster. A watch continues if
-// the member's watcher set is unchanged and starts again otherwise. A promise
-// that was made stays in force in both cases; the watcher makes it again under
-// the newer epoch.
+// Returns the members that `self` watches under the view's roster. A watch
+// continues if the member's watcher set is unchanged and starts again
+// otherwise. An expiry promise stays in force in both cases; the watcher makes
+// it again under the newer epoch.
 std::vector<watched_member> make_watched_members(const watch_state& watch,
                                                  const member_view& view,
                                                  const instance_id& self,
--- a/src/libflow/member_view.cpp
+++ b/src/libflow/member_view.cpp
@@ -44,8 +44,8 @@
     return added;
 }
 
-bool merge_expired(member_view& view,
-                   const std::vector<instance_incarnation>& incarnations)
+bool add_expired_members(member_view& view,
+                         const std::vector<instance_incarnation>& incarnations)
 {
     const auto added = newly_expired(view, incarnations);
     auto& expired = view.expired_members_.incarnations_;
--- a/src/libflow/packets.cpp
+++ b/src/libflow/packets.cpp
@@ -48,7 +48,8 @@
     out.push_back(forward_to_agent{std::move(packet), to.packet_endpoint_});
 }
 
-// The live member that the directory names as owner of `flow`, or null.
+// Returns the live member that the directory names as owner of `flow`, or null.
+// Removes a record whose owner is not live.
 const member* find_live_owner(agent_state& state, const flow_key& flow)
 {
     const auto record = state.directory_.find(flow);
@@ -229,8 +230,8 @@
     if (packet.role_ != packet_role::to_home &&
         incarnation_of(*home) == packet.sender_)
     {
-        // The home's directory names this member as owner by mistake; makes the
-        // home choose an owner again.
+        // The home's directory names this member as owner by mistake. The
+        // message removes the record, so that the home chooses an owner again.
         send_to(state, *home, flow_closed{packet.flow_, packet.placement_id_},
                 out);
     }
@@ -303,7 +304,7 @@
                                  out);
         }
     }
-    pvt::merge_expired_members(state, packet.expired_members_, now, out);
+    pvt::apply_expired_members(state, packet.expired_members_, now, out);
     if (state.fenced_)
     {
         pvt::drop_packet(packet, refusal::stale_incarnation, out);
--- a/src/libflow/roster_assign.cpp
+++ b/src/libflow/roster_assign.cpp
@@ -34,8 +34,8 @@
            watchers.end();
 }
 
-// The index of the best additional watcher of member `m`, or the number of
-// members if there is none. A member that `m` itself watches is the last
+// Returns the index of the best additional watcher of member `m`, or the number
+// of members if there is none. A member that `m` itself watches is the last
 // choice: if two members that watch each other are lost together, no watcher is
 // left to promise their expiry.
 std::size_t pick_watcher(const roster& r, std::size_t m,
@@ -78,7 +78,8 @@
     }
 }
 
-// A serving member's weight is its number of slots, at least one.
+// Returns the weight of a member: its number of slots, at least one, if it is
+// serving, zero otherwise.
 std::size_t weight_of(const member& m)
 {
     if (m.state_ != member_state::serving)
@@ -88,8 +89,8 @@
     return std::max<std::size_t>(1, m.slots_.value());
 }
 
-// Number of homes per member, in proportion to the weights by the largest
-// remainder method.
+// Returns the number of homes per member, in proportion to the weights by the
+// largest remainder method.
 std::vector<std::size_t> bucket_quotas(const roster& r)
 {
     std::vector<std::size_t> weights;
--- a/src/libflow/roster_test.cpp
+++ b/src/libflow/roster_test.cpp
@@ -91,9 +91,10 @@
 
 TEST_CASE("a join counts as undone once its member was removed")
 {
-    // Guards against a failure seen in promises/lost_answers: the answer to a
-    // join was lost, a peer removed the new member since it sent no heartbeats,
-    // and the new member then served flows as a member for 0.3 s.
+    // Guards against a failure seen in the case lost_answers of
+    // testsuite/promises: the answer to a join was lost, a peer removed the new
+    // member since it sent no heartbeats, and the new member then served flows
+    // as a member for 0.3 s.
     const roster_change join = join_change(make_member(7));
     const auto joined = apply(make_roster(3), join);
     REQUIRE(joined.has_value());
--- a/src/libpass/agent_lifecycle.cpp
+++ b/src/libpass/agent_lifecycle.cpp
@@ -105,8 +105,8 @@
 }
 
 // Handles the timeouts of a flow that is opening. Unanswered opening segments
-// reveal a crash of the upstream, of which reports can arrive seconds later or
-// never.
+// reveal a crash of the upstream; a report that shows its restart can arrive
+// seconds later or never.
 void check_opening(pass_agent_state& state, const flow_key& key,
                    agent_flow& flow, instant now, pass_actions& out)
 {
@@ -119,11 +119,11 @@
         add_decision(out, state, key, flow, "opening_unanswered", "", now,
                      true);
         set_phase(flow, pass_phase::ended, now);
-        if (!state.upstream_suspect_ &&
+        if (!state.upstream_suspected_ &&
             state.unanswered_openings_ >=
                 state.settings_.max_unanswered_openings_)
         {
-            state.upstream_suspect_ = true;
+            state.upstream_suspected_ = true;
             state.status_changed_ = true;
             add_upstream_decision(out, state, "upstream_suspect",
                                   "openings_unanswered");
@@ -144,14 +144,15 @@
     }
 }
 
-// Refuses queued segments whose caller abandons its attempt about now.
+// Refuses queued segments whose caller is about to abandon its attempt.
 void check_queue(pass_agent_state& state, instant now, pass_actions& out)
 {
     const std::vector<flow_key> keys = state.queue_;
     for (const flow_key& key : keys)
     {
         agent_flow& flow = state.flows_.at(key);
-        if (now - flow.first_copy_at_ > state.settings_.caller_attempt_timeout_)
+        if (now - flow.attempt_started_at_ >
+            state.settings_.caller_attempt_timeout_)
         {
             pvt::remove_from_queue(state, key);
             pvt::refuse(state, key, flow, "waited_too_long", now, out);
@@ -166,7 +167,7 @@
 {
     pass_agent_state state;
     state.settings_ = settings;
-    state.started_ = now;
+    state.started_at_ = now;
     state.service_time_ = settings.initial_service_time_;
     state.handshake_time_ = settings.round_trip_;
     return state;
@@ -175,7 +176,7 @@
 bool accepts_new_flows(const pass_agent_state& state, instant now)
 {
     return state.upstream_.state_ == upstream_state::ready &&
-           !state.shutting_down_ && !state.upstream_suspect_ &&
+           !state.shutting_down_ && !state.upstream_suspected_ &&
            now - state.last_report_at_ < state.settings_.report_timeout_;
 }
 
@@ -214,7 +215,7 @@
         end_flows(state,
                   report.started_monotonic_ - state.settings_.restart_margin_,
                   now, out);
-        state.upstream_suspect_ = false;
+        state.upstream_suspected_ = false;
         state.unanswered_openings_ = 0;
         state.service_time_ = state.settings_.initial_service_time_;
     }
@@ -223,11 +224,11 @@
                          !accepts_new_flows(state, now);
     state.upstream_ = report;
     state.last_report_at_ = now;
-    if (state.upstream_suspect_)
+    if (state.upstream_suspected_)
     {
         // The report shows that the upstream is running. The next opening
         // segments show whether it also answers.
-        state.upstream_suspect_ = false;
+        state.upstream_suspected_ = false;
         state.unanswered_openings_ = 0;
     }
     state.upstream_cold_until_ = now + report.cold_remaining_;
--- a/src/libpass/agent_opening.cpp
+++ b/src/libpass/agent_opening.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// An agent's decisions about opening segments. The comment of each function
-/// names the load pattern that it is made for.
+/// An agent's decisions about opening segments. Comments describe the load
+/// patterns that the functions are made for.
 
 #include <libpass/agent_pvt.h>
 
@@ -17,7 +17,7 @@
 namespace
 {
 
-// Backlog recorded for an agent whose upstream did not take a segment: more
+// Backlog recorded for an agent whose upstream did not accept a segment: more
 // than any real backlog, so that any other visited agent gets the segment
 // instead.
 constexpr double unavailable_backlog = 100.0;
@@ -25,8 +25,8 @@
 // Weight of the newest sample in a moving average.
 constexpr double sample_weight = 0.1;
 
-// Returns the max number of requests in flight at the upstream, running or in
-// their handshake. When balancers are overloaded, mostly after an outage, a
+// Returns the limit on requests in flight at the upstream, running or in their
+// handshake. When balancers are overloaded, mostly after an outage, a
 // handshake takes longer than the request itself. The limit then allows more
 // flows in their handshake, so that the slots stay occupied.
 std::uint32_t max_in_flight(const pass_agent_state& state, instant now)
@@ -111,7 +111,7 @@
                      instant now, pass_actions& out)
 {
     flow.place_.age_ =
-        std::chrono::duration_cast<duration>(now - flow.first_copy_at_);
+        std::chrono::duration_cast<duration>(now - flow.attempt_started_at_);
     flow.moved_to_ = next;
     set_phase(flow, pass_phase::moved, now);
     out.send_to_peer(next, flow.place_);
@@ -149,11 +149,12 @@
         static_cast<double>(flow.place_.latency_target_.count()) *
         target_fraction));
     return offered_at + expected_answer_time(state) <=
-           flow.first_copy_at_ + usable_time;
+           flow.attempt_started_at_ + usable_time;
 }
 
-// Order of the queue: segments that can still be answered in time, then by
-// priority, then by age.
+// Returns whether `a` is ahead of `b` in the queue: segments that can still be
+// answered in time come first, then those of a higher priority, then older
+// ones.
 bool precedes(const pass_agent_state& state, const agent_flow& a,
               const agent_flow& b, instant now)
 {
@@ -166,7 +167,7 @@
     {
         return a.place_.priority_ < b.place_.priority_;
     }
-    return a.first_copy_at_ < b.first_copy_at_;
+    return a.attempt_started_at_ < b.attempt_started_at_;
 }
 
 // Returns the expected time until a segment that is queued now gets a slot: the
@@ -207,7 +208,7 @@
                                    state.settings_.late_slot_fraction_));
     const bool within_attempt =
         now + late_wait <
-        flow.first_copy_at_ + state.settings_.caller_attempt_timeout_;
+        flow.attempt_started_at_ + state.settings_.caller_attempt_timeout_;
     if (!in_time && (overloaded || !within_attempt ||
                      late_wait > state.settings_.max_late_wait_))
     {
@@ -243,8 +244,9 @@
 // Forwards a segment that this agent's upstream can't get now. Balancers choose
 // by statuses that are some hundred milliseconds old, so some agents are full
 // while others have free slots. The segment is therefore forwarded from one
-// candidate to the next until one has a free slot. If all are full, the one
-// with the lowest backlog queues or refuses it.
+// candidate to the next, each of which has its exact current load, until one
+// has a free slot. If all are full, the one with the lowest backlog queues or
+// refuses it.
 void forward_or_queue(pass_agent_state& state, const flow_key& key,
                       agent_flow& flow, rejection_reason why, instant now,
                       pass_actions& out)
@@ -348,7 +350,7 @@
     decision.in_flight_ = state.in_flight_;
     decision.queued_ = static_cast<std::uint32_t>(state.queue_.size());
     decision.age_ =
-        std::chrono::duration_cast<duration>(now - flow.first_copy_at_);
+        std::chrono::duration_cast<duration>(now - flow.attempt_started_at_);
     decision.important_ = important;
     out.decisions_.push_back(decision);
 }
@@ -407,7 +409,7 @@
     for (const flow_key& key : keys)
     {
         agent_flow& flow = state.flows_.at(key);
-        // Without its visit this agent is no target for the segment any more.
+        // Without its visit, this agent can't be the least loaded one.
         auto& visits = flow.place_.visits_;
         visits.erase(std::remove_if(visits.begin(), visits.end(),
                                     [&](const agent_visit& v) {
@@ -478,7 +480,7 @@
     agent_flow flow;
     flow.place_ = message;
     flow.opening_sequence_ = opening.sequence_;
-    flow.first_copy_at_ = now - message.age_;
+    flow.attempt_started_at_ = now - message.age_;
     flow.data_end_ = opening.sequence_ + 1;
     flow.last_active_ = now;
     state.flows_[key] = std::move(flow);
--- a/src/libpass/agent_pvt.h
+++ b/src/libpass/agent_pvt.h
@@ -30,9 +30,10 @@
 void refuse(pass_agent_state& state, const flow_key& key, agent_flow& flow,
             const char* reason, instant now, pass_actions& out);
 
-/// Forwards an opening segment that the upstream did not take to its next
-/// candidate, with a backlog for this agent that is higher than any real one.
-/// Returns false if no candidate is left.
+/// Forwards an opening segment that the upstream did not accept to its next
+/// candidate. Records a visit of this agent with a backlog higher than any real
+/// one, so that the segment does not return here while another agent can queue
+/// it. Returns false if no candidate is left.
 bool reroute_opening(pass_agent_state& state, const flow_key& key,
                      agent_flow& flow, const char* reason, instant now,
                      pass_actions& out);
@@ -41,8 +42,8 @@
 /// that can still meet their latency target, then by priority, then by age.
 void offer_queued(pass_agent_state& state, instant now, pass_actions& out);
 
-/// Empties the queue and decides about each of its segments anew, without this
-/// agent's earlier visit.
+/// Empties the queue and decides about each of its segments anew. The earlier
+/// visit of this agent no longer counts.
 void reroute_queued(pass_agent_state& state, instant now, pass_actions& out);
 
 /// Sets whether the flow counts as one of the upstream's requests in flight.
--- a/src/libpass/agent_segments.cpp
+++ b/src/libpass/agent_segments.cpp
@@ -80,22 +80,23 @@
     end_if_finished(state, flow, now);
 }
 
-// Returns the segment to the balancer, which then searches for the flow's
-// owner. Does nothing if `balancer` is zero.
-void return_to_balancer(byte_view bytes, host_address balancer,
-                        const pass_agent_state& state, pass_actions& out)
+// Returns the segment to the peer that sent it. A balancer then searches for
+// the flow's owner. Does nothing if `sender` is zero.
+void return_to_sender(byte_view bytes, host_address sender,
+                      const pass_agent_state& state, pass_actions& out)
 {
-    if (balancer == host_address())
+    if (sender == host_address())
     {
         return;
     }
-    out.send_to_peer(balancer,
+    out.send_to_peer(sender,
                      locate_message{{bytes.data_, bytes.data_ + bytes.size_},
                                     state.settings_.host_});
 }
 
-// An opening segment is forwarded to few agents. A segment with more hops than
-// this is in a forwarding loop between agents with outdated entries.
+// An opening segment is forwarded to fewer agents than this. A later segment of
+// the flow with this many hops is in a loop between agents whose state of the
+// flow is outdated.
 constexpr std::uint8_t max_hops = 8;
 
 // Forwards a segment of a moved flow to the flow's new agent.
@@ -118,12 +119,12 @@
 // sends the segment to the upstream, which returns it if it does not have the
 // flow.
 void adopt(pass_agent_state& state, const segment_header& s, byte_view bytes,
-           host_address balancer, instant now, pass_actions& out)
+           host_address sender, instant now, pass_actions& out)
 {
     agent_flow flow;
     flow.adopted_ = true;
-    flow.place_.balancer_ = balancer;
-    flow.first_copy_at_ = now;
+    flow.place_.balancer_ = sender;
+    flow.attempt_started_at_ = now;
     set_phase(flow, pass_phase::open, now);
     agent_flow& adopted = state.flows_[s.flow_];
     adopted = std::move(flow);
@@ -144,7 +145,7 @@
         upstream.started_.value() + static_cast<std::uint64_t>(margin.count()) <
             state.settings_.process_started_.value();
     return upstream_older &&
-           now - state.started_ < state.settings_.adoption_window_ &&
+           now - state.started_at_ < state.settings_.adoption_window_ &&
            upstream.state_ != upstream_state::gone;
 }
 
@@ -212,14 +213,14 @@
     set_phase(flow, pass_phase::unknown_to_upstream, now);
     if (flow.adopted_ && flow.place_.earlier_agent_ != host_address())
     {
-        // On an adopted flow `earlier_agent_` is the balancer that searches for
-        // the flow's owner.
+        // On an adopted flow `earlier_agent_` is the peer that searches for the
+        // flow's owner.
         out.send_to_peer(flow.place_.earlier_agent_,
                          flow_owner_message{s.flow_, host_address(), false,
                                             state.settings_.host_});
         return;
     }
-    return_to_balancer(bytes, balancer, state, out);
+    return_to_sender(bytes, balancer, state, out);
 }
 
 void track_upstream(pass_agent_state& state, agent_flow& flow,
@@ -257,7 +258,7 @@
 } // namespace
 
 void handle_caller_segment(pass_agent_state& state, const segment_header& s,
-                           byte_view bytes, host_address balancer, instant now,
+                           byte_view bytes, host_address sender, instant now,
                            pass_actions& out)
 {
     const auto it = state.flows_.find(s.flow_);
@@ -265,16 +266,16 @@
     {
         if (may_adopt(state, now))
         {
-            adopt(state, s, bytes, balancer, now, out);
+            adopt(state, s, bytes, sender, now, out);
             return;
         }
-        return_to_balancer(bytes, balancer, state, out);
+        return_to_sender(bytes, sender, state, out);
         return;
     }
     agent_flow& flow = it->second;
     if (flow.phase_ == pass_phase::unknown_to_upstream)
     {
-        return_to_balancer(bytes, balancer, state, out);
+        return_to_sender(bytes, sender, state, out);
         return;
     }
     flow.last_active_ = now;
@@ -298,20 +299,20 @@
             flow.moved_to_ = earlier;
             set_phase(flow, pass_phase::moved, now);
             out.send_to_agent(earlier, bytes);
-            out.send_to_peer(balancer,
+            out.send_to_peer(sender,
                              flow_owner_message{s.flow_, earlier, false});
         }
         else
         {
             state.flows_.erase(it);
-            return_to_balancer(bytes, balancer, state, out);
+            return_to_sender(bytes, sender, state, out);
         }
         pvt::offer_queued(state, now, out);
         return;
     }
     if (flow.adopted_)
     {
-        flow.place_.balancer_ = balancer;
+        flow.place_.balancer_ = sender;
     }
     if (flow.phase_ != pass_phase::ended)
     {
@@ -340,26 +341,26 @@
         it->second.last_active_ = now;
         out.send_to_upstream(bytes);
         out.send_to_peer(
-            message.balancer_,
+            message.sender_,
             flow_owner_message{s.flow_, state.settings_.host_, false});
         add_decision(out, state, s.flow_, it->second, "located", "", now, true,
-                     message.balancer_);
+                     message.sender_);
         return;
     }
     if (it != state.flows_.end() && it->second.phase_ == pass_phase::moved)
     {
-        if (it->second.moved_to_ == message.balancer_)
+        if (it->second.moved_to_ == message.sender_)
         {
             // The agent that the flow moved to sent this, so the flow is not
             // there either.
             set_phase(it->second, pass_phase::unknown_to_upstream, now);
             return;
         }
-        // Forwarded as well as answered, because the balancer may not have the
+        // The segment is forwarded as well, because the sender may not have the
         // new owner among its agents yet.
         forward_to_new_agent(state, it->second, s, bytes, now, out);
         out.send_to_peer(
-            message.balancer_,
+            message.sender_,
             flow_owner_message{s.flow_, it->second.moved_to_, false});
         return;
     }
@@ -367,17 +368,17 @@
         (it != state.flows_.end() &&
          it->second.phase_ == pass_phase::unknown_to_upstream))
     {
-        out.send_to_peer(message.balancer_,
+        out.send_to_peer(message.sender_,
                          flow_owner_message{s.flow_, host_address(), false,
                                             state.settings_.host_});
         return;
     }
     if (it == state.flows_.end() && may_adopt(state, now))
     {
-        // The answer waits until the upstream has sent a segment or returned
-        // this one; `earlier_agent_` holds the searching balancer until then.
+        // The response is sent when the upstream has sent a segment or returned
+        // this one; until then `earlier_agent_` is the searching peer.
         adopt(state, s, bytes, host_address(), now, out);
-        state.flows_.at(s.flow_).place_.earlier_agent_ = message.balancer_;
+        state.flows_.at(s.flow_).place_.earlier_agent_ = message.sender_;
     }
 }
 
@@ -391,9 +392,9 @@
         pvt::offer_queued(state, now, out);
         return;
     }
-    if (state.upstream_suspect_)
+    if (state.upstream_suspected_)
     {
-        state.upstream_suspect_ = false;
+        state.upstream_suspected_ = false;
         state.status_changed_ = true;
     }
     const auto it = state.flows_.find(s.flow_);
@@ -402,8 +403,8 @@
         agent_flow& flow = it->second;
         if (flow.adopted_ && flow.place_.earlier_agent_ != host_address())
         {
-            // The upstream has the flow, so the searching balancer, which
-            // `earlier_agent_` of an adopted flow holds, gets its answer.
+            // The upstream has the flow, so the searching peer, which on an
+            // adopted flow is `earlier_agent_`, gets its response.
             out.send_to_peer(
                 flow.place_.earlier_agent_,
                 flow_owner_message{s.flow_, state.settings_.host_, false});
--- a/src/libpass/agent_test.cpp
+++ b/src/libpass/agent_test.cpp
@@ -40,7 +40,7 @@
 }
 
 TEST_CASE(
-    "the most important queued segment gets the slot that a response frees")
+    "the most important queued segment gets the slot that an answer frees")
 {
     pass_agent_state state = make_agent();
     for (std::uint16_t port = 1; port <= 3; ++port)
@@ -54,7 +54,7 @@
     handle_place(state, important, make_opening(5), start, out);
     REQUIRE(state.queue_.size() == 2);
     pass_actions freed;
-    handle_upstream_segment(state, make_response(1), sample_bytes(),
+    handle_upstream_segment(state, make_answer(1), sample_bytes(),
                             start + milliseconds(30), freed);
     CHECK(count(freed, pass_target::upstream) == 1);
     CHECK(state.flows_.at(make_flow(5)).phase_ == pass_phase::opening);
@@ -256,7 +256,7 @@
     handle_place(state, make_place({agent_b}), make_opening(2), start, out);
     pass_actions later;
     handle_tick(state, start + milliseconds(100), later);
-    CHECK(state.upstream_suspect_);
+    CHECK(state.upstream_suspected_);
     CHECK(find_message<place_message>(later) != nullptr);
     CHECK(state.in_flight_ == 0);
     // A report shows that the upstream is running.
@@ -371,7 +371,7 @@
     handle_upstream_segment(state, bounced, sample_bytes(), start, returned);
     CHECK(find_message<locate_message>(returned) != nullptr);
     // FLOW of zon-sacz trouble-3: an upstream that did not have the flow got
-    // its packets repeatedly.
+    // the flow's segments repeatedly.
     pass_actions repeated;
     handle_locate(state, {sample_packet, balancer_x}, request,
                   start + milliseconds(200), repeated);
--- a/src/libpass/balancer.cpp
+++ b/src/libpass/balancer.cpp
@@ -30,7 +30,7 @@
         decision.in_flight_ = agent->second.status_.in_flight_;
         decision.queued_ = agent->second.status_.queued_;
         decision.age_ = std::chrono::duration_cast<duration>(
-            now - agent->second.last_heard_);
+            now - agent->second.last_status_at_);
     }
     out.decisions_.push_back(decision);
 }
@@ -39,7 +39,7 @@
                instant now)
 {
     return agent.has_status_ && agent.status_.accepting_ &&
-           now - agent.last_heard_ < state.settings_.agent_timeout_;
+           now - agent.last_status_at_ < state.settings_.agent_timeout_;
 }
 
 double load_of(const pass_balancer_state& state, const agent_record& agent)
@@ -106,7 +106,7 @@
         state.services_[status.service_].push_back(status.host_);
     }
     agent.status_ = status;
-    agent.last_heard_ = now;
+    agent.last_status_at_ = now;
     agent.has_status_ = true;
     agent.placed_since_status_ = 0;
     const bool usable = pvt::is_usable(state, agent, now);
@@ -131,9 +131,9 @@
                       instant now)
 {
     agent_record& record = state.agents_[agent];
-    if (!record.has_status_ && record.last_heard_ == instant())
+    if (!record.has_status_ && record.last_status_at_ == instant())
     {
-        record.last_heard_ = now;
+        record.last_status_at_ = now;
     }
 }
 
@@ -160,7 +160,7 @@
                       [&](const auto& entry)
                       {
                           return entry.second.has_status_ &&
-                                 now - entry.second.last_heard_ <
+                                 now - entry.second.last_status_at_ <
                                      state.settings_.agent_timeout_;
                       }));
 }
--- a/src/libpass/balancer_opening.cpp
+++ b/src/libpass/balancer_opening.cpp
@@ -46,10 +46,10 @@
     duration(0), std::chrono::milliseconds(200),
     std::chrono::milliseconds(600)};
 
-// Returns the min time since the caller's attempt began, by the segment's
-// retransmission count. After an outage most segments are retransmissions whose
-// answer will be late. If they counted as new, they would displace segments
-// that can still be answered in time.
+// Returns the minimum time since the caller's attempt started, given the
+// segment's retransmission count. After an outage most segments are
+// retransmissions whose answer will be late. If they counted as new, they would
+// displace segments that can still be answered in time.
 duration min_age(const segment_header& opening)
 {
     return retransmission_ages[std::min<std::size_t>(
@@ -112,11 +112,11 @@
     ++state.agents_.at(first).placed_since_status_;
     balancer_flow& flow = state.flows_[s.flow_];
     if (flow.opening_sequence_ != s.sequence_ ||
-        flow.first_copy_at_ == instant())
+        flow.attempt_started_at_ == instant())
     {
         flow = balancer_flow();
         flow.opening_sequence_ = s.sequence_;
-        flow.first_copy_at_ = now - context.age_;
+        flow.attempt_started_at_ = now - context.age_;
     }
     flow.owner_ = first;
     flow.queued_ = false;
@@ -136,7 +136,7 @@
 {
     const auto it = state.agents_.find(host);
     return it == state.agents_.end() ||
-           now - it->second.last_heard_ >
+           now - it->second.last_status_at_ >
                state.settings_.retransmit_agent_timeout_;
 }
 
@@ -178,7 +178,7 @@
                              instant now, pass_actions& out)
 {
     const duration age =
-        std::chrono::duration_cast<duration>(now - pending.first_copy_at_);
+        std::chrono::duration_cast<duration>(now - pending.attempt_started_at_);
     if (age > state.settings_.max_opening_wait_)
     {
         add_decision(out, "refused", "waited_too_long", pending.segment_, {},
@@ -220,8 +220,7 @@
 {
     if (!state.rules_)
     {
-        // Before the first rules the balancer can't tell whether there is a
-        // rule for the address.
+        // The balancer has no rules yet, so there may be one for the address.
         add_pending(state, s, bytes, now, out);
         return;
     }
@@ -237,13 +236,13 @@
         existing->second.opening_sequence_ == s.sequence_ &&
         existing->second.owner_ != host_address())
     {
-        // A retransmission goes to the agent of the first transmission, which
-        // can tell whether the segment is queued there, unless that agent has
-        // timed out.
+        // Unless it has timed out, the agent of the first transmission gets the
+        // retransmission, because it may have queued or offered the segment
+        // already.
         const host_address owner = existing->second.owner_;
-        context.age_ =
-            std::max(context.age_, std::chrono::duration_cast<duration>(
-                                       now - existing->second.first_copy_at_));
+        context.age_ = std::max(
+            context.age_, std::chrono::duration_cast<duration>(
+                              now - existing->second.attempt_started_at_));
         const bool delayed_here = now - existing->second.last_active_ <
                                   state.settings_.min_retransmit_gap_;
         if (!delayed_here && is_timed_out(state, owner, now))
@@ -252,8 +251,8 @@
         }
         else if (existing->second.queued_)
         {
-            // The segment is queued at its agent already, which gains nothing
-            // from retransmissions: they would only multiply its messages.
+            // The segment is queued at its agent already. A retransmission
+            // would be ignored there and only add to the agent's messages.
             add_decision(out, "retransmission_dropped", "held", s, owner, false,
                          state, now);
             return;
--- a/src/libpass/balancer_segments.cpp
+++ b/src/libpass/balancer_segments.cpp
@@ -20,7 +20,7 @@
 bool may_own(const pass_balancer_state& state, const agent_record& agent,
              const flow_key& flow, instant now)
 {
-    if (now - agent.last_heard_ > state.settings_.agent_gone_timeout_)
+    if (now - agent.last_status_at_ > state.settings_.agent_gone_timeout_)
     {
         return false;
     }
@@ -52,7 +52,8 @@
 
 // Searches for the flow's owner: sends the segment to all agents that may have
 // the flow, except `excluded`. Of these agents only the owner and those that
-// may have to adopt the flow send the segment to their upstreams.
+// may have to adopt the flow send the segment to their upstreams, so that other
+// upstreams get no segments of flows that they do not have.
 void locate(pass_balancer_state& state, const segment_header& s,
             byte_view bytes, host_address excluded, instant now,
             pass_actions& out)
@@ -151,13 +152,13 @@
     const auto it = state.flows_.find(s.flow_);
     const bool has_new_owner = it != state.flows_.end() &&
                                it->second.owner_ != host_address() &&
-                               it->second.owner_ != message.balancer_;
+                               it->second.owner_ != message.sender_;
     if (has_new_owner)
     {
         out.send_to_agent(it->second.owner_, bytes);
         return;
     }
-    locate(state, s, bytes, message.balancer_, now, out);
+    locate(state, s, bytes, message.sender_, now, out);
 }
 
 } // namespace galenafork
--- a/src/libpass/balancer_test.cpp
+++ b/src/libpass/balancer_test.cpp
@@ -174,7 +174,7 @@
                           out);
     CHECK(count(out, pass_target::agent) == 0);
     CHECK(count(out, pass_target::peer) == 3);
-    // No second search while answers are on their way.
+    // There is no second search while responses are on their way.
     pass_actions soon;
     handle_caller_segment(state, make_request(1, 1), sample_bytes(),
                           start + milliseconds(10), soon);
@@ -202,7 +202,7 @@
 }
 
 TEST_CASE(
-    "a flow is not reset while an agent that may have it has not answered")
+    "a flow is not reset while an agent that may have it has not responded")
 {
     pass_balancer_state state = make_balancer();
     state.members_complete_ = true;
--- a/src/libpass/load_replay.h
+++ b/src/libpass/load_replay.h
@@ -74,7 +74,8 @@
     /// By kind of request, in the order of the settings.
     std::vector<outcome> kinds_;
     std::size_t resets_ = 0;
-    /// Max number of requests at one upstream at a time, running and queued.
+    /// Largest number of requests at one upstream at a time, running and
+    /// queued.
     std::size_t longest_queue_ = 0;
 
     /// Returns the fraction of all requests that were answered in time.
@@ -83,7 +84,7 @@
     /// deadline.
     double served_fraction() const;
     /// Returns the same as `in_time_fraction`, but with each late answer
-    /// counted as `late_credit` of one in time.
+    /// counted as `late_credit` of an answer in time.
     double credit_fraction(double late_credit) const;
 };
 
--- a/src/libpass/load_replay_test.cpp
+++ b/src/libpass/load_replay_test.cpp
@@ -379,7 +379,7 @@
                 reset_caller(action.flow_);
                 break;
             case pass_target::peer:
-                deliver_message(action, is_agent);
+                send_message(action, is_agent);
                 break;
             }
         }
@@ -401,7 +401,7 @@
               });
     }
 
-    void deliver_message(const pass_datagram& action, bool /*from_agent*/)
+    void send_message(const pass_datagram& action, bool /*from_agent*/)
     {
         const pass_message m = *action.message_;
         const std::uint32_t host = action.host_.value();
--- a/src/libpass/load_test.cpp
+++ b/src/libpass/load_test.cpp
@@ -56,9 +56,9 @@
 
 TEST_CASE("opening segments are forwarded to agents with a free slot")
 {
-    // Load 0.85. The reference sends each segment to a random agent, whose
-    // upstream queues without a limit. The fraction of answers in time must be
-    // above 0.99 and above that of the reference.
+    // The load is 0.85. The reference sends each segment to a random agent,
+    // whose upstream queues without a limit. The fraction of answers in time
+    // must be above 0.99 and above that of the reference.
     for (const std::uint32_t seed : {1U, 2U, 3U})
     {
         replay_settings forwarding = make_settings(seed, 0.85);
@@ -77,8 +77,9 @@
 
 TEST_CASE("a slot is not idle during the handshake of the next caller")
 {
-    // Load 0.97. The reference allows no request in flight beyond the slots.
-    // The fraction of answers in time must be above that of the reference.
+    // The load is 0.97. The reference allows no request in flight beyond the
+    // slots. The fraction of answers in time must be above that of the
+    // reference.
     replay_settings with_extra = make_settings(4, 0.97);
     replay_settings without_extra = with_extra;
     without_extra.agent_.extra_in_flight_ = 0;
@@ -91,9 +92,9 @@
 
 TEST_CASE("in overload requests of a higher priority are served first")
 {
-    // Load 1.5. In the reference both kinds of requests have the same priority.
-    // The fraction of claims answered in time must be above 0.95 and above that
-    // of the reference.
+    // The load is 1.5. In the reference both kinds of requests have the same
+    // priority. The fraction of claims answered in time must be above 0.95 and
+    // above that of the reference.
     for (const std::uint32_t seed : {5U, 6U})
     {
         const replay_settings by_priority = make_settings(seed, 1.5);
@@ -117,8 +118,8 @@
 
 TEST_CASE("in overload no kind of request is starved")
 {
-    // Load 1.5. Of each kind more than a quarter must be answered in time, and
-    // no upstream may have more than three requests at a time.
+    // The load is 1.5. Of each kind more than a quarter must be answered in
+    // time, and no upstream may have more than three requests at a time.
     const replay_result result = replay(make_settings(6, 1.5));
     for (const outcome& o : result.kinds_)
     {
@@ -130,9 +131,10 @@
 
 TEST_CASE("in overload segments are refused instead of all being late")
 {
-    // Load 1.5. The reference sends all segments to the upstreams, which queue
-    // them. The fraction of answers in time must be more than twice that of the
-    // reference, and no upstream may have more than three requests at a time.
+    // The load is 1.5. The reference sends all segments to the upstreams, which
+    // queue them. The fraction of answers in time must be more than twice that
+    // of the reference, and no upstream may have more than three requests at a
+    // time.
     replay_settings limited = make_settings(7, 1.5);
     replay_settings unlimited = limited;
     unlimited.agent_.extra_in_flight_ = 1000;
@@ -146,11 +148,11 @@
 
 TEST_CASE("cold upstreams do not serve a backlog of late segments")
 {
-    // chk-edge-grown trouble-2: 1.4 s without power, 0.5 s until balancers and
-    // agents are back, then 2 s of slow upstreams; callers retry at once. Load
-    // 0.7. The reference queues segments that will be late for up to 1.2 s. The
-    // credit, where a late answer counts 0.3, must be above that of the
-    // reference.
+    // This replays chk-edge-grown trouble-2: 1.4 s without power, 0.5 s until
+    // balancers and agents are back, then 2 s of slow upstreams; callers retry
+    // at once. The load is 0.7. The reference queues segments that will be late
+    // for up to 1.2 s. The credit, where a late answer counts 0.3, must be
+    // above that of the reference.
     for (const std::uint32_t seed : {19U, 20U, 21U})
     {
         replay_settings short_wait = make_settings(seed, 0.7);
@@ -171,9 +173,9 @@
 
 TEST_CASE("after an outage segments are answered late rather than refused")
 {
-    // Load 0.6 with an outage of 1.2 s at the start. The reference refuses all
-    // segments that would be late. The fraction of requests answered before
-    // their deadline must be above that of the reference.
+    // The load is 0.6, with an outage of 1.2 s at the start. The reference
+    // refuses all segments that would be late. The fraction of requests
+    // answered before their deadline must be above that of the reference.
     for (const std::uint32_t seed : {8U, 9U})
     {
         replay_settings queueing_late = make_settings(seed, 0.6);
@@ -196,9 +198,10 @@
 
 TEST_CASE("slots are not idle while balancers are overloaded")
 {
-    // Load 0.95 with a delay of 12 ms in the balancers, which makes handshakes
-    // long. The reference does not allow more requests in flight for it. The
-    // fraction of answers in time must be above that of the reference.
+    // The load is 0.95, and a delay of 12 ms in the balancers makes handshakes
+    // long. The reference does not allow more requests in flight because of
+    // long handshakes. The fraction of answers in time must be above that of
+    // the reference.
     for (const std::uint32_t seed : {12U, 13U})
     {
         replay_settings adaptive = make_settings(seed, 0.95);
@@ -215,9 +218,9 @@
 
 TEST_CASE("after an outage slots are not reserved for callers that have gone")
 {
-    // Load 0.9 with an outage of 1.2 s at the start. The reference has longer
-    // limits for handshakes, late segments and pending segments. The fraction
-    // of answers in time must be above that of the reference.
+    // The load is 0.9, with an outage of 1.2 s at the start. The reference has
+    // longer limits for handshakes, late segments and pending segments. The
+    // fraction of answers in time must be above that of the reference.
     for (const std::uint32_t seed : {14U, 15U})
     {
         replay_settings short_wait = make_settings(seed, 0.9);
@@ -237,9 +240,9 @@
 
 TEST_CASE("the first agent after an outage does not get all pending segments")
 {
-    // Load 0.6 with an outage of 0.9 s at the start. In the reference pending
-    // segments are placed whatever the agent's load. The longest queue at an
-    // upstream must be shorter than in the reference.
+    // The load is 0.6, with an outage of 0.9 s at the start. In the reference
+    // pending segments are placed whatever the agent's load. The longest queue
+    // at an upstream must be shorter than in the reference.
     replay_settings limited = make_settings(10, 0.6);
     limited.agent_outage_ = milliseconds(900);
     limited.length_ = seconds(3);
@@ -257,9 +260,9 @@
 
 TEST_CASE("retransmissions of refused segments do not reach the upstream")
 {
-    // Load 1.5. Retransmissions cross the resets of refused segments. If they
-    // were sent to the upstream, it would have more requests than its slots and
-    // the extra request in flight.
+    // The load is 1.5. Retransmissions cross the resets of refused segments. If
+    // the retransmissions were sent to the upstream, it would have more
+    // requests than its slots and the extra request in flight.
     replay_settings settings = make_settings(11, 1.5);
     const replay_result result = replay(settings);
     CHECK(result.longest_queue_ <=
--- a/src/libpass/pass.capnp
+++ b/src/libpass/pass.capnp
@@ -1,7 +1,10 @@
 # Datagrams between balancers and agents of passthrough flows. The C++ beside
-# this file is made by
+# this file is committed; this command, run at the root, generates it:
 #   capnp compile -oc++ src/libpass/pass.capnp
-# and committed. src/include/galenafork/pass_messages.h says what each means.
+# src/include/galenafork/pass_messages.h documents each message. Some names
+# differ there: `Moved` is `flow_owner_message`, `settled` is
+# `candidates_exhausted_`, `earlier` is `earlier_agent_`, `held` is `queued_` and
+# `busy` is `in_flight_`.
 
 @0xd3b1f7c25a908e41;
 
@@ -17,7 +20,7 @@
 
 struct Visit {
   host @0 :UInt32;
-  backlog @1 :UInt16;  # thousandths of a slot's capacity, saturated
+  backlog @1 :UInt16;  # Thousandths of a request per slot, at most 65535.
 }
 
 struct Place {
@@ -79,7 +82,8 @@
   }
 }
 
-# One balancer's knowledge for another that cannot reach the platform.
+# Gives a balancer's rules and member lists to a balancer that cannot reach the
+# platform.
 interface Knowledge {
   rules @0 () -> (version :UInt64, text :Text);
   members @1 () -> (agents :List(UInt32), balancers :List(UInt32));
--- a/src/libpass/pass_messages.cpp
+++ b/src/libpass/pass_messages.cpp
@@ -121,7 +121,7 @@
 void write(schema::Locate::Builder out, const locate_message& m)
 {
     out.setPacket(to_data(m.packet_));
-    out.setBalancer(m.balancer_.value());
+    out.setBalancer(m.sender_.value());
 }
 
 locate_message read(schema::Locate::Reader in)
--- a/src/libpass/rules_watch.cpp
+++ b/src/libpass/rules_watch.cpp
@@ -8,7 +8,8 @@
 namespace
 {
 
-// Max deviation of a scheduled watch from the mean, as a fraction of the mean.
+// Largest deviation of a scheduled watch's length from the mean, as a fraction
+// of the mean.
 constexpr double jitter_fraction = 0.3;
 
 } // namespace
--- a/src/libpass/samples.h
+++ b/src/libpass/samples.h
@@ -59,7 +59,7 @@
     return s;
 }
 
-inline segment_header make_response(std::uint16_t port)
+inline segment_header make_answer(std::uint16_t port)
 {
     segment_header s;
     s.flow_ = make_flow(port);
--- a/src/libpassd/daemon_setup.cpp
+++ b/src/libpassd/daemon_setup.cpp
@@ -34,7 +34,7 @@
 packet_addresses_of(const platform_adapter::instance_settings& settings)
 {
     packet_addresses addresses;
-    addresses.packets_ = settings.packets_;
+    addresses.segments_ = settings.segments_;
     addresses.peers_ = at_port(
         settings.host_, static_cast<std::uint16_t>(
                             settings.first_internal_port_ + peers_port_offset));
--- a/src/libpassd/daemon_setup.h
+++ b/src/libpassd/daemon_setup.h
@@ -23,44 +23,47 @@
 /// Converts `d` to kj's duration type.
 kj::Duration to_kj(duration d);
 
-/// The port of the RPC service that balancers offer to each other.
+/// Returns the port of the RPC service that balancers offer to each other.
 std::uint16_t rpc_port(const platform_adapter::instance_settings& settings);
 
-/// The UDP addresses that a daemon binds, and the address of its upstream.
+/// Returns the UDP addresses that a daemon binds, and the address of its
+/// upstream.
 packet_addresses
 packet_addresses_of(const platform_adapter::instance_settings& settings);
 
-/// Settings of the client for the store. The caps on backoff and on the circuit
-/// breaker are low, so that entries are written again within two seconds after
-/// an outage ends.
+/// Returns the settings of the client for the store. The caps on backoff and on
+/// the circuit breaker are low, so that entries are written again within two
+/// seconds after an outage ends.
 platform_settings
 store_settings(const platform_adapter::instance_settings& settings);
 
 /// Opens the control loop with all HTTP addresses and the RPC address of the
-/// instance. Fails with `unavailable` if one is taken.
+/// instance. Fails with `unavailable` if an address is taken.
 tl::expected<std::unique_ptr<control_loop>, error>
 open_control(const platform_adapter::instance_settings& settings,
              const metrics_registry& metrics);
 
-/// Name of the store entry of `host` in `collection`.
+/// Returns the name of the store entry of `host` in `collection`.
 std::string entry_name(const char* collection, host_address host);
 
-/// Value of this instance's store entry: host, data centre and service as JSON.
+/// Returns the value of this instance's store entry: host, data centre and
+/// service as JSON.
 std::string entry_value(const platform_adapter::instance_settings& settings);
 
-/// The hosts of the entries of a collection. An entry without a valid IPv4
-/// address as its host is logged and skipped.
+/// Returns the hosts of the entries of a collection. An entry without a valid
+/// IPv4 address as its host is logged and skipped.
 std::vector<host_address> hosts_of(const std::vector<platform_object>& entries);
 
 /// Reads the command line and the settings file. Without arguments the path of
-/// the file is taken from the environment variable `settings_variable`. Fails
-/// with the exit code if the daemon is not to start: after an error, which has
-/// then been printed, or after an option such as `--check`.
+/// the file is read from the environment variable that `settings_variable`
+/// names. Fails with the exit code if the daemon is not to start: after an
+/// error, which has then been printed, or after an option such as `--check`.
 tl::expected<platform_adapter::instance_settings, exit_code>
 read_pass_settings(int argc, const char* const* argv, const char* program,
                    const char* summary);
 
-/// The main function of a daemon, whose class is `Daemon`.
+/// Runs a daemon of class `Daemon`: reads its settings, opens it and runs it
+/// until it ends. Returns the exit code of the process.
 template <class Daemon>
 int run_pass_daemon(int argc, const char* const* argv, const char* program,
                     const char* summary)
--- a/src/libpassd/decision_log.h
+++ b/src/libpassd/decision_log.h
@@ -46,7 +46,7 @@
         pass_decision decision_;
     };
 
-    /// Counts `decision` against its budget; false if the budget is used up.
+    /// Counts `decision` against its budget. Returns false if that is used up.
     bool consume_budget(const pass_decision& decision, instant now);
 
     decision_log_settings settings_;
--- a/src/libpassd/fake_store.h
+++ b/src/libpassd/fake_store.h
@@ -26,7 +26,7 @@
     kj::Promise<tl::expected<platform_object, error>>
     get(std::string name) override
     {
-        ++non_stale_reads_;
+        ++current_reads_;
         return find(name);
     }
 
@@ -115,8 +115,8 @@
                     }
                     if (watch_times_out_)
                     {
-                        return result(tl::unexpected(
-                            error{error_code::timed_out, "no answer in time"}));
+                        return result(tl::unexpected(error{
+                            error_code::timed_out, "no response in time"}));
                     }
                     if (history_gone_)
                     {
@@ -159,7 +159,7 @@
     bool watch_times_out_ = false;
     /// The next watch fails because the store's history is gone.
     bool history_gone_ = false;
-    int non_stale_reads_ = 0;
+    int current_reads_ = 0;
     int collection_reads_ = 0;
     std::map<std::string, platform_object> objects_;
 
--- a/src/libpassd/packet_io.cpp
+++ b/src/libpassd/packet_io.cpp
@@ -10,8 +10,9 @@
 namespace
 {
 
-// Unread bytes in the kernel's buffers count as memory of the process. A full
-// link of a small instance carries far fewer bytes in a quarter of a second.
+// Limit on the kernel's buffer of a socket in each direction. Unread bytes
+// count as memory of the process. A full link of a small instance carries far
+// fewer bytes than this in a quarter of a second.
 constexpr int socket_buffer_bytes = 1024 * 1024;
 
 } // namespace
@@ -19,23 +20,23 @@
 tl::expected<packet_io, error>
 packet_io::open(const packet_addresses& addresses, metrics_registry& metrics)
 {
-    auto packets = open_udp_v4(addresses.packets_, socket_buffer_bytes);
-    if (!packets)
+    auto segments = open_udp_v4(addresses.segments_, socket_buffer_bytes);
+    if (!segments)
     {
-        return tl::unexpected(packets.error());
+        return tl::unexpected(segments.error());
     }
     auto peers = open_udp_v4(addresses.peers_, socket_buffer_bytes);
     if (!peers)
     {
         return tl::unexpected(peers.error());
     }
-    return packet_io(addresses, std::move(*packets), std::move(*peers),
+    return packet_io(addresses, std::move(*segments), std::move(*peers),
                      metrics);
 }
 
-packet_io::packet_io(const packet_addresses& addresses, unique_fd packets,
+packet_io::packet_io(const packet_addresses& addresses, unique_fd segments,
                      unique_fd peers, metrics_registry& metrics)
-    : addresses_(addresses), packets_(std::move(packets)),
+    : addresses_(addresses), segments_(std::move(segments)),
       peers_(std::move(peers)),
       segment_batch_(std::make_unique<send_batch>(
           platform_adapter::max_segment_bytes, ip_family::v4)),
@@ -64,7 +65,7 @@
     }
     if (segment_batch_->full())
     {
-        datagrams_unsent_->add(segment_batch_->flush(packets_));
+        datagrams_unsent_->add(segment_batch_->flush(segments_));
     }
     std::memcpy(segment_batch_->next(), bytes.data_, bytes.size_);
     platform_adapter::set_hops(segment_batch_->next(), hops);
@@ -98,7 +99,7 @@
 
 void packet_io::enqueue(pass_actions& actions)
 {
-    const std::uint16_t port = addresses_.packets_.port_;
+    const std::uint16_t port = addresses_.segments_.port_;
     for (const pass_datagram& datagram : actions.datagrams_)
     {
         switch (datagram.target_)
@@ -134,7 +135,7 @@
 
 void packet_io::flush()
 {
-    datagrams_unsent_->add(segment_batch_->flush(packets_));
+    datagrams_unsent_->add(segment_batch_->flush(segments_));
     datagrams_unsent_->add(message_batch_->flush(peers_));
 }
 
--- a/src/libpassd/packet_io.h
+++ b/src/libpassd/packet_io.h
@@ -18,15 +18,15 @@
 struct packet_addresses
 {
     /// Receives segments. All agents and all callers use the same port.
-    endpoint packets_;
+    endpoint segments_;
     /// Receives messages between peers. All peers use the same port.
     endpoint peers_;
     /// The upstream beside the agent; port 0 on a balancer.
     endpoint upstream_;
 };
 
-/// Max bytes of a message between peers: a whole segment and the fields that
-/// describe it.
+/// Maximum size of a message between peers, which may contain a whole segment
+/// and the fields that describe it.
 inline constexpr std::size_t max_message_bytes = 2048;
 
 /// Owns both sockets and sends the datagrams of decisions in batches.
@@ -38,9 +38,9 @@
     static tl::expected<packet_io, error>
     open(const packet_addresses& addresses, metrics_registry& metrics);
 
-    const unique_fd& packets() const
+    const unique_fd& segments() const
     {
-        return packets_;
+        return segments_;
     }
     const unique_fd& peers() const
     {
@@ -54,7 +54,7 @@
     void flush();
 
 private:
-    packet_io(const packet_addresses& addresses, unique_fd packets,
+    packet_io(const packet_addresses& addresses, unique_fd segments,
               unique_fd peers, metrics_registry& metrics);
 
     void send_segment(const endpoint& to, byte_view bytes,
@@ -63,7 +63,7 @@
                       const std::shared_ptr<const pass_message>& message);
 
     packet_addresses addresses_;
-    unique_fd packets_;
+    unique_fd segments_;
     unique_fd peers_;
     std::unique_ptr<send_batch> segment_batch_;
     std::unique_ptr<send_batch> message_batch_;
--- a/src/libpassd/rules_follower.cpp
+++ b/src/libpassd/rules_follower.cpp
@@ -120,8 +120,8 @@
 }
 
 // A change does not postpone the next scheduled read. All balancers receive the
-// change at the same moment; if they all postponed their reads, nobody would
-// soon find a later change that the watches miss.
+// change at the same moment; if they all postponed their reads, none of them
+// would soon find a later change that the watches miss.
 kj::Promise<void> rules_follower::watch()
 {
     const kj::TimePoint now = timer_.now();
--- a/src/libpassd/rules_follower.h
+++ b/src/libpassd/rules_follower.h
@@ -45,7 +45,7 @@
 {
     /// Time from a failed call to the store until the rules are read again.
     duration retry_interval_ = std::chrono::milliseconds(400);
-    /// Min time between two fetches from peers.
+    /// Minimum time between two fetches from peers.
     duration peer_fetch_interval_ = std::chrono::milliseconds(250);
 };
 
@@ -67,7 +67,7 @@
                    std::function<double()> random, follower_settings settings,
                    rules_callback on_rules, fetch_rules_function fetch);
 
-    /// Reads the rules and follows their changes until the promise is dropped.
+    /// Reads the rules and their changes until the promise is dropped.
     kj::Promise<void> follow();
 
     /// Sets how many balancers follow the rules, this one included. They share
@@ -83,7 +83,8 @@
     /// after it is ignored.
     kj::Promise<void> handle_newer_rules(newer_rules newer);
 
-    /// The active rules, for peers; version zero if there are none yet.
+    /// Returns the active rules, which peers can fetch. Their version is zero
+    /// if there are none yet.
     const rules_text& current() const
     {
         return current_;
--- a/src/libpassd/store_registration.h
+++ b/src/libpassd/store_registration.h
@@ -42,7 +42,7 @@
     /// Changes the value; it is written at the next check.
     void set_value(std::string value);
 
-    /// True once an entry of this name has been in the store.
+    /// Returns whether an entry of this name has been in the store.
     bool is_written() const
     {
         return written_;
--- a/src/libpassd/store_sync_test.cpp
+++ b/src/libpassd/store_sync_test.cpp
@@ -38,7 +38,7 @@
               },
               [this](host_address) {
                   return kj::Promise<tl::expected<rules_text, error>>(
-                      peer_answer_);
+                      peer_response_);
               })
     {
     }
@@ -48,7 +48,8 @@
         timer_.afterDelay(ms * kj::MILLISECONDS).wait(io_.waitScope);
     }
 
-    /// Waits until `condition` is true, at most 10 s: a busy machine is slow.
+    /// Waits until `condition` is true, but at most 10 s, which allows for a
+    /// busy machine. Returns whether it is true.
     template <class Condition>
     bool eventually(Condition condition)
     {
@@ -66,7 +67,7 @@
     store_registration registration_;
     std::vector<std::uint64_t> applied_versions_;
     bool announced_ = false;
-    tl::expected<rules_text, error> peer_answer_ =
+    tl::expected<rules_text, error> peer_response_ =
         tl::unexpected(error{error_code::unavailable, "no peer"});
     rules_follower follower_;
 };
@@ -80,7 +81,7 @@
     CHECK(eventually([this] { return registration_.is_written(); }));
     run_for(60);
     CHECK(store_.objects_.at(agent_entry).version_ == object_version(11));
-    CHECK(store_.non_stale_reads_ == 0);
+    CHECK(store_.current_reads_ == 0);
 }
 
 TEST_CASE_FIXTURE(fixture, "an expired entry is written again")
@@ -147,8 +148,8 @@
 
 TEST_CASE_FIXTURE(fixture, "rules that a watch missed are found by a read")
 {
-    // Without scheduled reads, a balancer whose watch misses a change without
-    // an error keeps the old rules: CONFIG of chk-edge-grown scale-1.
+    // CONFIG of chk-edge-grown scale-1: watches missed a change without an
+    // error. Without scheduled reads the balancer would keep the old rules.
     store_.put("config/main", rules_json(5));
     const auto following = follower_.follow();
     CHECK(eventually([this] { return applied_versions_.size() == 1; }));
@@ -171,8 +172,9 @@
         store_, timer_, [] { return 0.0; }, settings,
         [&](const std::shared_ptr<const pass_rules>& rules, bool /*announce*/)
         { applied_versions.push_back(rules->version_.value()); },
-        [this](host_address)
-        { return kj::Promise<tl::expected<rules_text, error>>(peer_answer_); });
+        [this](host_address) {
+            return kj::Promise<tl::expected<rules_text, error>>(peer_response_);
+        });
     store_.watch_times_out_ = true;
     store_.put("config/main", rules_json(5));
     const auto following = follower.follow();
@@ -230,11 +232,11 @@
 {
     store_.down_ = true;
     const auto following = follower_.follow();
-    peer_answer_ = rules_text{pass_rules_version(4), rules_json(4)};
+    peer_response_ = rules_text{pass_rules_version(4), rules_json(4)};
     follower_.handle_newer_rules({host_address(1), pass_rules_version(4)})
         .wait(io_.waitScope);
     CHECK(applied_versions_ == std::vector<std::uint64_t>{4});
-    peer_answer_ = rules_text{pass_rules_version(3), rules_json(3)};
+    peer_response_ = rules_text{pass_rules_version(3), rules_json(3)};
     follower_.handle_newer_rules({host_address(1), pass_rules_version(9)})
         .wait(io_.waitScope);
     CHECK(applied_versions_ == std::vector<std::uint64_t>{4});
--- a/src/libplatform/call_loop.cpp
+++ b/src/libplatform/call_loop.cpp
@@ -11,8 +11,8 @@
 
 error unexpected_status(unsigned status)
 {
-    return {error_code::refused,
-            "the platform answered " + std::to_string(status)};
+    return {error_code::refused, "the platform responded with HTTP status " +
+                                     std::to_string(status)};
 }
 
 kj::Duration to_kj(duration d)
@@ -74,43 +74,45 @@
     duration timeout = settings_.attempt_timeout_;
     if (call->wait_ > duration::zero())
     {
-        // A probe must come back soon, as other calls wait for its outcome. A
-        // repeated watch has what is left of the wait: its caller may have to
-        // read when the wait is over.
+        // A probe does not wait, as other calls depend on its outcome. A
+        // retried watch only waits for the remaining time, as its caller may
+        // have to read the object when the whole wait is over.
         const bool is_probe = state_.breaker_.probing_;
-        const duration left =
+        const duration remaining =
             std::chrono::duration_cast<duration>(call->wait_until_ - clock_());
         const duration wait =
-            is_probe ? duration::zero() : std::max(left, duration::zero());
+            is_probe ? duration::zero() : std::max(remaining, duration::zero());
         const auto wait_ms =
             std::chrono::duration_cast<std::chrono::milliseconds>(wait);
         request.url_ += "&wait_ms=" + std::to_string(wait_ms.count());
         timeout += wait;
     }
     return exchange_.send(request, timeout)
-        .then([this, call = std::move(call)](api_response&& answer)
-              { return handle_response(call, std::move(answer)); });
+        .then([this, call = std::move(call)](api_response&& response)
+              { return handle_response(call, std::move(response)); });
 }
 
 kj::Promise<pvt::response_or_error>
-platform_client::impl::handle_response(pvt::call_ptr call, api_response answer)
+platform_client::impl::handle_response(pvt::call_ptr call,
+                                       api_response response)
 {
-    if (pvt::is_valid_response(answer))
+    if (pvt::is_valid_response(response))
     {
         pvt::record_success(state_.breaker_);
-        return pvt::response_or_error(std::move(answer));
+        return pvt::response_or_error(std::move(response));
     }
-    counters_.timeouts_ += answer.timed_out_ ? 1 : 0;
-    counters_.failures_ += answer.timed_out_ ? 0 : 1;
+    counters_.timeouts_ += response.timed_out_ ? 1 : 0;
+    counters_.failures_ += response.timed_out_ ? 0 : 1;
     pvt::record_failure(state_.breaker_, settings_, clock_(), random_());
     call->progress_.must_resolve_ |= call->is_write_;
-    if (call->wait_ > duration::zero() && answer.timed_out_ &&
+    if (call->wait_ > duration::zero() && response.timed_out_ &&
         clock_() >= call->wait_until_)
     {
-        // The platform may hold a watch that hears nothing for longer than it
-        // was asked to: only a read tells then.
-        return pvt::response_or_error(tl::unexpected(error{
-            error_code::timed_out, "the watch was not answered in time"}));
+        // The platform may hold a watch without events for longer than was
+        // requested. The caller then has to read the object.
+        return pvt::response_or_error(tl::unexpected(
+            error{error_code::timed_out,
+                  "the platform did not respond to the watch in time"}));
     }
     const duration pause =
         pvt::backoff_delay(settings_, call->progress_.attempts_, random_());
--- a/src/libplatform/call_policy.cpp
+++ b/src/libplatform/call_policy.cpp
@@ -11,19 +11,20 @@
 {
 
 constexpr double micros_per_second = 1e6;
-// Beyond this many doublings every delay has reached its cap.
+// Keeps the shift in `double_capped` in range; every delay has reached its cap
+// by then.
 constexpr unsigned max_doublings = 20;
 
 double tokens_at(const token_bucket& bucket, const token_rate& rate,
                  instant now)
 {
-    const auto elapsed = std::max(now - bucket.filled_at_, duration::zero());
-    const double gained = static_cast<double>(elapsed.count()) /
-                          micros_per_second * rate.per_second_;
-    return std::min(rate.burst_, bucket.tokens_ + gained);
+    const auto elapsed = std::max(now - bucket.updated_at_, duration::zero());
+    const double refilled = static_cast<double>(elapsed.count()) /
+                            micros_per_second * rate.per_second_;
+    return std::min(rate.burst_, bucket.tokens_ + refilled);
 }
 
-duration doubled(duration first, duration cap, unsigned times)
+duration double_capped(duration first, duration cap, unsigned times)
 {
     const auto factor = std::int64_t{1} << std::min(times, max_doublings);
     return std::min(cap, first * factor);
@@ -53,7 +54,7 @@
     {
         return {call_step::give_up, {}, std::move(reason)};
     }
-    // At least a moment, so that a caller never spins.
+    // Waits at least 1 ms, so that the caller does not become a busy loop.
     return {call_step::wait, std::max(wait, duration(1000)), {}};
 }
 
@@ -80,7 +81,7 @@
         std::ceil(missing / rate.per_second_ * micros_per_second)));
 }
 
-void take_token(token_bucket& bucket, const token_rate& rate, instant now)
+void consume_token(token_bucket& bucket, const token_rate& rate, instant now)
 {
     bucket = {tokens_at(bucket, rate, now) - 1, now};
 }
@@ -119,14 +120,15 @@
     {
         return;
     }
-    // Calls that were under way when it opened do not open it once more.
+    // The failure of a call that was in flight when the breaker opened does not
+    // prolong the open time.
     if (now < breaker.open_until_ && !was_probing)
     {
         return;
     }
     const duration open =
-        doubled(settings.breaker_open_first_, settings.breaker_open_cap_,
-                breaker.openings_);
+        double_capped(settings.breaker_open_first_, settings.breaker_open_cap_,
+                      breaker.openings_);
     breaker.open_until_ = now + scaled(open, (1 + random) / 2);
     ++breaker.openings_;
 }
@@ -135,9 +137,9 @@
                        double random)
 {
     const unsigned doublings = attempt == 0 ? 0 : attempt - 1;
-    return scaled(
-        doubled(settings.backoff_first_, settings.backoff_cap_, doublings),
-        random);
+    return scaled(double_capped(settings.backoff_first_, settings.backoff_cap_,
+                                doublings),
+                  random);
 }
 
 call_state new_call_state(const platform_settings& settings, instant now)
@@ -153,12 +155,12 @@
     if (now >= progress.deadline_)
     {
         return give_up(error_code::timed_out,
-                       "the platform did not answer in time");
+                       "the platform did not respond in time");
     }
     if (!allows_call(state.breaker_, settings, now))
     {
         error reason{error_code::unavailable,
-                     "the platform does not answer (circuit breaker is open)"};
+                     "the platform does not respond (circuit breaker is open)"};
         if (!progress.must_resolve_)
         {
             return {call_step::give_up, {}, std::move(reason)};
@@ -172,20 +174,23 @@
                  : duration::zero();
     if (retry_wait > duration::zero() && !progress.must_resolve_)
     {
-        return give_up(error_code::refused,
-                       "the platform does not answer (retry budget is spent)");
+        return give_up(
+            error_code::refused,
+            "the platform does not respond (retry budget is exhausted)");
     }
     const duration wait = std::max(
         retry_wait, time_to_token(state.calls_, settings.call_rate_, now));
     if (wait > duration::zero())
     {
-        return wait_or_give_up(progress, now, wait,
-                               {error_code::refused, "call budget is spent"});
+        return wait_or_give_up(
+            progress, now, wait,
+            {error_code::refused,
+             "the budget for calls to the platform is exhausted"});
     }
-    take_token(state.calls_, settings.call_rate_, now);
+    consume_token(state.calls_, settings.call_rate_, now);
     if (is_retry)
     {
-        take_token(state.retries_, settings.retry_rate_, now);
+        consume_token(state.retries_, settings.retry_rate_, now);
     }
     record_attempt(state.breaker_, settings, now);
     ++progress.attempts_;
@@ -207,7 +212,7 @@
     {
         return read_back_result::not_accepted;
     }
-    // Another writer made the very version that this write would have made.
+    // Another writer created the version that this write would have created.
     const bool lost_race =
         current.version_.value() == progress.expected_version_.value() + 1;
     return lost_race ? read_back_result::not_accepted
--- a/src/libplatform/call_policy.h
+++ b/src/libplatform/call_policy.h
@@ -1,6 +1,7 @@
 /// \file
-/// When the platform client may call, how long it waits, and what an answer
-/// to a write means. Pure decisions: time and random numbers are passed in.
+/// Decisions of the platform client: when it may call, how long it waits, and
+/// what the response to a write means. The functions do no I/O; time and random
+/// numbers are passed in.
 
 #ifndef LIBPLATFORM_CALL_POLICY_H
 #define LIBPLATFORM_CALL_POLICY_H
@@ -10,57 +11,62 @@
 namespace galenafork::pvt
 {
 
-/// Tokens left and when they were last counted.
+/// The tokens in a bucket at some time.
 struct token_bucket
 {
     double tokens_ = 0;
-    instant filled_at_{};
+    instant updated_at_{};
 };
 
-/// A bucket with all its tokens.
+/// Returns a full bucket.
 token_bucket full_bucket(const token_rate& rate, instant now);
 
-/// How long until there is a token; zero if there is one.
+/// Returns the time until a token is available; zero if there is one.
 duration time_to_token(const token_bucket& bucket, const token_rate& rate,
                        instant now);
 
-/// Takes a token; call only if there is one.
-void take_token(token_bucket& bucket, const token_rate& rate, instant now);
+/// Removes a token, which must be available.
+void consume_token(token_bucket& bucket, const token_rate& rate, instant now);
 
-/// Opens after failures in a row, then lets one probe through at a time.
+/// Opens after consecutive failures. After its open time it lets one call at a
+/// time through as a probe, until a call succeeds.
 struct circuit_breaker
 {
+    /// Number of failures since the last success.
     unsigned failures_ = 0;
-    /// Times in a row that it opened without a success between.
+    /// Number of times that the breaker opened since the last success.
     unsigned openings_ = 0;
-    /// While a probe is out: the time by which it must have come back, so
-    /// that a dropped probe blocks nobody for longer.
+    /// Time before which an open breaker allows no call. While a probe is in
+    /// flight, this is when the probe times out, so that a probe that is
+    /// dropped does not block other calls for longer.
     instant open_until_{};
+    /// True while a probe is in flight.
     bool probing_ = false;
 };
 
-/// True if a call may go out now.
+/// True if a call may be sent now.
 bool allows_call(const circuit_breaker& breaker,
                  const platform_settings& settings, instant now);
 
-/// Notes a call that goes out.
+/// Records that a call is sent, as a probe if the breaker is open.
 void record_attempt(circuit_breaker& breaker, const platform_settings& settings,
                     instant now);
 
-/// Notes an answer of any kind.
+/// Records a valid response, which closes the breaker.
 void record_success(circuit_breaker& breaker);
 
-/// Notes a call without a proper answer; `random` in [0, 1) spreads the end
-/// of the open time over its second half.
+/// Records a call without a valid response. If this opens the breaker, it stays
+/// open for the configured time multiplied by a factor from 0.5 to 1, which
+/// `random` in [0, 1) selects.
 void record_failure(circuit_breaker& breaker, const platform_settings& settings,
                     instant now, double random);
 
-/// Longest wait before attempt number `attempt` (1 is the first retry) times
-/// a random share in [0, 1).
+/// Returns the backoff before retry number `attempt`, from 1: the maximum wait
+/// before this retry multiplied by `random` in [0, 1).
 duration backoff_delay(const platform_settings& settings, unsigned attempt,
                        double random);
 
-/// Shared by all calls of a client.
+/// The state that all calls of a client share.
 struct call_state
 {
     token_bucket calls_;
@@ -68,20 +74,21 @@
     circuit_breaker breaker_;
 };
 
-/// Fresh state with full buckets.
+/// Returns the state of a new client, with full buckets.
 call_state new_call_state(const platform_settings& settings, instant now);
 
-/// One call, over its attempts.
+/// The progress of one call over all its attempts.
 struct call_progress
 {
     instant deadline_{};
     unsigned attempts_ = 0;
-    /// An attempt to write got no answer, so the write may have taken effect:
-    /// the call waits for breaker and budgets in place of giving up.
+    /// True if an attempt to write got no valid response, so that the write may
+    /// have taken effect. The call then waits for the breaker and the budgets
+    /// instead of giving up.
     bool must_resolve_ = false;
 };
 
-/// What to do next in a call.
+/// The next step of a call.
 enum class call_step
 {
     attempt,
@@ -89,40 +96,46 @@
     give_up,
 };
 
-/// A step with its wait or its reason.
+/// The decision about the next step of a call.
 struct call_decision
 {
     call_step step_ = call_step::give_up;
+    /// How long to wait, for `call_step::wait`.
     duration wait_{};
+    /// Why the call fails, for `call_step::give_up`.
     error reason_;
 };
 
-/// Decides the next step of a call and takes the tokens if it is an attempt.
+/// Decides the next step of a call. For an attempt, this also consumes the
+/// tokens and updates the breaker and `progress`.
 call_decision next_step(call_state& state, const platform_settings& settings,
                         call_progress& progress, instant now);
 
-/// What the client knows of a write that it tries.
+/// The progress of a conditional write.
 struct write_progress
 {
     object_version expected_version_;
     write_id write_id_;
-    /// An attempt got no answer.
+    /// True if an attempt may have taken effect, because its response was lost
+    /// or is not valid.
     bool may_have_been_applied_ = false;
-    /// Version that the platform named when it refused the write.
+    /// The object's version in the platform's response that refused the write.
     object_version conflict_version_;
 };
 
-/// What a read after a refused write means.
+/// What a read shows about the outcome of an earlier write.
 enum class read_back_result
 {
     accepted,
     not_accepted,
     unknown,
-    /// Older than the refusal: read again.
+    /// The object that was read is older than the response that refused the
+    /// write, so it has to be read again.
     stale,
 };
 
-/// Judges the object read after the platform refused a conditional write.
+/// Classifies the outcome of a conditional write by the object that was read
+/// after it.
 read_back_result classify_read_back(const write_progress& progress,
                                     const platform_object& current);
 
--- a/src/libplatform/call_policy_test.cpp
+++ b/src/libplatform/call_policy_test.cpp
@@ -36,29 +36,30 @@
 
 } // namespace
 
-TEST_CASE("a token bucket gives its burst at once, then its rate")
+TEST_CASE("a token bucket allows its burst at once and then its rate")
 {
     const token_rate rate{2, 3};
     token_bucket bucket = full_bucket(rate, start);
     for (int i = 0; i < 3; ++i)
     {
         REQUIRE(time_to_token(bucket, rate, start) == duration::zero());
-        take_token(bucket, rate, start);
+        consume_token(bucket, rate, start);
     }
     CHECK(time_to_token(bucket, rate, start) == milliseconds(500));
     CHECK(time_to_token(bucket, rate, start + milliseconds(500)) ==
           duration::zero());
-    // A long rest fills no more than the burst; a clock behind takes nothing.
+    // An idle bucket refills up to its burst only, and a clock that goes back
+    // adds no tokens.
     const instant later = start + std::chrono::hours(1);
     for (int i = 0; i < 3; ++i)
     {
-        take_token(bucket, rate, later);
+        consume_token(bucket, rate, later);
     }
     CHECK(time_to_token(bucket, rate, later) > duration::zero());
     CHECK(time_to_token(bucket, rate, start) > duration::zero());
 }
 
-TEST_CASE("the backoff doubles up to its cap and never passes it")
+TEST_CASE("the backoff doubles up to its cap and never exceeds it")
 {
     const platform_settings settings;
     CHECK(backoff_delay(settings, 1, 0.5) == settings.backoff_first_ / 2);
@@ -71,7 +72,7 @@
           settings.backoff_cap_ / 2);
 }
 
-TEST_CASE("the breaker opens after failures in a row and lets probes through")
+TEST_CASE("the breaker opens after consecutive failures and then allows probes")
 {
     const platform_settings settings;
     circuit_breaker breaker = tripped_state(settings).breaker_;
@@ -88,12 +89,12 @@
         CHECK(breaker.open_until_ ==
               probe_at + settings.breaker_open_first_ * 3 / 2);
     }
-    SUBCASE("a good probe closes it")
+    SUBCASE("a successful probe closes the breaker")
     {
         record_success(breaker);
         CHECK(allows_call(breaker, settings, probe_at));
     }
-    SUBCASE("a probe that was dropped makes room for the next")
+    SUBCASE("after the timeout of a dropped probe the next one is allowed")
     {
         CHECK(allows_call(breaker, settings,
                           probe_at + settings.attempt_timeout_));
@@ -111,7 +112,7 @@
     }
 }
 
-TEST_CASE("answers between failures keep the breaker closed")
+TEST_CASE("successes between failures keep the breaker closed")
 {
     const platform_settings settings;
     circuit_breaker breaker;
@@ -123,7 +124,8 @@
     CHECK(allows_call(breaker, settings, start));
 }
 
-TEST_CASE("a call gives up at its deadline, breaker or budgets")
+TEST_CASE(
+    "a call gives up at its deadline, on an open breaker or without budget")
 {
     const platform_settings settings;
     call_state state = new_call_state(settings, start);
@@ -131,25 +133,26 @@
 
     SUBCASE("deadline")
     {
-        const auto d = next_step(state, settings, progress, start + seconds(5));
-        CHECK(d.step_ == call_step::give_up);
-        CHECK(d.reason_.code_ == error_code::timed_out);
+        const auto decision =
+            next_step(state, settings, progress, start + seconds(5));
+        CHECK(decision.step_ == call_step::give_up);
+        CHECK(decision.reason_.code_ == error_code::timed_out);
     }
     SUBCASE("breaker")
     {
         state = tripped_state(settings);
-        const auto d = next_step(state, settings, progress, start);
-        CHECK(d.step_ == call_step::give_up);
-        CHECK(d.reason_.code_ == error_code::unavailable);
+        const auto decision = next_step(state, settings, progress, start);
+        CHECK(decision.step_ == call_step::give_up);
+        CHECK(decision.reason_.code_ == error_code::unavailable);
     }
     SUBCASE("retry budget")
     {
         state.retries_.tokens_ = 0;
         CHECK(next_step(state, settings, progress, start).step_ ==
               call_step::attempt);
-        const auto d = next_step(state, settings, progress, start);
-        CHECK(d.step_ == call_step::give_up);
-        CHECK(d.reason_.code_ == error_code::refused);
+        const auto decision = next_step(state, settings, progress, start);
+        CHECK(decision.step_ == call_step::give_up);
+        CHECK(decision.reason_.code_ == error_code::refused);
     }
     SUBCASE("call budget")
     {
@@ -162,7 +165,7 @@
     }
 }
 
-TEST_CASE("a write that may have run waits for breaker and budgets")
+TEST_CASE("a write that may have taken effect waits for breaker and budgets")
 {
     const platform_settings settings;
     call_progress progress = new_progress();
@@ -170,18 +173,18 @@
     progress.attempts_ = 1;
 
     call_state state = tripped_state(settings);
-    auto d = next_step(state, settings, progress, start);
-    CHECK(d.step_ == call_step::wait);
-    CHECK(start + d.wait_ == state.breaker_.open_until_);
+    auto decision = next_step(state, settings, progress, start);
+    CHECK(decision.step_ == call_step::wait);
+    CHECK(start + decision.wait_ == state.breaker_.open_until_);
 
     state = new_call_state(settings, start);
     state.retries_.tokens_ = 0;
-    d = next_step(state, settings, progress, start);
-    CHECK(d.step_ == call_step::wait);
-    CHECK(d.wait_ == milliseconds(500));
+    decision = next_step(state, settings, progress, start);
+    CHECK(decision.step_ == call_step::wait);
+    CHECK(decision.wait_ == milliseconds(500));
 }
 
-TEST_CASE("calls never pass their budget over a long time")
+TEST_CASE("calls keep to their budget over a long time")
 {
     platform_settings settings;
     settings.call_rate_ = {10, 5};
@@ -191,14 +194,14 @@
     {
         call_progress progress;
         progress.deadline_ = now + seconds(5);
-        const auto d = next_step(state, settings, progress, now);
-        attempts += d.step_ == call_step::attempt ? 1 : 0;
+        const auto decision = next_step(state, settings, progress, now);
+        attempts += decision.step_ == call_step::attempt ? 1 : 0;
     }
     CHECK(attempts <= 105);
     CHECK(attempts >= 95);
 }
 
-TEST_CASE("a read after a refused write tells what became of it")
+TEST_CASE("a read after a refused write shows the outcome of the write")
 {
     write_progress progress;
     progress.expected_version_ = object_version(4);
@@ -224,7 +227,7 @@
           read_back_result::stale);
 }
 
-TEST_CASE("a write id inside a quoted text does not count")
+TEST_CASE("a write id inside another JSON string does not match")
 {
     const write_id id = make_write_id(0xabcd, 0x1234);
     CHECK(id.value() == "000000000000abcd0000000000001234");
--- a/src/libplatform/client_impl.h
+++ b/src/libplatform/client_impl.h
@@ -1,6 +1,6 @@
 /// \file
-/// The parts of the platform client: the loop over the attempts of a call, and
-/// the settling of writes.
+/// Internals of the platform client: the loop over the attempts of a call, and
+/// the resolving of writes.
 
 #ifndef LIBPLATFORM_CLIENT_IMPL_H
 #define LIBPLATFORM_CLIENT_IMPL_H
@@ -25,27 +25,29 @@
 inline constexpr unsigned status_gone = 410;
 /// @}
 
-/// The answer of the platform, or why there is none.
+/// The platform's response, or why there is none.
 using response_or_error = tl::expected<api_response, error>;
 
 /// One call over all its attempts.
 struct pending_call
 {
+    /// The counter to which the attempts are added.
     std::uint64_t platform_counters::*counter_;
     api_request request_;
-    /// How long the platform may wait for news before it answers, for watches;
-    /// added to the attempt's timeout.
+    /// How long a watch waits for an event; added to the timeout of an attempt.
+    /// Zero for other calls.
     duration wait_{};
-    /// End of that wait, over all attempts.
+    /// When the wait ends, over all attempts.
     instant wait_until_{};
-    /// Writes may have taken effect when their answer is lost.
+    /// True for a conditional update, which may have taken effect although its
+    /// response is lost.
     bool is_write_ = false;
     call_progress progress_;
 };
 
 using call_ptr = std::shared_ptr<pending_call>;
 
-/// One conditional update until it is settled.
+/// One conditional update until its outcome is resolved.
 struct pending_write
 {
     std::string name_;
@@ -55,15 +57,15 @@
 
 using write_ptr = std::shared_ptr<pending_write>;
 
-/// The error for an answer that the API does not know.
+/// Returns the error for a status that the API does not define for the call.
 error unexpected_status(unsigned status);
 
-/// The duration in kj's unit.
+/// Converts a duration to kj's type.
 kj::Duration to_kj(duration d);
 
 } // namespace pvt
 
-/// Works behind `platform_client`.
+/// Implementation of `platform_client`.
 class platform_client::impl
 {
 public:
@@ -85,7 +87,7 @@
     kj::Promise<tl::expected<platform_object, error>> get(std::string name,
                                                           freshness fresh);
     kj::Promise<tl::expected<object_page, error>>
-    read_pages(std::string collection, freshness fresh, object_page so_far);
+    read_pages(std::string collection, freshness fresh, object_page collected);
     kj::Promise<tl::expected<void, error>> remove(const std::string& name,
                                                   object_version expected);
 
@@ -98,18 +100,20 @@
     kj::Promise<pvt::response_or_error> run(pvt::call_ptr call);
     kj::Promise<pvt::response_or_error> attempt(pvt::call_ptr call);
     kj::Promise<pvt::response_or_error> handle_response(pvt::call_ptr call,
-                                                        api_response answer);
+                                                        api_response response);
     void count_give_up(const error& reason);
 
     kj::Promise<write_result>
     handle_put_response(const pvt::write_ptr& write,
-                        pvt::response_or_error answer);
+                        pvt::response_or_error response);
     kj::Promise<write_result> read_back(const pvt::write_ptr& write);
     kj::Promise<write_result> handle_read_back(const pvt::write_ptr& write,
                                                const pvt::call_ptr& call,
-                                               pvt::response_or_error answer);
-    write_result settled(const pvt::pending_write& write, write_outcome outcome,
-                         std::optional<platform_object> current, error reason);
+                                               pvt::response_or_error response);
+    write_result finish_write(const pvt::pending_write& write,
+                              write_outcome outcome,
+                              std::optional<platform_object> current,
+                              error reason);
 
     platform_settings settings_;
     kj::Timer& timer_;
--- a/src/libplatform/collections.cpp
+++ b/src/libplatform/collections.cpp
@@ -1,5 +1,6 @@
 /// \file
-/// The client's calls on whole collections, and single reads and removals.
+/// The client's calls on collections, and its reads and removals of single
+/// objects.
 
 #include <libplatform/client_impl.h>
 
@@ -12,10 +13,10 @@
 namespace
 {
 
-tl::unexpected<error> no_collections()
+tl::unexpected<error> collections_unsupported()
 {
     return tl::unexpected(error{error_code::refused,
-                                "this platform has no collections of objects"});
+                                "this platform does not support collections"});
 }
 
 std::string with_parameter(std::string url, const char* parameter)
@@ -36,79 +37,81 @@
     std::string url = dialect_.object_url_(name);
     if (fresh == freshness::allow_stale)
     {
-        url = with_parameter(std::move(url), dialect_.allow_stale_suffix_);
+        url = with_parameter(std::move(url), dialect_.allow_stale_parameter_);
     }
     return read(&platform_counters::gets_, std::move(url), {})
         .then(
-            [this, name = std::move(name)](pvt::response_or_error&& answer)
+            [this, name = std::move(name)](pvt::response_or_error&& response)
                 -> tl::expected<platform_object, error>
             {
-                if (!answer)
+                if (!response)
                 {
-                    return tl::unexpected(std::move(answer.error()));
+                    return tl::unexpected(std::move(response.error()));
                 }
-                if (answer->status_ == pvt::status_ok)
+                if (response->status_ == pvt::status_ok)
                 {
-                    return dialect_.parse_object_(name, answer->body_);
+                    return dialect_.parse_object_(name, response->body_);
                 }
-                if (answer->status_ == pvt::status_not_found)
+                if (response->status_ == pvt::status_not_found)
                 {
                     return tl::unexpected(
                         error{error_code::not_found, "no object " + name});
                 }
-                return tl::unexpected(pvt::unexpected_status(answer->status_));
+                return tl::unexpected(
+                    pvt::unexpected_status(response->status_));
             });
 }
 
 kj::Promise<tl::expected<object_page, error>>
 platform_client::impl::read_pages(std::string collection, freshness fresh,
-                                  object_page so_far)
+                                  object_page collected)
 {
     const std::string after =
-        so_far.objects_.empty() ? "" : so_far.objects_.back().name_;
+        collected.objects_.empty() ? "" : collected.objects_.back().name_;
     std::string url = dialect_.collection_url_(collection, after);
     if (fresh == freshness::allow_stale)
     {
-        url = with_parameter(std::move(url), dialect_.allow_stale_suffix_);
+        url = with_parameter(std::move(url), dialect_.allow_stale_parameter_);
     }
     return read(&platform_counters::lists_, std::move(url), {})
         .then(
             [this, collection = std::move(collection), fresh,
-             so_far =
-                 std::move(so_far)](pvt::response_or_error&& answer) mutable
+             collected = std::move(collected)](
+                pvt::response_or_error&& response) mutable
             -> kj::Promise<tl::expected<object_page, error>>
             {
                 using page = tl::expected<object_page, error>;
-                if (!answer)
+                if (!response)
                 {
-                    return page(tl::unexpected(std::move(answer.error())));
+                    return page(tl::unexpected(std::move(response.error())));
                 }
-                if (answer->status_ != pvt::status_ok)
+                if (response->status_ != pvt::status_ok)
                 {
                     return page(tl::unexpected(
-                        pvt::unexpected_status(answer->status_)));
+                        pvt::unexpected_status(response->status_)));
                 }
-                auto next = dialect_.parse_page_(collection, answer->body_);
+                auto next = dialect_.parse_page_(collection, response->body_);
                 if (!next)
                 {
                     return page(tl::unexpected(std::move(next.error())));
                 }
-                // Watches begin at the first page: what changed since is told
-                // again then, never missed.
-                if (so_far.version_ == no_object_version)
+                // A watch continues from the version of the first page: it then
+                // reports changes made while later pages are read, some of them
+                // a second time, but misses none.
+                if (collected.version_ == no_object_version)
                 {
-                    so_far.version_ = next->version_;
+                    collected.version_ = next->version_;
                 }
-                so_far.objects_.insert(
-                    so_far.objects_.end(),
+                collected.objects_.insert(
+                    collected.objects_.end(),
                     std::make_move_iterator(next->objects_.begin()),
                     std::make_move_iterator(next->objects_.end()));
                 if (next->has_more_ && !next->objects_.empty())
                 {
                     return read_pages(std::move(collection), fresh,
-                                      std::move(so_far));
+                                      std::move(collected));
                 }
-                return page(std::move(so_far));
+                return page(std::move(collected));
             });
 }
 
@@ -119,22 +122,24 @@
                          dialect_.make_remove_request_(name, expected));
     return run(std::move(call))
         .then(
-            [this](pvt::response_or_error&& answer) -> tl::expected<void, error>
+            [this](
+                pvt::response_or_error&& response) -> tl::expected<void, error>
             {
-                if (!answer)
+                if (!response)
                 {
-                    return tl::unexpected(std::move(answer.error()));
+                    return tl::unexpected(std::move(response.error()));
                 }
-                if (answer->status_ == dialect_.conflict_status_)
+                if (response->status_ == dialect_.conflict_status_)
                 {
-                    return tl::unexpected(error{error_code::conflict,
-                                                "another writer came first"});
+                    return tl::unexpected(
+                        error{error_code::conflict,
+                              "another writer updated the object first"});
                 }
-                if (answer->status_ != pvt::status_ok &&
-                    answer->status_ != pvt::status_not_found)
+                if (response->status_ != pvt::status_ok &&
+                    response->status_ != pvt::status_not_found)
                 {
                     return tl::unexpected(
-                        pvt::unexpected_status(answer->status_));
+                        pvt::unexpected_status(response->status_));
                 }
                 return {};
             });
@@ -151,7 +156,7 @@
 {
     if (impl_->dialect_.parse_page_ == nullptr)
     {
-        return tl::expected<object_page, error>(no_collections());
+        return tl::expected<object_page, error>(collections_unsupported());
     }
     return impl_->read_pages(std::move(collection), fresh, {});
 }
@@ -163,7 +168,7 @@
     using result = tl::expected<object_changes, error>;
     if (impl_->dialect_.parse_changes_ == nullptr)
     {
-        return result(no_collections());
+        return result(collections_unsupported());
     }
     const std::string watch = "watch=" + std::to_string(after.value());
     std::string url = with_parameter(
@@ -171,24 +176,26 @@
     return impl_->read(&platform_counters::watches_, std::move(url), wait)
         .then(
             [this, collection = std::move(collection)](
-                pvt::response_or_error&& answer) -> result
+                pvt::response_or_error&& response) -> result
             {
-                if (!answer)
+                if (!response)
                 {
-                    return tl::unexpected(std::move(answer.error()));
+                    return tl::unexpected(std::move(response.error()));
                 }
-                if (answer->status_ == pvt::status_gone)
+                if (response->status_ == pvt::status_gone)
                 {
                     return tl::unexpected(
-                        error{error_code::not_found, "that history is gone"});
+                        error{error_code::not_found,
+                              "the platform no longer has the history "
+                              "since the requested version"});
                 }
-                if (answer->status_ != pvt::status_ok)
+                if (response->status_ != pvt::status_ok)
                 {
                     return tl::unexpected(
-                        pvt::unexpected_status(answer->status_));
+                        pvt::unexpected_status(response->status_));
                 }
                 return impl_->dialect_.parse_changes_(collection,
-                                                      answer->body_);
+                                                      response->body_);
             });
 }
 
@@ -197,7 +204,7 @@
 {
     if (impl_->dialect_.make_remove_request_ == nullptr)
     {
-        return tl::expected<void, error>(no_collections());
+        return tl::expected<void, error>(collections_unsupported());
     }
     return impl_->remove(name, expected);
 }
--- a/src/libplatform/http_exchange.cpp
+++ b/src/libplatform/http_exchange.cpp
@@ -15,11 +15,11 @@
 using json = nlohmann::json;
 
 constexpr const char* objects_url = "/v1/objects";
-// A value of 1 MB with its frame.
-constexpr std::uint64_t max_answer_bytes = 2U << 20U;
+// Fits an object value of 1 MiB together with the JSON around it.
+constexpr std::uint64_t max_response_bytes = 2U << 20U;
 constexpr unsigned first_success = 200;
 constexpr unsigned first_server_error = 500;
-constexpr unsigned status_too_many_calls = 429;
+constexpr unsigned status_too_many_requests = 429;
 constexpr unsigned status_precondition_failed = 412;
 
 kj::Own<kj::NetworkAddress> network_address(kj::Network& network,
@@ -49,10 +49,10 @@
     return {text.begin(), text.size()};
 }
 
-kj::Promise<api_response> read_answer(kj::HttpClient::Response&& response)
+kj::Promise<api_response> read_response(kj::HttpClient::Response&& response)
 {
     const unsigned status = response.statusCode;
-    auto text = response.body->readAllText(max_answer_bytes);
+    auto text = response.body->readAllText(max_response_bytes);
     return text.attach(kj::mv(response.body))
         .then(
             [status](const kj::String& body) {
@@ -62,8 +62,9 @@
 
 tl::unexpected<error> malformed(const std::string& why)
 {
-    return tl::unexpected(error{error_code::bad_message,
-                                "the platform's answer is malformed: " + why});
+    return tl::unexpected(
+        error{error_code::bad_message,
+              "the platform's response is malformed: " + why});
 }
 
 object_version version_from(const json& j)
@@ -71,18 +72,18 @@
     const json& version = j.at("version");
     if (!version.is_number_unsigned())
     {
-        throw std::invalid_argument("version is not a natural number");
+        throw std::invalid_argument("version is not an unsigned integer");
     }
     return object_version(version.get<std::uint64_t>());
 }
 
 } // namespace
 
-bool is_valid_response(const api_response& answer)
+bool is_valid_response(const api_response& response)
 {
-    return answer.status_ >= first_success &&
-           answer.status_ < first_server_error &&
-           answer.status_ != status_too_many_calls;
+    return response.status_ >= first_success &&
+           response.status_ < first_server_error &&
+           response.status_ != status_too_many_requests;
 }
 
 std::string object_url(const std::string& name)
@@ -102,8 +103,8 @@
     return std::string(objects_url) + "?prefix=" + encoded(prefix);
 }
 
-tl::expected<platform_object, error> read_object(const std::string& name,
-                                                 const std::string& body)
+tl::expected<platform_object, error> parse_object(const std::string& name,
+                                                  const std::string& body)
 {
     try
     {
@@ -116,7 +117,7 @@
     }
 }
 
-tl::expected<object_version, error> read_version(const std::string& body)
+tl::expected<object_version, error> parse_version(const std::string& body)
 {
     try
     {
@@ -129,7 +130,7 @@
 }
 
 tl::expected<std::vector<object_entry>, error>
-read_list(const std::string& body)
+parse_list(const std::string& body)
 {
     try
     {
@@ -151,7 +152,7 @@
 namespace
 {
 
-api_request write_request(const object_write& write)
+api_request make_write_request(const object_write& write)
 {
     api_request request;
     request.method_ = kj::HttpMethod::PUT;
@@ -172,10 +173,10 @@
 {
     static const api_dialect dialect{pvt::object_url,
                                      pvt::list_url,
-                                     pvt::write_request,
-                                     pvt::read_object,
-                                     pvt::read_version,
-                                     pvt::read_list,
+                                     pvt::make_write_request,
+                                     pvt::parse_object,
+                                     pvt::parse_version,
+                                     pvt::parse_list,
                                      pvt::status_precondition_failed};
     return dialect;
 }
@@ -197,9 +198,9 @@
 kj::Promise<api_response> http_exchange::send(const api_request& request,
                                               duration timeout)
 {
-    auto answered = kj::evalNow([&] { return exchange(request); });
+    auto response = kj::evalNow([&] { return exchange(request); });
     return timer_
-        .timeoutAfter(timeout.count() * kj::MICROSECONDS, kj::mv(answered))
+        .timeoutAfter(timeout.count() * kj::MICROSECONDS, kj::mv(response))
         .catch_(
             [](const kj::Exception& e)
             {
@@ -222,20 +223,20 @@
     {
         headers.set(kj::HttpHeaderId::CONTENT_TYPE, "application/json");
     }
-    auto sent =
+    auto http_request =
         client_->request(request.method_, request.url_.c_str(), headers, size);
     kj::Promise<void> written = kj::READY_NOW;
     if (size != 0)
     {
         auto body = kj::heap<std::string>(request.body_);
-        written = sent.body->write(body->data(), body->size())
-                      .attach(kj::mv(body), kj::mv(sent.body));
+        written = http_request.body->write(body->data(), body->size())
+                      .attach(kj::mv(body), kj::mv(http_request.body));
     }
     return written
-        .then([response = kj::mv(sent.response)]() mutable
+        .then([response = kj::mv(http_request.response)]() mutable
               { return kj::mv(response); })
         .then([](kj::HttpClient::Response&& response)
-              { return read_answer(kj::mv(response)); });
+              { return read_response(kj::mv(response)); });
 }
 
 } // namespace galenafork::pvt
--- a/src/libplatform/http_exchange.h
+++ b/src/libplatform/http_exchange.h
@@ -1,5 +1,5 @@
 /// \file
-/// One HTTP call to the platform: no retries, no decisions.
+/// Single HTTP exchanges with the platform, without retries.
 
 #ifndef LIBPLATFORM_HTTP_EXCHANGE_H
 #define LIBPLATFORM_HTTP_EXCHANGE_H
@@ -17,27 +17,28 @@
 namespace galenafork::pvt
 {
 
-/// True if the platform answered and is well.
-bool is_valid_response(const api_response& answer);
+/// True if the response shows a working platform: a status from 200 to 499
+/// other than 429.
+bool is_valid_response(const api_response& response);
 
-/// The URL of object `name`, percent-encoded.
+/// Returns the percent-encoded URL of object `name`.
 std::string object_url(const std::string& name);
 
-/// The URL of the list of objects whose names begin with `prefix`.
+/// Returns the URL of the list of objects whose names begin with `prefix`.
 std::string list_url(const std::string& prefix);
 
-/// Reads `{version, value}`. Fails with `bad_message`.
-tl::expected<platform_object, error> read_object(const std::string& name,
-                                                 const std::string& body);
+/// Parses `{version, value}`. Fails with `bad_message`.
+tl::expected<platform_object, error> parse_object(const std::string& name,
+                                                  const std::string& body);
 
-/// Reads `{version}`. Fails with `bad_message`.
-tl::expected<object_version, error> read_version(const std::string& body);
+/// Parses `{version}`. Fails with `bad_message`.
+tl::expected<object_version, error> parse_version(const std::string& body);
 
-/// Reads `{objects: [{name, version}]}`. Fails with `bad_message`.
+/// Parses `{objects: [{name, version}]}`. Fails with `bad_message`.
 tl::expected<std::vector<object_entry>, error>
-read_list(const std::string& body);
+parse_list(const std::string& body);
 
-/// Sends calls to one address over a pool of connections.
+/// Sends requests to one address over a pool of connections.
 class http_exchange
 {
 public:
@@ -45,7 +46,8 @@
     http_exchange(kj::Timer& timer, kj::Network& network,
                   const endpoint& address);
 
-    /// Sends `request`. Never fails: no answer is an answer with status 0.
+    /// Sends `request`. The promise is never rejected: the status is 0 if there
+    /// is no response within `timeout` or the connection fails.
     kj::Promise<api_response> send(const api_request& request,
                                    duration timeout);
 
--- a/src/libplatform/http_exchange_test.cpp
+++ b/src/libplatform/http_exchange_test.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-TEST_CASE("answers of a wrong form are refused")
+TEST_CASE("malformed responses are rejected")
 {
     for (const char* body :
          {"", "null", "[]", "{}", R"({"version":"1","value":1})",
@@ -35,22 +35,24 @@
           R"({"value":1})", "{\"version\":1,\"value\":"})
     {
         CAPTURE(body);
-        CHECK_FALSE(read_object("o", body).has_value());
-        CHECK_FALSE(read_list(body).has_value());
+        CHECK_FALSE(parse_object("o", body).has_value());
+        CHECK_FALSE(parse_list(body).has_value());
     }
 }
 
-TEST_CASE("no answer makes the reader crash")
+TEST_CASE("no response body crashes the parsers")
 {
-    const std::string shape = R"({"version":1,"value":{}},[objectsname"0-9e.)";
+    const std::string json_fragments =
+        R"({"version":1,"value":{}},[objectsname"0-9e.)";
     CHECK(holds(
         [&]
         {
-            const auto body = *rc::gen::container<std::string>(rc::gen::oneOf(
-                rc::gen::elementOf(shape), rc::gen::arbitrary<char>()));
-            (void)read_object("o", body);
-            (void)read_version(body);
-            (void)read_list(body);
+            const auto body = *rc::gen::container<std::string>(
+                rc::gen::oneOf(rc::gen::elementOf(json_fragments),
+                               rc::gen::arbitrary<char>()));
+            (void)parse_object("o", body);
+            (void)parse_version(body);
+            (void)parse_list(body);
         }));
 }
 
--- a/src/libplatform/object_follower_test.cpp
+++ b/src/libplatform/object_follower_test.cpp
@@ -29,7 +29,7 @@
         platform_.objects_.put_if(name, version, "{}");
     }
 
-    void run_for(int ms)
+    void run_for_ms(int ms)
     {
         timer_.afterDelay(ms * kj::MILLISECONDS).wait(io_.waitScope);
     }
@@ -39,9 +39,9 @@
     {
         follow_callbacks e;
         e.on_update_ = [this](const platform_object& o)
-        { told_.push_back(o.version_.value()); };
+        { versions_.push_back(o.version_.value()); };
         e.on_failure_ = [this](const error&) { ++failures_; };
-        e.on_response_ = [this] { ++confirmations_; };
+        e.on_response_ = [this] { ++responses_; };
         return e;
     }
 
@@ -49,42 +49,42 @@
     kj::AsyncIoContext io_;
     kj::Timer& timer_;
     standin::memory_platform platform_;
-    std::vector<std::uint64_t> told_;
+    std::vector<std::uint64_t> versions_;
     int failures_ = 0;
-    int confirmations_ = 0;
+    int responses_ = 0;
     object_follower follower_;
 };
 
 } // namespace
 
-TEST_CASE_FIXTURE(fixture, "a follower goes on through an outage")
+TEST_CASE_FIXTURE(fixture, "a follower continues after an outage")
 {
     write();
     const auto following = follower_.follow(name, no_object_version);
-    run_for(10);
-    CHECK(told_ == std::vector<std::uint64_t>{1});
+    run_for_ms(10);
+    CHECK(versions_ == std::vector<std::uint64_t>{1});
     platform_.outage_ = true;
     platform_.objects_.fail_watches();
-    run_for(30);
+    run_for_ms(30);
     CHECK(failures_ > 1);
     write();
     write();
     platform_.outage_ = false;
-    run_for(30);
-    CHECK(told_ == std::vector<std::uint64_t>{1, 3});
+    run_for_ms(30);
+    CHECK(versions_ == std::vector<std::uint64_t>{1, 3});
 }
 
-TEST_CASE_FIXTURE(fixture, "a follower keeps one call waiting and no more")
+TEST_CASE_FIXTURE(fixture, "a follower has one call to the platform at a time")
 {
     write();
     const auto following = follower_.follow(name, object_version(1));
-    run_for(100);
+    run_for_ms(100);
     CHECK(platform_.calls_ == 1);
-    CHECK(confirmations_ == 0);
-    CHECK(told_.empty());
+    CHECK(responses_ == 0);
+    CHECK(versions_.empty());
 }
 
-TEST_CASE_FIXTURE(fixture, "the store in memory writes conditionally")
+TEST_CASE_FIXTURE(fixture, "the in-memory store writes conditionally")
 {
     const auto put = [&](std::uint64_t expected)
     {
--- a/src/libplatform/platform.cpp
+++ b/src/libplatform/platform.cpp
@@ -45,7 +45,8 @@
 
 bool holds_write_id(const std::string& value, const write_id& id)
 {
-    // With its quotes: text inside another JSON string has escaped ones.
+    // The quotes keep the id from matching inside another JSON string, where
+    // quotes are escaped.
     const std::string quoted = '"' + id.value() + '"';
     return !id.value().empty() && value.find(quoted) != std::string::npos;
 }
--- a/src/libplatform/platform_client.cpp
+++ b/src/libplatform/platform_client.cpp
@@ -32,23 +32,24 @@
                       "?watch=" + std::to_string(after.value());
     return impl_->read(&platform_counters::watches_, std::move(url), wait)
         .then(
-            [this, name, after](pvt::response_or_error&& answer) -> watch_result
+            [this, name,
+             after](pvt::response_or_error&& response) -> watch_result
             {
-                if (!answer)
+                if (!response)
                 {
-                    return tl::unexpected(std::move(answer.error()));
+                    return tl::unexpected(std::move(response.error()));
                 }
-                if (answer->status_ == pvt::status_not_modified)
+                if (response->status_ == pvt::status_not_modified)
                 {
                     return std::nullopt;
                 }
-                if (answer->status_ != pvt::status_ok)
+                if (response->status_ != pvt::status_ok)
                 {
                     return tl::unexpected(
-                        pvt::unexpected_status(answer->status_));
+                        pvt::unexpected_status(response->status_));
                 }
                 auto object =
-                    impl_->dialect_.parse_object_(name, answer->body_);
+                    impl_->dialect_.parse_object_(name, response->body_);
                 if (!object)
                 {
                     return tl::unexpected(std::move(object.error()));
@@ -69,19 +70,19 @@
         ->read(&platform_counters::lists_, impl_->dialect_.list_url_(prefix),
                {})
         .then(
-            [this](pvt::response_or_error&& answer)
+            [this](pvt::response_or_error&& response)
                 -> tl::expected<std::vector<object_entry>, error>
             {
-                if (!answer)
+                if (!response)
                 {
-                    return tl::unexpected(std::move(answer.error()));
+                    return tl::unexpected(std::move(response.error()));
                 }
-                if (answer->status_ != pvt::status_ok)
+                if (response->status_ != pvt::status_ok)
                 {
                     return tl::unexpected(
-                        pvt::unexpected_status(answer->status_));
+                        pvt::unexpected_status(response->status_));
                 }
-                return impl_->dialect_.parse_list_(answer->body_);
+                return impl_->dialect_.parse_list_(response->body_);
             });
 }
 
