--- a/src/libplatform/platform_client_test.cpp
+++ b/src/libplatform/platform_client_test.cpp
@@ -14,7 +14,7 @@
 
 constexpr const char* name = "rules/current";
 
-platform_settings quick_settings(std::uint16_t port)
+platform_settings short_timeout_settings(std::uint16_t port)
 {
     platform_settings s;
     s.address_ = {make_v4(127, 0, 0, 1), port};
@@ -29,12 +29,12 @@
     return s;
 }
 
-std::string value_of(const write_id& id, const std::string& more = "")
+std::string value_of(const write_id& id, const std::string& extra_fields = "")
 {
-    return R"({"write_id":")" + id.value() + "\"" + more + "}";
+    return R"({"write_id":")" + id.value() + "\"" + extra_fields + "}";
 }
 
-// The stand-in and a client of it in one event loop.
+// Runs the platform stand-in and a client of it in one event loop.
 class fixture
 {
 public:
@@ -42,7 +42,8 @@
         : io_(kj::setupAsyncIo()), timer_(io_.provider->getTimer()),
           service_(timer_, headers_, 1),
           server_(timer_, *headers_.table_, service_, server_settings()),
-          port_(listen()), client_(quick_settings(port_), dependencies())
+          port_(listen()),
+          client_(short_timeout_settings(port_), dependencies())
     {
     }
 
@@ -63,9 +64,9 @@
         return wait(client_.put_if(write(expected)));
     }
 
-    void after(int ms, standin::fault_plan plan)
+    void set_faults_after(int ms, standin::fault_plan plan)
     {
-        later_.add(timer_.afterDelay(ms * kj::MILLISECONDS)
+        tasks_.add(timer_.afterDelay(ms * kj::MILLISECONDS)
                        .then([this, plan] { service_.set_faults(plan); }));
     }
 
@@ -77,7 +78,7 @@
     }
 
 private:
-    struct log_failures final : kj::TaskSet::ErrorHandler
+    struct task_error_logger final : kj::TaskSet::ErrorHandler
     {
         void taskFailed(kj::Exception&& e) override
         {
@@ -97,7 +98,7 @@
         auto address =
             wait(io_.provider->getNetwork().parseAddress("127.0.0.1:0"));
         receiver_ = address->listen();
-        later_.add(server_.listenHttp(*receiver_));
+        tasks_.add(server_.listenHttp(*receiver_));
         return static_cast<std::uint16_t>(receiver_->getPort());
     }
 
@@ -110,8 +111,8 @@
     standin::platform_service service_;
     kj::HttpServer server_;
     kj::Own<kj::ConnectionReceiver> receiver_;
-    log_failures log_;
-    kj::TaskSet later_{log_};
+    task_error_logger task_errors_;
+    kj::TaskSet tasks_{task_errors_};
     std::uint16_t port_;
     platform_client client_;
 };
@@ -137,7 +138,8 @@
     CHECK(wait(client_.list("roster/"))->empty());
 }
 
-TEST_CASE_FIXTURE(fixture, "a writer that lost the race sees the winner")
+TEST_CASE_FIXTURE(fixture,
+                  "a writer that loses a race gets the other writer's object")
 {
     const object_write winner = write(0);
     wait(client_.put_if(winner));
@@ -148,7 +150,8 @@
     CHECK(lost.current_->value_ == winner.value_);
 }
 
-TEST_CASE_FIXTURE(fixture, "a lost answer is settled as accepted")
+TEST_CASE_FIXTURE(fixture,
+                  "a write with a lost response is resolved as accepted")
 {
     standin::fault_plan plan;
     plan.lose_answer_next_writes_ = 1;
@@ -160,7 +163,8 @@
     CHECK(client_.counters().resolved_accepted_ == 1);
 }
 
-TEST_CASE_FIXTURE(fixture, "a lost answer of a refused write is not accepted")
+TEST_CASE_FIXTURE(
+    fixture, "a refused write with a lost response is resolved as not accepted")
 {
     put(0);
     standin::fault_plan plan;
@@ -173,7 +177,8 @@
     CHECK(client_.counters().resolved_not_accepted_ == 1);
 }
 
-TEST_CASE_FIXTURE(fixture, "a write that cannot be settled is unknown")
+TEST_CASE_FIXTURE(fixture,
+                  "a write that cannot be resolved has an unknown outcome")
 {
     standin::fault_plan plan;
     plan.outage_ = true;
@@ -181,49 +186,51 @@
     const write_result result = put(0);
     CHECK(result.outcome_ == write_outcome::unknown);
     CHECK(client_.counters().unresolved_ == 1);
-    // Not one that was never sent, as the breaker is open now.
+    // The breaker is open now, so the next write is not sent and cannot take
+    // effect.
     const write_result unsent = put(0);
     CHECK(unsent.outcome_ == write_outcome::not_accepted);
     CHECK(unsent.reason_.code_ == error_code::unavailable);
 }
 
-TEST_CASE_FIXTURE(fixture, "a lost answer is settled after the outage")
+TEST_CASE_FIXTURE(fixture,
+                  "a write with a lost response is resolved after the outage")
 {
     standin::fault_plan plan;
     plan.outage_ = true;
     service_.set_faults(plan);
-    after(400, {});
+    set_faults_after(400, {});
     CHECK(put(0).outcome_ == write_outcome::accepted);
     CHECK(wait(client_.get(name))->version_ == object_version(1));
 }
 
-TEST_CASE_FIXTURE(fixture, "a stale read back is not believed")
+TEST_CASE_FIXTURE(fixture, "a stale read does not resolve a write")
 {
     put(0);
     put(1);
     standin::fault_plan plan;
     plan.stale_read_rate_ = 1;
     service_.set_faults(plan);
-    after(100, {});
+    set_faults_after(100, {});
     const write_result lost = put(1);
     CHECK(lost.outcome_ == write_outcome::not_accepted);
     CHECK(lost.current_->version_ == object_version(2));
     CHECK(client_.counters().stale_dropped_ > 0);
 }
 
-TEST_CASE_FIXTURE(fixture, "an attempt that takes too long is retried")
+TEST_CASE_FIXTURE(fixture, "an attempt that times out is retried")
 {
     put(0);
     standin::fault_plan plan;
     plan.delay_ms_ = 1000;
     service_.set_faults(plan);
-    after(100, {});
+    set_faults_after(100, {});
     CHECK(wait(client_.get(name)).has_value());
     CHECK(client_.counters().timeouts_ == 1);
     CHECK(client_.counters().retries_ == 1);
 }
 
-TEST_CASE_FIXTURE(fixture, "an outage costs few calls")
+TEST_CASE_FIXTURE(fixture, "few calls are sent during an outage")
 {
     standin::fault_plan plan;
     plan.outage_ = true;
@@ -236,16 +243,17 @@
     CHECK(client_.counters().refused_by_breaker_ > 180);
 }
 
-TEST_CASE_FIXTURE(fixture, "watches end with news, or without in time")
+TEST_CASE_FIXTURE(fixture,
+                  "a watch returns a newer version, or nothing after its wait")
 {
     put(0);
     auto event = client_.watch(name, object_version(1), milliseconds(2000));
     auto written = client_.put_if(write(1));
     CHECK(wait(kj::mv(written)).outcome_ == write_outcome::accepted);
-    const auto news = wait(kj::mv(event));
-    REQUIRE(news.has_value());
-    REQUIRE(news->has_value());
-    CHECK((*news)->version_ == object_version(2));
+    const auto update = wait(kj::mv(event));
+    REQUIRE(update.has_value());
+    REQUIRE(update->has_value());
+    CHECK((*update)->version_ == object_version(2));
     const auto none =
         wait(client_.watch(name, object_version(2), milliseconds(30)));
     REQUIRE(none.has_value());
@@ -253,51 +261,52 @@
     CHECK(service_.calls().watch_ == 2);
 }
 
-TEST_CASE_FIXTURE(fixture, "a watch that was cut keeps the end of its wait")
+TEST_CASE_FIXTURE(fixture,
+                  "a watch retried after a failure ends at the end of its wait")
 {
     put(0);
-    standin::fault_plan cut;
-    cut.outage_ = true;
-    after(700, cut);
-    after(702, {});
-    const kj::TimePoint begun = timer_.now();
+    standin::fault_plan outage;
+    outage.outage_ = true;
+    set_faults_after(700, outage);
+    set_faults_after(702, {});
+    const kj::TimePoint started_at = timer_.now();
     const auto none =
         wait(client_.watch(name, object_version(1), milliseconds(1000)));
     REQUIRE(none.has_value());
     CHECK_FALSE(none->has_value());
-    CHECK(timer_.now() - begun < 1500 * kj::MILLISECONDS);
+    CHECK(timer_.now() - started_at < 1500 * kj::MILLISECONDS);
     CHECK(client_.counters().retries_ > 0);
 }
 
-TEST_CASE_FIXTURE(fixture, "a watch that is never answered ends with its wait")
+TEST_CASE_FIXTURE(fixture, "a watch without a response ends with its wait")
 {
-    // CONFIG of zon-sacz-grown, mix --seed 1089921574143: a watch that went
-    // silent was tried again with its whole wait, so that the read due after
-    // it came a watch's length late.
+    // Guards against retrying a watch that got no response with its whole wait
+    // again, which delayed the caller's read after the watch by that wait.
+    // Found with CONFIG of zon-sacz-grown, mix --seed 1089921574143.
     put(0);
     standin::fault_plan plan;
     plan.delay_ms_ = 4000;
     service_.set_faults(plan);
-    const kj::TimePoint begun = timer_.now();
+    const kj::TimePoint started_at = timer_.now();
     const auto none =
         wait(client_.watch(name, object_version(1), milliseconds(300)));
     REQUIRE_FALSE(none.has_value());
     CHECK(none.error().code_ == error_code::timed_out);
-    CHECK(timer_.now() - begun < 1200 * kj::MILLISECONDS);
+    CHECK(timer_.now() - started_at < 1200 * kj::MILLISECONDS);
     CHECK(client_.counters().timeouts_ == 1);
 }
 
-TEST_CASE_FIXTURE(fixture, "repeated and older events are dropped")
+TEST_CASE_FIXTURE(fixture, "duplicate and older events are dropped")
 {
     put(0);
     put(1);
     standin::fault_plan plan;
     plan.watch_.duplicate_rate_ = 1;
     service_.set_faults(plan);
-    const auto repeated =
+    const auto duplicate =
         wait(client_.watch(name, object_version(2), milliseconds(500)));
-    REQUIRE(repeated.has_value());
-    CHECK_FALSE(repeated->has_value());
+    REQUIRE(duplicate.has_value());
+    CHECK_FALSE(duplicate->has_value());
 
     plan.watch_ = {0, 0, 1};
     service_.set_faults(plan);
@@ -310,16 +319,16 @@
     CHECK(client_.counters().stale_dropped_ == 2);
 }
 
-TEST_CASE_FIXTURE(fixture, "a follower tells each version once and in order")
+TEST_CASE_FIXTURE(fixture, "a follower reports each version once and in order")
 {
     standin::fault_plan plan;
     plan.watch_ = {5, 0.3, 0.3};
     plan.fail_rate_ = 0.1;
     service_.set_faults(plan);
-    std::vector<std::uint64_t> told;
+    std::vector<std::uint64_t> versions;
     follow_callbacks events;
     events.on_update_ = [&](const platform_object& o)
-    { told.push_back(o.version_.value()); };
+    { versions.push_back(o.version_.value()); };
     events.on_failure_ = [](const error&) {};
     events.on_response_ = [] {};
     object_follower follower(client_, timer_, dependencies().random_, events,
@@ -330,14 +339,14 @@
         REQUIRE(put(version).outcome_ == write_outcome::accepted);
     }
     service_.set_faults({});
-    for (int i = 0; i < 100 && (told.empty() || told.back() < 30); ++i)
+    for (int i = 0; i < 100 && (versions.empty() || versions.back() < 30); ++i)
     {
         wait(timer_.afterDelay(10 * kj::MILLISECONDS));
     }
-    REQUIRE_FALSE(told.empty());
-    CHECK(told.back() == 30);
-    for (std::size_t i = 1; i < told.size(); ++i)
+    REQUIRE_FALSE(versions.empty());
+    CHECK(versions.back() == 30);
+    for (std::size_t i = 1; i < versions.size(); ++i)
     {
-        CHECK(told[i - 1] < told[i]);
+        CHECK(versions[i - 1] < versions[i]);
     }
 }
--- a/src/libplatform/platform_setup_test.cpp
+++ b/src/libplatform/platform_setup_test.cpp
@@ -7,32 +7,32 @@
 namespace
 {
 
-struct only_platform
+struct platform_only_settings
 {
     platform_settings platform_;
 };
 
-void read_settings(settings_section& top, only_platform& s)
+void read_settings(settings_section& root, platform_only_settings& s)
 {
-    read_platform_settings(top.section("platform"), s.platform_);
+    read_platform_settings(root.section("platform"), s.platform_);
 }
 
 } // namespace
 
-TEST_CASE("the platform's settings are read and checked as a whole")
+TEST_CASE("the platform settings are read, and all their errors reported")
 {
-    const auto good = settings_from_text<only_platform>(
+    const auto valid = settings_from_text<platform_only_settings>(
         "[platform]\naddress = \"127.0.0.1:80\"\ncalls_per_second = 3.5\n");
-    REQUIRE(good.has_value());
-    CHECK(good->platform_.address_.port_ == 80);
-    CHECK(good->platform_.call_rate_.per_second_ == doctest::Approx(3.5));
-    const auto bad = settings_from_text<only_platform>(
+    REQUIRE(valid.has_value());
+    CHECK(valid->platform_.address_.port_ == 80);
+    CHECK(valid->platform_.call_rate_.per_second_ == doctest::Approx(3.5));
+    const auto invalid = settings_from_text<platform_only_settings>(
         "[platform]\naddress = \"x\"\nattempt_timeout = 3\nbogus = 1\n");
-    REQUIRE_FALSE(bad.has_value());
-    CHECK(bad.error().size() == 3);
+    REQUIRE_FALSE(invalid.has_value());
+    CHECK(invalid.error().size() == 3);
 }
 
-TEST_CASE("metrics follow the counters")
+TEST_CASE("the metrics show the counters of the client")
 {
     metrics_registry registry;
     platform_metrics metrics(registry);
@@ -51,7 +51,7 @@
           std::string::npos);
 }
 
-TEST_CASE("each service has a roster object of its own")
+TEST_CASE("the name of a roster object contains the service name")
 {
     CHECK(roster_object_name(service_name("orders")) == "roster/orders");
 }
--- a/src/libplatform/settle_write.cpp
+++ b/src/libplatform/resolve_write.cpp
@@ -15,45 +15,45 @@
     pending->call_ = new_call(&platform_counters::puts_, std::move(request));
     pending->call_->is_write_ = true;
     return run(pending->call_)
-        .then([this, pending](pvt::response_or_error&& answer)
-              { return handle_put_response(pending, std::move(answer)); });
+        .then([this, pending](pvt::response_or_error&& response)
+              { return handle_put_response(pending, std::move(response)); });
 }
 
 kj::Promise<write_result>
 platform_client::impl::handle_put_response(const pvt::write_ptr& write,
-                                           pvt::response_or_error answer)
+                                           pvt::response_or_error response)
 {
     write->progress_.may_have_been_applied_ =
         write->call_->progress_.must_resolve_;
-    const auto unless_accepted = write->progress_.may_have_been_applied_
+    const auto failure_outcome = write->progress_.may_have_been_applied_
                                      ? write_outcome::unknown
                                      : write_outcome::not_accepted;
-    if (!answer)
+    if (!response)
     {
-        return settled(*write, unless_accepted, std::nullopt,
-                       std::move(answer.error()));
+        return finish_write(*write, failure_outcome, std::nullopt,
+                            std::move(response.error()));
     }
-    const auto version = dialect_.parse_version_(answer->body_);
-    if (answer->status_ == pvt::status_ok && version)
+    const auto version = dialect_.parse_version_(response->body_);
+    if (response->status_ == pvt::status_ok && version)
     {
         write_result result;
         result.outcome_ = write_outcome::accepted;
         result.version_ = *version;
         return result;
     }
-    if (answer->status_ == dialect_.conflict_status_ && version)
+    if (response->status_ == dialect_.conflict_status_ && version)
     {
         write->progress_.conflict_version_ = *version;
         return read_back(write);
     }
-    if (answer->status_ == pvt::status_ok)
+    if (response->status_ == pvt::status_ok)
     {
-        // It took effect, or the answer is not the platform's.
+        // The write took effect, or the response is not from the platform.
         write->progress_.may_have_been_applied_ = true;
         return read_back(write);
     }
-    return settled(*write, unless_accepted, std::nullopt,
-                   pvt::unexpected_status(answer->status_));
+    return finish_write(*write, failure_outcome, std::nullopt,
+                        pvt::unexpected_status(response->status_));
 }
 
 kj::Promise<write_result>
@@ -64,42 +64,44 @@
     auto call = new_call(&platform_counters::gets_, std::move(request));
     call->progress_.must_resolve_ = write->progress_.may_have_been_applied_;
     return run(call).then(
-        [this, write, call](pvt::response_or_error&& answer)
-        { return handle_read_back(write, call, std::move(answer)); });
+        [this, write, call](pvt::response_or_error&& response)
+        { return handle_read_back(write, call, std::move(response)); });
 }
 
 kj::Promise<write_result>
 platform_client::impl::handle_read_back(const pvt::write_ptr& write,
                                         const pvt::call_ptr& call,
-                                        pvt::response_or_error answer)
+                                        pvt::response_or_error response)
 {
-    const error conflict{error_code::conflict, "another writer came first"};
-    if (!answer && write->progress_.may_have_been_applied_)
+    const error conflict{error_code::conflict,
+                         "another writer updated the object first"};
+    if (!response && write->progress_.may_have_been_applied_)
     {
-        return settled(*write, write_outcome::unknown, std::nullopt,
-                       std::move(answer.error()));
+        return finish_write(*write, write_outcome::unknown, std::nullopt,
+                            std::move(response.error()));
     }
-    if (!answer)
+    if (!response)
     {
-        return settled(*write, write_outcome::not_accepted, std::nullopt,
-                       conflict);
+        return finish_write(*write, write_outcome::not_accepted, std::nullopt,
+                            conflict);
     }
-    auto object = dialect_.parse_object_(write->name_, answer->body_);
-    const auto meaning =
-        object && answer->status_ == pvt::status_ok
+    auto object = dialect_.parse_object_(write->name_, response->body_);
+    const auto classification =
+        object && response->status_ == pvt::status_ok
             ? pvt::classify_read_back(write->progress_, *object)
             : pvt::read_back_result::stale;
-    switch (meaning)
+    switch (classification)
     {
     case pvt::read_back_result::accepted:
-        return settled(*write, write_outcome::accepted, std::move(*object), {});
+        return finish_write(*write, write_outcome::accepted, std::move(*object),
+                            {});
     case pvt::read_back_result::not_accepted:
-        return settled(*write, write_outcome::not_accepted, std::move(*object),
-                       conflict);
+        return finish_write(*write, write_outcome::not_accepted,
+                            std::move(*object), conflict);
     case pvt::read_back_result::unknown:
-        return settled(
-            *write, write_outcome::unknown, std::move(*object),
-            {error_code::unknown_outcome, "later writes cover the outcome"});
+        return finish_write(*write, write_outcome::unknown, std::move(*object),
+                            {error_code::unknown_outcome,
+                             "later writes to the object hide the outcome"});
     case pvt::read_back_result::stale:
         break;
     }
@@ -108,11 +110,14 @@
         pvt::backoff_delay(settings_, call->progress_.attempts_, random_());
     return timer_.afterDelay(pvt::to_kj(pause))
         .then([this, call] { return run(call); })
-        .then([this, write, call](pvt::response_or_error&& again)
-              { return handle_read_back(write, call, std::move(again)); });
+        .then(
+            [this, write, call](pvt::response_or_error&& retried_response) {
+                return handle_read_back(write, call,
+                                        std::move(retried_response));
+            });
 }
 
-write_result platform_client::impl::settled(
+write_result platform_client::impl::finish_write(
     const pvt::pending_write& write, write_outcome outcome,
     std::optional<platform_object> current, error reason)
 {
--- a/src/libpolicy/admission.cpp
+++ b/src/libpolicy/admission.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-// Number of requests that must end before a new one gets a slot.
+// Returns the number of requests that must end before a new one gets a slot.
 std::uint32_t requests_ahead(const upstream_load& load)
 {
     const std::uint32_t slots = std::max<std::uint32_t>(load.slots_.value(), 1);
@@ -41,8 +41,8 @@
     return result;
 }
 
-// One to two times the expected wait, so that refused callers do not all retry
-// at the same time.
+// Returns one to two times the expected wait, within the limits of `settings`.
+// The jitter keeps refused callers from retrying all at the same time.
 duration retry_hint(const upstream_load& load,
                     const admission_settings& settings, double jitter)
 {
--- a/src/libpolicy/load_settings.cpp
+++ b/src/libpolicy/load_settings.cpp
@@ -44,8 +44,7 @@
                           "slowness_limit is below 1", errors);
     const auto& start = settings.slow_start_;
     pvt::add_error_unless(start.floor_ > 0 && start.floor_ <= 1,
-                          "slow_start_floor is not above 0 and at most 1",
-                          errors);
+                          "slow_start_floor is 0 or less, or above 1", errors);
     pvt::add_error_unless(start.length_ >= duration(0),
                           "slow_start_length is below 0", errors);
     const auto& admission = settings.admission_;
--- a/src/libpolicy/placement.cpp
+++ b/src/libpolicy/placement.cpp
@@ -23,8 +23,8 @@
 }
 
 // Picks one of the candidates that accept new flows, other than `home` and
-// `skip`, with a probability in proportion to its effective slots. `random` is
-// uniform in [0, 1).
+// `skip`, with a probability in proportion to its effective slots. Returns
+// `none` if there is no such candidate. `random` is uniform in [0, 1).
 std::size_t pick_weighted_candidate(const candidates& all, std::size_t home,
                                     std::size_t skip,
                                     const load_settings& settings,
@@ -61,12 +61,12 @@
 
 std::size_t pick_better_of_two(const candidates& all, std::size_t home,
                                duration median, const load_settings& settings,
-                               const placement_draws& draws)
+                               const placement_random_values& random_values)
 {
-    const std::size_t first =
-        pick_weighted_candidate(all, home, none, settings, draws.first_);
-    const std::size_t second =
-        pick_weighted_candidate(all, home, first, settings, draws.second_);
+    const std::size_t first = pick_weighted_candidate(all, home, none, settings,
+                                                      random_values.first_);
+    const std::size_t second = pick_weighted_candidate(
+        all, home, first, settings, random_values.second_);
     if (first == none || second == none)
     {
         return first;
@@ -186,11 +186,12 @@
 
 std::optional<placement>
 choose_owner(const std::vector<load_candidate>& candidates, std::size_t home,
-             const load_settings& settings, const placement_draws& draws)
+             const load_settings& settings,
+             const placement_random_values& random_values)
 {
     const duration median = median_service_time(candidates);
-    const std::size_t best =
-        pvt::pick_better_of_two(candidates, home, median, settings, draws);
+    const std::size_t best = pvt::pick_better_of_two(candidates, home, median,
+                                                     settings, random_values);
     const bool home_is_open =
         home < candidates.size() && candidates[home].accepts_new_flows_;
     if (best == pvt::none)
--- a/src/libpolicy/placement_test.cpp
+++ b/src/libpolicy/placement_test.cpp
@@ -29,7 +29,7 @@
     return *rc::gen::inRange(0, steps) / static_cast<double>(steps);
 }
 
-placement_draws random_placement_draws()
+placement_random_values generate_random_values()
 {
     const double first = random_fraction();
     return {first, random_fraction()};
@@ -62,7 +62,8 @@
     return all;
 }
 
-// Fraction of placements, over a grid of random numbers, that go to `index`.
+// Returns the fraction of placements, over a grid of random numbers, that go to
+// `index`.
 double fraction_placed_on(const std::vector<load_candidate>& all,
                           std::size_t home, std::size_t index)
 {
@@ -72,8 +73,10 @@
     {
         const int row = i / grid;
         const int column = i % grid;
-        const placement_draws draws{(row + 0.5) / grid, (column + 0.5) / grid};
-        hits += choose_owner(all, home, {}, draws)->index_ == index ? 1 : 0;
+        const placement_random_values random_values{(row + 0.5) / grid,
+                                                    (column + 0.5) / grid};
+        hits +=
+            choose_owner(all, home, {}, random_values)->index_ == index ? 1 : 0;
     }
     return hits / static_cast<double>(grid * grid);
 }
@@ -89,7 +92,7 @@
             const auto all = random_candidates();
             const auto home = *rc::gen::inRange<std::size_t>(0, all.size());
             const auto chosen =
-                choose_owner(all, home, {}, random_placement_draws());
+                choose_owner(all, home, {}, generate_random_values());
             const bool any = std::any_of(all.begin(), all.end(),
                                          [](const load_candidate& c)
                                          { return c.accepts_new_flows_; });
@@ -99,7 +102,7 @@
 }
 
 TEST_CASE(
-    "an upstream's report raises the load score in limits and never lowers it")
+    "an upstream's report raises the load score within limits, never lowers it")
 {
     CHECK(rc::check(
         []
--- a/src/librules/line_reader.cpp
+++ b/src/librules/line_reader.cpp
@@ -18,13 +18,14 @@
     return (c < first_printable && !is_blank) || c == delete_character;
 }
 
-bool is_continuation(unsigned char c)
+bool is_continuation_byte(unsigned char c)
 {
     return (c & 0xc0U) == 0x80U;
 }
 
-// Bytes of the UTF-8 sequence that `lead` begins, 0 if it begins none.
-std::size_t sequence_length(unsigned char lead)
+// Returns the length of the UTF-8 sequence that begins with `lead`, or 0 if
+// none does.
+std::size_t utf8_sequence_length(unsigned char lead)
 {
     if (lead < 0x80)
     {
@@ -41,9 +42,9 @@
     return lead >= 0xf0 && lead <= 0xf4 ? 4 : 0;
 }
 
-// Overlong forms, surrogates and code points past U+10FFFF show in the second
-// byte of a sequence.
-bool is_allowed_second(unsigned char lead, unsigned char second)
+// After some lead bytes, the second byte is restricted further, to exclude
+// overlong forms, surrogates and code points above U+10FFFF.
+bool is_valid_second_byte(unsigned char lead, unsigned char second)
 {
     switch (lead)
     {
@@ -60,18 +61,18 @@
     }
 }
 
-bool is_sequence(std::string_view s)
+bool is_valid_utf8_sequence(std::string_view s)
 {
     const auto byte_at = [&](std::size_t i)
     { return static_cast<unsigned char>(s[i]); };
     for (std::size_t i = 1; i < s.size(); ++i)
     {
-        if (!is_continuation(byte_at(i)))
+        if (!is_continuation_byte(byte_at(i)))
         {
             return false;
         }
     }
-    return s.size() < 2 || is_allowed_second(byte_at(0), byte_at(1));
+    return s.size() < 2 || is_valid_second_byte(byte_at(0), byte_at(1));
 }
 
 std::string_view trim(std::string_view s)
@@ -96,28 +97,28 @@
 
 } // namespace
 
-std::optional<bad_byte> find_bad_byte(std::string_view line)
+std::optional<invalid_byte> find_invalid_byte(std::string_view line)
 {
     for (std::size_t i = 0; i < line.size();)
     {
         const auto c = static_cast<unsigned char>(line[i]);
         if (is_control(c))
         {
-            return bad_byte{i + 1, "control character"};
+            return invalid_byte{i + 1, "control character"};
         }
-        const std::size_t length = sequence_length(c);
+        const std::size_t length = utf8_sequence_length(c);
         if (length == 0 || length > line.size() - i ||
-            !is_sequence(line.substr(i, length)))
+            !is_valid_utf8_sequence(line.substr(i, length)))
         {
-            return bad_byte{i + 1, "not UTF-8"};
+            return invalid_byte{i + 1, "invalid UTF-8"};
         }
         i += length;
     }
     return std::nullopt;
 }
 
-line_reader::line_reader(std::size_t number, std::string_view line)
-    : number_(number), body_(line.substr(0, line.find('#'))),
+line_reader::line_reader(std::size_t line_number, std::string_view line)
+    : line_number_(line_number), body_(line.substr(0, line.find('#'))),
       comment_column_(body_.size() + 1)
 {
     if (body_.size() < line.size())
@@ -147,7 +148,7 @@
 void line_reader::fail(std::vector<rule_error>& errors, std::size_t column,
                        std::string reason) const
 {
-    errors.push_back({number_, column, std::move(reason)});
+    errors.push_back({line_number_, column, std::move(reason)});
 }
 
 void line_reader::read_kind(rule_kind& kind, std::vector<rule_error>& errors)
@@ -182,8 +183,10 @@
     }
     if (is_unspecified(parsed->address_))
     {
-        fail(errors, column,
-             quoted(word) + " stands for every address and would overlap");
+        fail(
+            errors, column,
+            quoted(word) +
+                " is a wildcard address, which would overlap with other rules");
         return false;
     }
     address = *parsed;
@@ -207,7 +210,7 @@
     std::string word(next_word());
     if (!is_valid_name(word))
     {
-        fail(errors, column, quoted(word) + " is not a service name");
+        fail(errors, column, quoted(word) + " is not a valid service name");
         return;
     }
     service = service_name(std::move(word));
@@ -229,7 +232,7 @@
     if (trimmed.empty())
     {
         fail(errors, comment_column_,
-             "no comment that names who asked for the rule");
+             "missing comment that names who asked for the rule");
         return;
     }
     text = trimmed;
--- a/src/librules/line_reader.h
+++ b/src/librules/line_reader.h
@@ -1,5 +1,6 @@
 /// \file
-/// Reads the parts of one rule line and reports each fault with its column.
+/// Parses the parts of one line of a rule file and reports errors with their
+/// columns.
 
 #ifndef LIBRULES_LINE_READER_H
 #define LIBRULES_LINE_READER_H
@@ -12,52 +13,53 @@
 namespace galenafork::pvt
 {
 
-/// A byte that may not stand in a rule file.
-struct bad_byte
+/// A byte that is not allowed in a rule file.
+struct invalid_byte
 {
     std::size_t column_ = 0;
     std::string reason_;
 };
 
-/// The first control character or byte that is not UTF-8, if any.
-std::optional<bad_byte> find_bad_byte(std::string_view line);
+/// Returns the first control character or byte that is not valid UTF-8, if any.
+std::optional<invalid_byte> find_invalid_byte(std::string_view line);
 
-/// Reads one line from left to right. A `read_` function that finds a fault
-/// adds it to `errors` and leaves its output alone.
+/// Parses one line from left to right. A `read_` function that finds an error
+/// adds it to `errors` and leaves its output unchanged.
 class line_reader
 {
 public:
-    /// `number` is the line's number in the file; `line` must outlive this.
-    line_reader(std::size_t number, std::string_view line);
+    /// `line_number` is the line's number in the file; `line` must outlive
+    /// this.
+    line_reader(std::size_t line_number, std::string_view line);
 
-    /// The number of the line.
+    /// Returns the line's number in the file.
     std::size_t line() const
     {
-        return number_;
+        return line_number_;
     }
 
-    /// True if no rule is left to read before the comment.
+    /// True if nothing is left to read before the comment.
     bool at_end() const;
 
-    /// Column of the next word, from 1.
+    /// Returns the column of the next word, from 1.
     std::size_t next_column() const;
 
-    /// `udp` or `coap`.
+    /// Reads `udp` or `coap`.
     void read_kind(rule_kind& kind, std::vector<rule_error>& errors);
 
-    /// IP address and port; true if there was a good one.
+    /// Reads an IP address with a port. Returns true if they are valid.
     bool read_address(endpoint& address, std::vector<rule_error>& errors);
 
-    /// `->`
+    /// Reads `->`.
     void read_arrow(std::vector<rule_error>& errors);
 
-    /// Name of the service.
+    /// Reads the name of the service.
     void read_service(service_name& service, std::vector<rule_error>& errors);
 
-    /// Nothing more before the comment.
+    /// Checks that nothing is left before the comment.
     void read_end(std::vector<rule_error>& errors);
 
-    /// The comment, which must not be empty.
+    /// Reads the comment, which must not be empty.
     void read_comment(std::string& text, std::vector<rule_error>& errors) const;
 
 private:
@@ -65,7 +67,7 @@
     void fail(std::vector<rule_error>& errors, std::size_t column,
               std::string reason) const;
 
-    std::size_t number_;
+    std::size_t line_number_;
     /// The part before `#`.
     std::string_view body_;
     /// The part after `#`, or nothing if the line has no `#`.
--- a/src/librules/rules.cpp
+++ b/src/librules/rules.cpp
@@ -12,11 +12,11 @@
 namespace
 {
 
-using addresses = std::map<endpoint, std::size_t>;
+using lines_by_address = std::map<endpoint, std::size_t>;
 
-// Reads one line that holds a rule; adds its faults to `errors`.
-void read_rule(pvt::line_reader& reader, rule_set& result, addresses& seen,
-               std::vector<rule_error>& errors)
+// Parses one line that contains a rule, and adds its errors to `errors`.
+void read_rule(pvt::line_reader& reader, rule_set& result,
+               lines_by_address& seen, std::vector<rule_error>& errors)
 {
     rule r;
     r.line_ = reader.line();
@@ -36,7 +36,7 @@
         {
             errors.push_back({r.line_, address_column,
                               "address " + galenafork::to_string(r.address_) +
-                                  " already has the rule of line " +
+                                  " already has a rule on line " +
                                   std::to_string(earlier->second)});
         }
     }
@@ -46,15 +46,15 @@
     }
 }
 
-void read_line(std::size_t number, std::string_view line, rule_set& result,
-               addresses& seen, std::vector<rule_error>& errors)
+void read_line(std::size_t line_number, std::string_view line, rule_set& result,
+               lines_by_address& seen, std::vector<rule_error>& errors)
 {
-    if (const auto bad = pvt::find_bad_byte(line))
+    if (const auto invalid = pvt::find_invalid_byte(line))
     {
-        errors.push_back({number, bad->column_, bad->reason_});
+        errors.push_back({line_number, invalid->column_, invalid->reason_});
         return;
     }
-    pvt::line_reader reader(number, line);
+    pvt::line_reader reader(line_number, line);
     if (!reader.at_end())
     {
         read_rule(reader, result, seen, errors);
@@ -90,12 +90,12 @@
     }
     rule_set result;
     std::vector<rule_error> errors;
-    addresses seen;
+    lines_by_address seen;
     std::string_view rest = text;
-    for (std::size_t number = 1; !rest.empty(); ++number)
+    for (std::size_t line_number = 1; !rest.empty(); ++line_number)
     {
         const std::size_t end = std::min(rest.find('\n'), rest.size());
-        read_line(number, rest.substr(0, end), result, seen, errors);
+        read_line(line_number, rest.substr(0, end), result, seen, errors);
         rest.remove_prefix(std::min(end + 1, rest.size()));
     }
     if (!errors.empty())
--- a/src/librules/rules_object.cpp
+++ b/src/librules/rules_object.cpp
@@ -13,9 +13,9 @@
 using json = nlohmann::json;
 using lines = std::vector<std::string>;
 
-// Text after the last line feed counts as a line, so that joining restores
-// every text exactly.
-lines split(const std::string& text)
+// The text after the last line feed counts as a line, even if it is empty, so
+// that `join_lines` restores every text exactly.
+lines split_lines(const std::string& text)
 {
     lines result;
     std::size_t start = 0;
@@ -29,13 +29,13 @@
     return result;
 }
 
-std::string join(const lines& all)
+std::string join_lines(const lines& parts)
 {
     std::string text;
-    for (std::size_t i = 0; i < all.size(); ++i)
+    for (std::size_t i = 0; i < parts.size(); ++i)
     {
         text += i == 0 ? "" : "\n";
-        text += all[i];
+        text += parts[i];
     }
     return text;
 }
@@ -55,8 +55,8 @@
     return edit;
 }
 
-// Undoes `edit`; false if `text` is not what the edit led to.
-bool undo(lines& text, const text_edit& edit)
+// Reverts `edit`. Returns false if the lines that it added are not in `text`.
+bool revert_edit(lines& text, const text_edit& edit)
 {
     const std::size_t first = edit.first_line_;
     if (first > text.size() || edit.added_.size() > text.size() - first)
@@ -74,10 +74,10 @@
     return true;
 }
 
-std::size_t bytes_of(const lines& all)
+std::size_t bytes_of(const lines& text)
 {
     std::size_t total = 0;
-    for (const std::string& line : all)
+    for (const std::string& line : text)
     {
         total += line.size();
     }
@@ -89,14 +89,14 @@
     return bytes_of(entry.edit_.removed_) + bytes_of(entry.edit_.added_);
 }
 
-void drop_oldest(std::vector<rules_history_entry>& history)
+void trim_history(std::vector<rules_history_entry>& history)
 {
     std::size_t kept = 0;
     std::size_t bytes = 0;
     for (auto entry = history.rbegin(); entry != history.rend(); ++entry)
     {
         bytes += bytes_of(*entry);
-        // The newest entry stays whatever its size.
+        // The newest entry is kept whatever its size.
         if (kept > 0 &&
             (kept == max_history_entries || bytes > max_history_bytes))
         {
@@ -124,7 +124,7 @@
     const json& version = j.at("version");
     if (!version.is_number_unsigned())
     {
-        throw std::invalid_argument("version is not a natural number");
+        throw std::invalid_argument("version is not an unsigned integer");
     }
     return rules_version(version.get<std::uint64_t>());
 }
@@ -172,20 +172,20 @@
     next.history_ = before.history_;
     next.history_.push_back(
         {next.version_, next.author_, next.time_, next.write_id_,
-         edit_between(split(before.text_), split(next.text_))});
-    drop_oldest(next.history_);
+         edit_between(split_lines(before.text_), split_lines(next.text_))});
+    trim_history(next.history_);
     return next;
 }
 
 tl::expected<std::string, error> rules_text_at(const rules_object& object,
                                                rules_version version)
 {
-    lines text = split(object.text_);
+    lines text = split_lines(object.text_);
     rules_version reached = object.version_;
     for (auto entry = object.history_.rbegin();
          entry != object.history_.rend() && version < reached; ++entry)
     {
-        if (entry->version_ != reached || !undo(text, entry->edit_))
+        if (entry->version_ != reached || !revert_edit(text, entry->edit_))
         {
             break;
         }
@@ -198,7 +198,7 @@
                                              std::to_string(version.value()) +
                                              " is not in the history"});
     }
-    return join(text);
+    return join_lines(text);
 }
 
 std::string to_json(const rules_object& object)
--- a/src/librules/rules_test.cpp
+++ b/src/librules/rules_test.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-// A fixed seed makes each run the same.
+// A fixed seed makes every run check the same cases.
 constexpr std::uint64_t property_seed = 20261204;
 constexpr int property_runs = 500;
 
@@ -28,14 +28,15 @@
 
 rc::Gen<rule> any_rule()
 {
-    const auto letter = rc::gen::elementOf(std::string("abcxyz019-"));
-    const auto shown = rc::gen::elementOf(std::string("Jana, 42.>#"));
+    const auto name_character = rc::gen::elementOf(std::string("abcxyz019-"));
+    const auto comment_character =
+        rc::gen::elementOf(std::string("Jana, 42.>#"));
     return rc::gen::map(
         rc::gen::tuple(
             rc::gen::arbitrary<std::uint32_t>(),
             rc::gen::inRange<int>(1, 65536), rc::gen::arbitrary<bool>(),
-            rc::gen::nonEmpty(rc::gen::container<std::string>(letter)),
-            rc::gen::container<std::string>(shown)),
+            rc::gen::nonEmpty(rc::gen::container<std::string>(name_character)),
+            rc::gen::container<std::string>(comment_character)),
         [](const std::tuple<std::uint32_t, int, bool, std::string, std::string>&
                t)
         {
@@ -53,14 +54,14 @@
         });
 }
 
-rules_proposal proposal(const std::string& text, const std::string& id)
+rules_proposal make_proposal(const std::string& text, const std::string& id)
 {
     return {text, "jana", "2026-12-04T05:30:00Z", write_id(id)};
 }
 
 } // namespace
 
-TEST_CASE("a rule file with blank and comment lines is read")
+TEST_CASE("a rule file with blank and comment lines is parsed")
 {
     const std::string text = "# workshop\n\n"
                              "udp 10.9.0.1:5683 -> orders   # Jana, office\n"
@@ -76,7 +77,7 @@
     CHECK(parsed->text_ == text);
 }
 
-TEST_CASE("every fault is reported at once with line and column")
+TEST_CASE("all errors are reported at once, with line and column")
 {
     const auto parsed = parse_rules("tcp 10.9.0.1:1 -> orders # Jana\n"
                                     "udp 10.9.0.1:99999 -> orders # Jana\n"
@@ -88,25 +89,25 @@
                                     "# \xff\n"
                                     "udp 10.9.0.5:1 -> orders #  ");
     REQUIRE_FALSE(parsed.has_value());
-    std::vector<std::pair<std::size_t, std::size_t>> places;
+    std::vector<std::pair<std::size_t, std::size_t>> positions;
     for (const rule_error& e : parsed.error())
     {
-        places.emplace_back(e.line_, e.column_);
+        positions.emplace_back(e.line_, e.column_);
     }
     const std::vector<std::pair<std::size_t, std::size_t>> expected{
         {1, 1}, {2, 5},  {3, 16}, {3, 19}, {3, 25},
         {5, 5}, {6, 26}, {7, 5},  {8, 3},  {9, 26}};
-    CHECK(places == expected);
+    CHECK(positions == expected);
     CHECK(to_string(parsed.error()[5], "f") ==
-          "f:5:5: address 10.9.0.3:1 already has the rule of line 4");
+          "f:5:5: address 10.9.0.3:1 already has a rule on line 4");
 }
 
-TEST_CASE("a file that is too long is refused")
+TEST_CASE("a file over the size limit is rejected")
 {
     CHECK_FALSE(parse_rules(std::string(max_rules_bytes + 1, '\n')));
 }
 
-TEST_CASE("no text makes the parser crash, and each fault is in the text")
+TEST_CASE("no text crashes the parser, and errors have positions in the text")
 {
     const auto alphabet = std::string("udpcoa 0193.:[]->#\n\r\t\xc3\xa9\x01x");
     CHECK(holds(
@@ -129,7 +130,7 @@
         }));
 }
 
-TEST_CASE("printed rules are read back unchanged")
+TEST_CASE("formatted rules are parsed back unchanged")
 {
     CHECK(holds(
         []
@@ -143,7 +144,7 @@
         }));
 }
 
-TEST_CASE("rules are compared by address")
+TEST_CASE("rule files are compared by address")
 {
     const auto before = *parse_rules("udp 10.0.0.1:1 -> a # x\n"
                                      "udp 10.0.0.2:1 -> a # x\n");
@@ -159,7 +160,7 @@
     CHECK(find_rule(before, after.rules_[1].address_) == nullptr);
 }
 
-TEST_CASE("the history gives back every version")
+TEST_CASE("every version can be rebuilt from the history")
 {
     CHECK(holds(
         []
@@ -167,10 +168,10 @@
             const auto line = rc::gen::element<std::string>("a", "b", "", "c");
             const auto text =
                 rc::gen::map(rc::gen::container<std::vector<std::string>>(line),
-                             [](const std::vector<std::string>& all)
+                             [](const std::vector<std::string>& lines)
                              {
                                  std::string joined;
-                                 for (const std::string& l : all)
+                                 for (const std::string& l : lines)
                                  {
                                      joined += l + "\n";
                                  }
@@ -181,7 +182,7 @@
             std::optional<rules_object> object;
             for (const std::string& t : texts)
             {
-                object = next_rules_object(object, proposal(t, "w"));
+                object = next_rules_object(object, make_proposal(t, "w"));
             }
             const auto read = rules_object_from_json(to_json(*object));
             RC_ASSERT(read.has_value());
@@ -194,23 +195,24 @@
         }));
 }
 
-TEST_CASE("the history is bounded and says so")
+TEST_CASE("versions dropped from the limited history are reported as not found")
 {
     std::optional<rules_object> object;
     for (std::size_t i = 0; i < max_history_entries + 1; ++i)
     {
-        object = next_rules_object(object, proposal(std::to_string(i), "w"));
+        object =
+            next_rules_object(object, make_proposal(std::to_string(i), "w"));
     }
     CHECK(object->history_.size() == max_history_entries);
-    // The text before the oldest kept edit can still be rebuilt.
+    // The oldest edit in the history leads back to the version before it.
     CHECK(rules_text_at(*object, rules_version(1)).has_value());
-    object = next_rules_object(object, proposal("last", "w"));
-    const auto lost = rules_text_at(*object, rules_version(1));
-    REQUIRE_FALSE(lost.has_value());
-    CHECK(lost.error().code_ == error_code::not_found);
+    object = next_rules_object(object, make_proposal("last", "w"));
+    const auto dropped = rules_text_at(*object, rules_version(1));
+    REQUIRE_FALSE(dropped.has_value());
+    CHECK(dropped.error().code_ == error_code::not_found);
 }
 
-TEST_CASE("a malformed rules object is refused")
+TEST_CASE("a malformed rules object is rejected")
 {
     for (const char* text :
          {"", "{}", "[]", R"({"version":"x"})",
--- a/src/libvirtual/roster_samples.h
+++ b/src/libvirtual/roster_samples.h
@@ -9,7 +9,8 @@
 namespace galenafork::testing
 {
 
-/// The instance `orders-N` with three slots, in one of three data centres.
+/// Returns the serving member `orders-N` with three slots, in one of three data
+/// centres.
 inline member make_member(int n)
 {
     member m;
@@ -25,13 +26,13 @@
     return m;
 }
 
-/// The roster change by which `m` joins.
+/// Returns the roster change by which `m` joins.
 inline roster_change join_change(const member& m)
 {
     return roster_change{roster_change_kind::join, m, write_id("w")};
 }
 
-/// A roster of members 1 to `count` that joined one after another.
+/// Returns a roster of members 1 to `count` that joined one after another.
 inline roster make_roster(int count)
 {
     roster r;
--- a/src/libvirtual/service_fixture.cpp
+++ b/src/libvirtual/service_fixture.cpp
@@ -148,7 +148,7 @@
     }
     packet.balancer_ = *parse_endpoint("127.0.0.1:1");
     packet.fabric_ = *parse_endpoint("127.0.0.1:2");
-    post(balancer_id, home->packet_endpoint_, packet, request);
+    send_datagram(balancer_id, home->packet_endpoint_, packet, request);
 }
 
 void service_fixture::send(const flow_key& flow,
@@ -157,9 +157,9 @@
     send(flow, std::move(request), platform_roster_);
 }
 
-void service_fixture::post(const instance_id& from, const endpoint& to,
-                           datagram message,
-                           const std::optional<request_info>& request)
+void service_fixture::send_datagram(const instance_id& from, const endpoint& to,
+                                    datagram message,
+                                    const std::optional<request_info>& request)
 {
     for (const auto& [id, agent] : agents_)
     {
@@ -266,7 +266,7 @@
     {
         if (const auto* peer = std::get_if<send_peer_message>(&action))
         {
-            post(from, peer->to_, peer->message_, {});
+            send_datagram(from, peer->to_, peer->message_, {});
         }
         else if (const auto* packet = std::get_if<forward_to_agent>(&action))
         {
@@ -277,7 +277,7 @@
             {
                 request = make_post(packet->packet_.flow_, payload.front());
             }
-            post(from, packet->to_, packet->packet_, request);
+            send_datagram(from, packet->to_, packet->packet_, request);
         }
         else if (const auto* notice = std::get_if<send_stale_notice>(&action))
         {
@@ -312,9 +312,9 @@
             }
             dropped_packets_ += refused->notify_caller_ ? 0 : 1;
         }
-        else if (const auto* reply = std::get_if<send_stored_answer>(&action))
+        else if (const auto* stored = std::get_if<send_stored_answer>(&action))
         {
-            ++stored_replies_[request_key{reply->flow_, 0, {}}];
+            ++stored_answers_[request_key{stored->flow_, 0, {}}];
         }
         else if (const auto* removal = std::get_if<request_removal>(&action))
         {
--- a/src/libvirtual/service_fixture.h
+++ b/src/libvirtual/service_fixture.h
@@ -70,7 +70,7 @@
     /// Cuts the links between two agents in both directions.
     void cut(const instance_id& a, const instance_id& b);
 
-    /// Agents that are neither killed nor fenced and own `flow`.
+    /// Returns the agents that are neither killed nor fenced and own `flow`.
     std::vector<instance_id> owners_of(const flow_key& flow) const;
 
     struct event
@@ -84,8 +84,9 @@
     void deliver_due();
     void tick_agents();
     void perform_actions(const instance_id& from, const agent_actions& actions);
-    void post(const instance_id& from, const endpoint& to, datagram message,
-              const std::optional<request_info>& request);
+    void send_datagram(const instance_id& from, const endpoint& to,
+                       datagram message,
+                       const std::optional<request_info>& request);
     void deliver_due_rosters();
     std::uint64_t next_random();
 
@@ -105,7 +106,9 @@
     std::map<flow_key, std::vector<instance_id>> served_by_;
     std::vector<upstream_run> runs_;
     std::map<request_key, std::vector<verdict>> refusals_;
-    std::map<request_key, int> stored_replies_;
+    /// Number of stored answers sent for each flow; the keys have no message id
+    /// and no token.
+    std::map<request_key, int> stored_answers_;
     std::map<request_key, int> answer_counts_;
     int dropped_packets_ = 0;
     int forwarded_packets_ = 0;
@@ -114,10 +117,10 @@
     std::uint64_t random_state_ = 1;
 };
 
-/// A flow of caller number `n`.
+/// Returns the flow of caller number `n`.
 flow_key make_flow(int n);
 
-/// A non-idempotent request of `flow` with message id `id`.
+/// Returns a non-idempotent request of `flow` with message id `id`.
 request_info make_post(const flow_key& flow, std::uint16_t id);
 
 } // namespace galenafork::testing
--- a/src/libwire/bad_input_test.cpp
+++ b/src/libwire/bad_input_test.cpp
@@ -16,24 +16,25 @@
 
 constexpr unsigned seed = 20261204;
 
-// Reads a copy of the exact size on the heap, so that the address sanitizer
-// sees a read past the end. What is accepted must be written back readably.
+// Decodes `bytes`, a heap buffer of the exact size, so that the address
+// sanitizer detects a read past its end. A message that is accepted must be
+// accepted again after encoding.
 void check_decode(const byte_buffer& bytes)
 {
-    const auto read = decode(bytes.data(), bytes.size());
-    if (!read.has_value())
+    const auto decoded = decode(bytes.data(), bytes.size());
+    if (!decoded.has_value())
     {
-        RC_ASSERT(read.error().code_ == error_code::bad_message);
+        RC_ASSERT(decoded.error().code_ == error_code::bad_message);
         return;
     }
-    const byte_buffer again = encode(*read);
-    RC_ASSERT(decode(again.data(), again.size()).has_value());
+    const byte_buffer reencoded = encode(*decoded);
+    RC_ASSERT(decode(reencoded.data(), reencoded.size()).has_value());
 }
 
 void check_proxy(const byte_buffer& bytes)
 {
-    const auto read = parse_proxy_header(bytes.data(), bytes.size());
-    RC_ASSERT(!read.has_value() || read->payload_offset_ <= bytes.size());
+    const auto parsed = parse_proxy_header(bytes.data(), bytes.size());
+    RC_ASSERT(!parsed.has_value() || parsed->payload_offset_ <= bytes.size());
 }
 
 byte_buffer random_bytes(std::mt19937& random, std::size_t size)
@@ -61,18 +62,18 @@
 {
     for (const datagram& message : test::sample_datagrams())
     {
-        const byte_buffer whole = encode(message);
-        for (std::size_t size = 0; size < whole.size(); ++size)
+        const byte_buffer encoded = encode(message);
+        for (std::size_t size = 0; size < encoded.size(); ++size)
         {
-            const byte_buffer part(whole.begin(),
-                                   whole.begin() +
-                                       static_cast<std::ptrdiff_t>(size));
-            CHECK_FALSE(decode(part.data(), part.size()).has_value());
+            const byte_buffer truncated(encoded.begin(),
+                                        encoded.begin() +
+                                            static_cast<std::ptrdiff_t>(size));
+            CHECK_FALSE(decode(truncated.data(), truncated.size()).has_value());
         }
     }
 }
 
-TEST_CASE("trailing bytes are refused")
+TEST_CASE("a datagram with trailing bytes is refused")
 {
     byte_buffer bytes = encode(test::sample_packet());
     for (int i = 0; i < 16; ++i)
@@ -90,32 +91,35 @@
     CHECK_FALSE(decode(bytes.data(), bytes.size()).has_value());
 }
 
-TEST_CASE("datagrams with flipped bits do no harm")
+TEST_CASE("datagrams with flipped bits are refused or decoded to an encodable "
+          "message")
 {
     constexpr int rounds = 20000;
-    constexpr unsigned most_flips = 6;
+    constexpr unsigned max_flips = 6;
     std::mt19937 random(seed);
     const auto samples = test::sample_datagrams();
     for (int i = 0; i < rounds; ++i)
     {
         byte_buffer bytes = encode(samples[random() % samples.size()]);
-        flip_bits(random, bytes, 1 + random() % most_flips);
+        flip_bits(random, bytes, 1 + random() % max_flips);
         check_decode(bytes);
     }
 }
 
-TEST_CASE("random segments behind a good segment table do no harm")
+TEST_CASE("random segments behind a valid segment table are refused or decoded "
+          "to an encodable message")
 {
     constexpr int rounds = 20000;
-    constexpr std::size_t most_words = 40;
+    constexpr std::size_t max_words = 40;
     std::mt19937 random(seed);
     for (int i = 0; i < rounds; ++i)
     {
-        const std::uint32_t words = random() % most_words;
+        const std::uint32_t words = random() % max_words;
         byte_buffer bytes = random_bytes(random, 8 + words * 8);
         std::fill(bytes.begin(), bytes.begin() + 8, std::uint8_t{0});
         bytes[4] = static_cast<std::uint8_t>(words);
-        // Small values in the high bytes make pointers that land inside.
+        // Clears the high bytes, so that many pointers have targets inside the
+        // segment.
         for (std::size_t at = 8; at < bytes.size(); at += 8)
         {
             bytes[at + 1] = bytes[at + 2] = bytes[at + 3] = 0;
@@ -126,15 +130,17 @@
     }
 }
 
-TEST_CASE("random bytes do no harm")
+TEST_CASE(
+    "random bytes are decoded and parsed without a read outside the buffer")
 {
-    // Rapidcheck takes its seed from the environment only.
+    // RapidCheck reads its seed only from the environment.
     setenv("RC_PARAMS", "seed=20261204 max_success=2000", 0);
     CHECK(rc::check("decode", check_decode));
     CHECK(rc::check("parse_proxy_header", check_proxy));
 }
 
-TEST_CASE("PROXY headers with flipped bits or cut short do no harm")
+TEST_CASE("corrupted and truncated PROXY headers are parsed without a read "
+          "outside the buffer")
 {
     constexpr int rounds = 20000;
     std::mt19937 random(seed);
--- a/src/libwire/coap_codec.cpp
+++ b/src/libwire/coap_codec.cpp
@@ -24,8 +24,9 @@
     }
 };
 
-// A bad datagram must not write to our log: the caller counts it.
-void quiet_libcoap()
+// Lets libcoap log critical errors only: malformed datagrams are counted and
+// must not fill the log.
+void limit_libcoap_logging()
 {
     static const bool done = []
     {
@@ -37,9 +38,9 @@
 
 using pdu_handle = std::unique_ptr<coap_pdu_t, pdu_deleter>;
 
-tl::unexpected<error> bad_message(const char* what)
+tl::unexpected<error> bad_message(const char* reason)
 {
-    return tl::unexpected(error{error_code::bad_message, what});
+    return tl::unexpected(error{error_code::bad_message, reason});
 }
 
 void read_token(const coap_pdu_t& pdu, coap_message& message)
@@ -55,10 +56,10 @@
     while (const coap_opt_t* option = coap_option_next(&iterator))
     {
         const std::uint8_t* value = coap_opt_value(option);
-        coap_option read;
-        read.number_ = static_cast<coap_option_number>(iterator.number);
-        read.value_.assign(value, value + coap_opt_length(option));
-        message.options_.push_back(std::move(read));
+        coap_option parsed;
+        parsed.number_ = static_cast<coap_option_number>(iterator.number);
+        parsed.value_.assign(value, value + coap_opt_length(option));
+        message.options_.push_back(std::move(parsed));
     }
 }
 
@@ -120,9 +121,9 @@
 {
     if (size < header_bytes || size > max_datagram_bytes)
     {
-        return bad_message("not the size of a CoAP message");
+        return bad_message("invalid size of a CoAP message");
     }
-    quiet_libcoap();
+    limit_libcoap_logging();
     const pdu_handle pdu(
         coap_pdu_init(COAP_MESSAGE_CON, COAP_EMPTY_CODE, 0, size));
     if (!pdu || coap_pdu_parse(COAP_PROTO_UDP, bytes, size, pdu.get()) == 0)
@@ -144,13 +145,13 @@
 {
     if (message.token_.size() > max_coap_token_bytes)
     {
-        return bad_message("token is too long");
+        return bad_message("CoAP token is too long");
     }
     byte_buffer out;
     write_header(message, out);
     if (!write_options(message.options_, out))
     {
-        return bad_message("option is too long");
+        return bad_message("CoAP option is too long");
     }
     if (!message.payload_.empty())
     {
--- a/src/libwire/coap_message.cpp
+++ b/src/libwire/coap_message.cpp
@@ -12,19 +12,20 @@
 constexpr std::uint8_t first_response = 0x40;
 constexpr std::uint8_t last_response = 0xbf;
 
-constexpr std::size_t max_uint_bytes = 8;
+constexpr std::size_t max_uint_option_bytes = 8;
 
-// A block option holds number, more flag and size exponent in 3 bytes.
-constexpr std::size_t max_block_bytes = 3;
-constexpr unsigned number_shift = 4;
+// A block option has at most 3 bytes: block number, more flag (1 bit) and size
+// exponent (3 bits).
+constexpr std::size_t max_block_option_bytes = 3;
+constexpr unsigned block_number_shift = 4;
 constexpr std::uint8_t more_bit = 0x08;
-constexpr std::uint8_t exponent_bits = 0x07;
+constexpr std::uint8_t exponent_mask = 0x07;
 constexpr std::uint8_t max_size_exponent = 6;
-constexpr unsigned smallest_block_exponent = 4;
+constexpr unsigned min_block_exponent = 4;
 
 constexpr std::size_t trace_id_bytes = 16;
 constexpr std::size_t span_id_bytes = 8;
-constexpr std::size_t trace_bytes = trace_id_bytes + span_id_bytes + 1;
+constexpr std::size_t trace_option_bytes = trace_id_bytes + span_id_bytes + 1;
 
 std::uint64_t read_uint(const byte_buffer& bytes)
 {
@@ -59,7 +60,7 @@
 
 std::size_t coap_block::size() const
 {
-    return std::size_t{1} << (size_exponent_ + smallest_block_exponent);
+    return std::size_t{1} << (size_exponent_ + min_block_exponent);
 }
 
 std::size_t coap_block::offset() const
@@ -107,7 +108,7 @@
                                          coap_option_number number)
 {
     const coap_option* option = find_option(message, number);
-    if (option == nullptr || option->value_.size() > max_uint_bytes)
+    if (option == nullptr || option->value_.size() > max_uint_option_bytes)
     {
         return std::nullopt;
     }
@@ -118,15 +119,15 @@
                                        coap_option_number number)
 {
     const coap_option* option = find_option(message, number);
-    if (option == nullptr || option->value_.size() > max_block_bytes)
+    if (option == nullptr || option->value_.size() > max_block_option_bytes)
     {
         return std::nullopt;
     }
     const auto value = static_cast<std::uint32_t>(read_uint(option->value_));
     coap_block block;
-    block.number_ = value >> number_shift;
+    block.number_ = value >> block_number_shift;
     block.more_ = (value & more_bit) != 0;
-    block.size_exponent_ = static_cast<std::uint8_t>(value & exponent_bits);
+    block.size_exponent_ = static_cast<std::uint8_t>(value & exponent_mask);
     if (block.size_exponent_ > max_size_exponent)
     {
         return std::nullopt;
@@ -152,7 +153,7 @@
 {
     trace_context trace;
     const coap_option* option = find_option(message, coap_option_number::trace);
-    if (option == nullptr || option->value_.size() != trace_bytes)
+    if (option == nullptr || option->value_.size() != trace_option_bytes)
     {
         return trace;
     }
@@ -179,7 +180,7 @@
 void set_block_option(coap_message& message, coap_option_number number,
                       const coap_block& block)
 {
-    const std::uint32_t value = (block.number_ << number_shift) |
+    const std::uint32_t value = (block.number_ << block_number_shift) |
                                 (block.more_ ? more_bit : 0U) |
                                 block.size_exponent_;
     set_uint_option(message, number, value);
@@ -218,32 +219,32 @@
 
 coap_message make_coap_response(const coap_message& request, coap_code code)
 {
-    coap_message answer;
-    answer.type_ = request.type_ == coap_type::confirmable
-                       ? coap_type::acknowledgement
-                       : coap_type::non_confirmable;
-    answer.code_ = code;
-    answer.message_id_ = request.message_id_;
-    answer.token_ = request.token_;
-    return answer;
+    coap_message response;
+    response.type_ = request.type_ == coap_type::confirmable
+                         ? coap_type::acknowledgement
+                         : coap_type::non_confirmable;
+    response.code_ = code;
+    response.message_id_ = request.message_id_;
+    response.token_ = request.token_;
+    return response;
 }
 
 coap_message make_error_response(const coap_message& request,
                                  const verdict& outcome,
                                  std::chrono::seconds retry_after)
 {
-    const bool clean = outcome.run_state_ == run_state::did_not_run;
-    coap_message answer =
-        make_coap_response(request, clean ? coap_code::service_unavailable
-                                          : coap_code::gateway_timeout);
-    if (clean)
+    const bool did_not_run = outcome.run_state_ == run_state::did_not_run;
+    coap_message response =
+        make_coap_response(request, did_not_run ? coap_code::service_unavailable
+                                                : coap_code::gateway_timeout);
+    if (did_not_run)
     {
-        set_uint_option(answer, coap_option_number::max_age,
+        set_uint_option(response, coap_option_number::max_age,
                         static_cast<std::uint64_t>(retry_after.count()));
     }
     const std::string reason = to_string(outcome.reason_);
-    answer.payload_.assign(reason.begin(), reason.end());
-    return answer;
+    response.payload_.assign(reason.begin(), reason.end());
+    return response;
 }
 
 } // namespace galenafork
--- a/src/libwire/coap_test.cpp
+++ b/src/libwire/coap_test.cpp
@@ -32,51 +32,51 @@
     return *bytes;
 }
 
-coap_message read_back(const coap_message& message)
+coap_message encode_and_parse(const coap_message& message)
 {
     const byte_buffer bytes = encoded(message);
-    const auto read = parse_coap(bytes.data(), bytes.size());
-    REQUIRE(read.has_value());
-    return *read;
+    const auto parsed = parse_coap(bytes.data(), bytes.size());
+    REQUIRE(parsed.has_value());
+    return *parsed;
 }
 
 void check_parse(const byte_buffer& bytes)
 {
-    const auto read = parse_coap(bytes.data(), bytes.size());
-    if (!read.has_value())
+    const auto parsed = parse_coap(bytes.data(), bytes.size());
+    if (!parsed.has_value())
     {
-        RC_ASSERT(read.error().code_ == error_code::bad_message);
+        RC_ASSERT(parsed.error().code_ == error_code::bad_message);
         return;
     }
-    RC_ASSERT(encode_coap(*read).has_value());
-    uri_path(*read);
-    trace_of(*read);
-    block_option(*read, coap_option_number::block2);
-    uint_option(*read, coap_option_number::max_age);
+    RC_ASSERT(encode_coap(*parsed).has_value());
+    uri_path(*parsed);
+    trace_of(*parsed);
+    block_option(*parsed, coap_option_number::block2);
+    uint_option(*parsed, coap_option_number::max_age);
 }
 
 } // namespace
 
-TEST_CASE("a message is read back as it was written")
+TEST_CASE("a parsed message equals the encoded one")
 {
     const coap_message request = sample_request();
-    const coap_message read = read_back(request);
-    CHECK(read.type_ == request.type_);
-    CHECK(read.code_ == request.code_);
-    CHECK(read.message_id_ == request.message_id_);
-    CHECK(read.token_ == request.token_);
-    CHECK(read.payload_ == request.payload_);
-    CHECK(uri_path(read) == "/intake/7");
-    CHECK(uint_option(read, coap_option_number::deadline) == 123456789012U);
-    const auto block = block_option(read, coap_option_number::block1);
+    const coap_message parsed = encode_and_parse(request);
+    CHECK(parsed.type_ == request.type_);
+    CHECK(parsed.code_ == request.code_);
+    CHECK(parsed.message_id_ == request.message_id_);
+    CHECK(parsed.token_ == request.token_);
+    CHECK(parsed.payload_ == request.payload_);
+    CHECK(uri_path(parsed) == "/intake/7");
+    CHECK(uint_option(parsed, coap_option_number::deadline) == 123456789012U);
+    const auto block = block_option(parsed, coap_option_number::block1);
     REQUIRE(block.has_value());
     CHECK(block->number_ == 5);
     CHECK(block->more_);
     CHECK(block->offset() == 5 * 1024);
-    CHECK(encoded(read) == encoded(request));
+    CHECK(encoded(parsed) == encoded(request));
 }
 
-TEST_CASE("the trace context survives")
+TEST_CASE("encoding and parsing preserve the trace context")
 {
     coap_message request = sample_request();
     trace_context trace;
@@ -84,13 +84,13 @@
     trace.span_id_ = {4, 5};
     trace.sampled_ = true;
     set_trace(request, trace);
-    const trace_context read = trace_of(read_back(request));
-    CHECK(read.trace_id_ == trace.trace_id_);
-    CHECK(read.span_id_ == trace.span_id_);
-    CHECK(read.sampled_);
+    const trace_context parsed = trace_of(encode_and_parse(request));
+    CHECK(parsed.trace_id_ == trace.trace_id_);
+    CHECK(parsed.span_id_ == trace.span_id_);
+    CHECK(parsed.sampled_);
 }
 
-TEST_CASE("bytes match the example of RFC 7252, figure 16")
+TEST_CASE("an encoded request equals the example in RFC 7252, figure 16")
 {
     coap_message request;
     request.code_ = coap_code::get;
@@ -114,36 +114,36 @@
     CHECK_FALSE(is_idempotent(static_cast<coap_code>(0x1f)));
 }
 
-TEST_CASE("a refusal matches its request and tells the verdict")
+TEST_CASE("an error response matches its request and reports the verdict")
 {
     const coap_message request = sample_request();
-    const coap_message clean = make_error_response(
+    const coap_message did_not_run = make_error_response(
         request, {run_state::did_not_run, refusal::overloaded},
         std::chrono::seconds(3));
-    CHECK(clean.type_ == coap_type::acknowledgement);
-    CHECK(clean.code_ == coap_code::service_unavailable);
-    CHECK(clean.message_id_ == request.message_id_);
-    CHECK(clean.token_ == request.token_);
-    CHECK(uint_option(clean, coap_option_number::max_age) == 3);
+    CHECK(did_not_run.type_ == coap_type::acknowledgement);
+    CHECK(did_not_run.code_ == coap_code::service_unavailable);
+    CHECK(did_not_run.message_id_ == request.message_id_);
+    CHECK(did_not_run.token_ == request.token_);
+    CHECK(uint_option(did_not_run, coap_option_number::max_age) == 3);
 
-    const coap_message unsure = make_error_response(
+    const coap_message may_have_run = make_error_response(
         request, {run_state::may_have_run, refusal::owner_lost},
         std::chrono::seconds(3));
-    CHECK(unsure.code_ == coap_code::gateway_timeout);
-    CHECK(find_option(unsure, coap_option_number::max_age) == nullptr);
+    CHECK(may_have_run.code_ == coap_code::gateway_timeout);
+    CHECK(find_option(may_have_run, coap_option_number::max_age) == nullptr);
 }
 
-TEST_CASE("a non-confirmable request is refused by such a message")
+TEST_CASE("the error response to a non-confirmable request is non-confirmable")
 {
     coap_message request = sample_request();
     request.type_ = coap_type::non_confirmable;
-    const coap_message refusal_message = make_error_response(
+    const coap_message response = make_error_response(
         request, {run_state::did_not_run, refusal::no_lease},
         std::chrono::seconds(1));
-    CHECK(refusal_message.type_ == coap_type::non_confirmable);
+    CHECK(response.type_ == coap_type::non_confirmable);
 }
 
-TEST_CASE("what does not fit a message is refused")
+TEST_CASE("a message whose token or payload is too long is not encoded")
 {
     coap_message message = sample_request();
     message.token_.resize(max_coap_token_bytes + 1);
@@ -153,7 +153,8 @@
     CHECK_FALSE(encode_coap(message).has_value());
 }
 
-TEST_CASE("datagrams cut short or with flipped bits do no harm")
+TEST_CASE("corrupted and truncated datagrams are parsed without a read outside "
+          "the buffer")
 {
     constexpr int rounds = 20000;
     std::mt19937 random(seed);
@@ -168,7 +169,7 @@
     }
 }
 
-TEST_CASE("random datagrams are no harm to the CoAP parser")
+TEST_CASE("random datagrams are parsed without a read outside the buffer")
 {
     setenv("RC_PARAMS", "seed=20261204 max_success=2000", 0);
     CHECK(rc::check("parse_coap", check_parse));
@@ -180,11 +181,11 @@
         {},
         {0x40, 0x01, 0x00},
         {0x00, 0x01, 0x00, 0x01},             // version 0
-        {0x49, 0x01, 0x00, 0x01, 1, 2, 3, 4}, // token of nine bytes
-        {0x44, 0x01, 0x00, 0x01, 1},          // token cut short
-        {0x40, 0x01, 0x00, 0x01, 0xff},       // marker without payload
-        {0x40, 0x01, 0x00, 0x01, 0xb4, 'a'},  // option cut short
-        {0x40, 0x01, 0x00, 0x01, 0xf0},       // reserved delta
+        {0x49, 0x01, 0x00, 0x01, 1, 2, 3, 4}, // token length 9
+        {0x44, 0x01, 0x00, 0x01, 1},          // truncated token
+        {0x40, 0x01, 0x00, 0x01, 0xff},       // payload marker without payload
+        {0x40, 0x01, 0x00, 0x01, 0xb4, 'a'},  // truncated option
+        {0x40, 0x01, 0x00, 0x01, 0xf0},       // reserved option delta
         {0x40, 0x00, 0x00, 0x01, 0x01},       // empty message with content
     };
     for (const byte_buffer& bytes : messages)
--- a/src/libwire/decode.cpp
+++ b/src/libwire/decode.cpp
@@ -19,12 +19,13 @@
 constexpr std::size_t segment_table_bytes = 8;
 constexpr std::size_t word_bytes = sizeof(capnp::word);
 
-// The deepest message (datagram, peer, reply, entries, entry, owner, name)
-// has seven levels.
+// The most deeply nested message (datagram, peer message, reply, entry list,
+// entry, owner, name) has seven levels.
 constexpr int nesting_limit = 8;
 
-// A message may be walked about twice over, as reading a name or a list does
-// not repeat; more means pointers that share targets.
+// Limit of the words that are read in total, as a multiple of the message size.
+// No name or list of a valid message is read twice; a higher total means that
+// pointers share their targets.
 constexpr std::uint64_t traversal_factor = 2;
 
 complete_journal_copy read(schema::JournalMark::Reader in)
@@ -34,7 +35,8 @@
 
 journal_gap read(schema::JournalGap::Reader in)
 {
-    require(in.getRemainingMicroseconds() >= 0, "negative time");
+    require(in.getRemainingMicroseconds() >= 0,
+            "negative duration of a journal gap");
     return {read_bucket(in.getBucket()),
             duration(in.getRemainingMicroseconds())};
 }
@@ -98,7 +100,7 @@
 template <class Reader>
 chunk_position read_position(const Reader& in)
 {
-    require(in.getIndex() < in.getCount(), "bad position in a transfer");
+    require(in.getIndex() < in.getCount(), "invalid position in a transfer");
     return {in.getIndex(), in.getCount()};
 }
 
@@ -172,13 +174,13 @@
     case schema::PeerMessage::JOURNAL_SYNC_ACK:
         return read(in.getJournalSyncAck());
     }
-    throw bad_field{"unknown peer message"};
+    throw bad_field{"unknown kind of peer message"};
 }
 
 stale_notice read(schema::StaleNotice::Reader in)
 {
     require(in.getReason() <= static_cast<std::uint8_t>(refusal::malformed),
-            "unknown refusal");
+            "unknown refusal reason");
     stale_notice notice;
     notice.service_ = service_name(read_name(in.getService()));
     notice.epoch_ = epoch(in.getEpoch());
@@ -199,7 +201,7 @@
     case schema::Datagram::STALE:
         return read(in.getStale());
     }
-    throw bad_field{"unknown datagram"};
+    throw bad_field{"unknown kind of datagram"};
 }
 
 datagram read_segment(const capnp::word* words, std::size_t count)
@@ -229,21 +231,21 @@
     return read_segment(copy.data(), count);
 }
 
-tl::unexpected<error> bad_message(const char* what)
+tl::unexpected<error> bad_message(const char* reason)
 {
-    return tl::unexpected(error{error_code::bad_message, what});
+    return tl::unexpected(error{error_code::bad_message, reason});
 }
 
-bool has_one_whole_segment(const std::uint8_t* bytes, std::size_t size)
+bool is_single_segment(const std::uint8_t* bytes, std::size_t size)
 {
     if (size < segment_table_bytes || size > max_datagram_bytes)
     {
         return false;
     }
-    const std::size_t rest = size - segment_table_bytes;
-    return rest % word_bytes == 0 &&
-           load_word(bytes) == static_cast<std::uint64_t>(rest / word_bytes)
-                                   << 32U;
+    const std::size_t segment_bytes = size - segment_table_bytes;
+    return segment_bytes % word_bytes == 0 &&
+           load_u64(bytes) ==
+               static_cast<std::uint64_t>(segment_bytes / word_bytes) << 32U;
 }
 
 } // namespace
@@ -251,9 +253,9 @@
 tl::expected<datagram, error> decode(const std::uint8_t* bytes,
                                      std::size_t size)
 {
-    if (!has_one_whole_segment(bytes, size))
+    if (!is_single_segment(bytes, size))
     {
-        return bad_message("not one whole segment");
+        return bad_message("datagram is not one complete segment");
     }
     try
     {
@@ -262,11 +264,11 @@
     }
     catch (const bad_field& field)
     {
-        return bad_message(field.what_);
+        return bad_message(field.reason_);
     }
     catch (const kj::Exception&)
     {
-        return bad_message("broken pointers");
+        return bad_message("malformed Cap'n Proto message");
     }
     catch (const std::exception& e)
     {
--- a/src/libwire/encode.cpp
+++ b/src/libwire/encode.cpp
@@ -15,11 +15,12 @@
 using namespace pvt;
 using pvt::write;
 
-// Segment count less one, then the size of the one segment in words.
+// Size of the segment table: the number of segments minus one and the size of
+// the only segment in words, 32 bits each.
 constexpr std::size_t segment_table_bytes = 8;
 constexpr std::size_t word_bytes = sizeof(capnp::word);
 
-// First segment of a message that is built on the stack, in words.
+// Size of the buffer on the stack for the first segment of a message, in words.
 constexpr std::size_t scratch_words = 512;
 
 constexpr std::size_t words_of_bytes(std::size_t bytes)
@@ -27,15 +28,15 @@
     return (bytes + word_bytes - 1) / word_bytes;
 }
 
-// A text ends in a zero byte.
+// Cap'n Proto texts end in a zero byte.
 std::size_t words_of_text(const std::string& text)
 {
     return words_of_bytes(text.size() + 1);
 }
 
-bool is_named(const instance_incarnation& life)
+bool is_named(const instance_incarnation& instance)
 {
-    return !life.instance_.value().empty();
+    return !instance.instance_.value().empty();
 }
 
 template <class Schema>
@@ -44,24 +45,26 @@
     return capnp::_::structSize<Schema>().total() / capnp::WORDS;
 }
 
-std::size_t words_of_life(const instance_incarnation& life)
+std::size_t words_of_incarnation(const instance_incarnation& instance)
 {
     return words_of_struct<schema::InstanceLife>() +
-           words_of_text(life.instance_.value());
+           words_of_text(instance.instance_.value());
 }
 
-std::size_t words_of_lives(const std::vector<instance_incarnation>& lives)
+std::size_t
+words_of_incarnations(const std::vector<instance_incarnation>& instances)
 {
-    // A list of structs starts with a tag.
-    std::size_t words = lives.empty() ? 0 : 1;
-    for (const instance_incarnation& life : lives)
+    // A list of structs starts with a tag word.
+    std::size_t words = instances.empty() ? 0 : 1;
+    for (const instance_incarnation& instance : instances)
     {
-        words += words_of_life(life);
+        words += words_of_incarnation(instance);
     }
     return words;
 }
 
-// Words of a forwarded packet less names, lapsed members and payload.
+// Returns the size of a forwarded packet without names, expired members and
+// payload, in words.
 constexpr std::size_t fixed_packet_words()
 {
     return 1 + words_of_struct<schema::Datagram>() +
@@ -154,7 +157,7 @@
     out.setCount(position.count_);
 }
 
-// Writes each kind of body into the union of a peer message.
+// Writes a body of any kind into the union of a peer message.
 class body_writer
 {
 public:
@@ -162,16 +165,16 @@
 
     void operator()(const heartbeat& body)
     {
-        auto part = out_.initHeartbeat();
-        part.setSequence(body.sequence_);
-        write(part.initLoad(), body.load_);
+        auto builder = out_.initHeartbeat();
+        builder.setSequence(body.sequence_);
+        write(builder.initLoad(), body.load_);
     }
     void operator()(const heartbeat_ack& body)
     {
-        auto part = out_.initHeartbeatAck();
-        part.setSequence(body.sequence_);
-        part.setGrants(body.grants_lease_);
-        write(part.initLoad(), body.load_);
+        auto builder = out_.initHeartbeatAck();
+        builder.setSequence(body.sequence_);
+        builder.setGrants(body.grants_lease_);
+        write(builder.initLoad(), body.load_);
     }
     void operator()(const expiry_promise& body)
     {
@@ -179,27 +182,28 @@
     }
     void operator()(const ownership_query& body)
     {
-        auto part = out_.initOwnershipQuery();
-        part.setQuery(body.query_id_);
-        write_buckets(part.initBuckets(list_size(body.buckets_)),
+        auto builder = out_.initOwnershipQuery();
+        builder.setQuery(body.query_id_);
+        write_buckets(builder.initBuckets(list_size(body.buckets_)),
                       body.buckets_);
     }
     void operator()(const ownership_reply& body)
     {
-        auto part = out_.initOwnershipReply();
-        part.setQuery(body.query_id_);
-        write_position(part, body.position_);
-        write_list(part.initFlows(list_size(body.flows_)), body.flows_);
-        write_list(part.initEntries(list_size(body.entries_)), body.entries_);
-        write_list(part.initMarks(list_size(body.complete_copies_)),
+        auto builder = out_.initOwnershipReply();
+        builder.setQuery(body.query_id_);
+        write_position(builder, body.position_);
+        write_list(builder.initFlows(list_size(body.flows_)), body.flows_);
+        write_list(builder.initEntries(list_size(body.entries_)),
+                   body.entries_);
+        write_list(builder.initMarks(list_size(body.complete_copies_)),
                    body.complete_copies_);
-        write_list(part.initGaps(list_size(body.gaps_)), body.gaps_);
+        write_list(builder.initGaps(list_size(body.gaps_)), body.gaps_);
     }
     void operator()(const flow_closed& body)
     {
-        auto part = out_.initFlowClosed();
-        write(part.initFlow(), body.flow_);
-        part.setPlacement(body.placement_id_);
+        auto builder = out_.initFlowClosed();
+        write(builder.initFlow(), body.flow_);
+        builder.setPlacement(body.placement_id_);
     }
     void operator()(const journal_record& body)
     {
@@ -211,20 +215,21 @@
     }
     void operator()(const journal_sync& body)
     {
-        auto part = out_.initJournalSync();
-        part.setSync(body.sync_id_);
-        write_position(part, body.position_);
-        write_buckets(part.initBuckets(list_size(body.buckets_)),
+        auto builder = out_.initJournalSync();
+        builder.setSync(body.sync_id_);
+        write_position(builder, body.position_);
+        write_buckets(builder.initBuckets(list_size(body.buckets_)),
                       body.buckets_);
-        write_list(part.initEntries(list_size(body.entries_)), body.entries_);
-        write_list(part.initLapsed(list_size(body.expired_members_)),
+        write_list(builder.initEntries(list_size(body.entries_)),
+                   body.entries_);
+        write_list(builder.initLapsed(list_size(body.expired_members_)),
                    body.expired_members_);
     }
     void operator()(const journal_sync_ack& body)
     {
-        auto part = out_.initJournalSyncAck();
-        part.setSync(body.sync_id_);
-        part.setIndex(body.index_);
+        auto builder = out_.initJournalSyncAck();
+        builder.setSync(body.sync_id_);
+        builder.setIndex(body.index_);
     }
 
 private:
@@ -250,19 +255,21 @@
 
 void write_segment_table(std::uint8_t* out, std::size_t words)
 {
-    store_word(out, static_cast<std::uint64_t>(words) << 32U);
+    store_u64(out, static_cast<std::uint64_t>(words) << 32U);
 }
 
-// The message as one segment, whatever number of segments it was built in.
+// Returns the datagram with the message in one segment, however many segments
+// the message was built in.
 byte_buffer flatten(capnp::MessageBuilder& message)
 {
     const auto segments = message.getSegmentsForOutput();
     if (segments.size() > 1)
     {
         const std::size_t words = message.sizeInWords();
-        capnp::MallocMessageBuilder whole(static_cast<unsigned>(words + 1));
-        whole.setRoot(message.getRoot<schema::Datagram>().asReader());
-        return flatten(whole);
+        capnp::MallocMessageBuilder single_segment(
+            static_cast<unsigned>(words + 1));
+        single_segment.setRoot(message.getRoot<schema::Datagram>().asReader());
+        return flatten(single_segment);
     }
     const auto bytes = segments[0].asBytes();
     byte_buffer result(segment_table_bytes + bytes.size());
@@ -273,7 +280,7 @@
 }
 
 template <class Message>
-byte_buffer encode_control(const Message& message)
+byte_buffer encode_message(const Message& message)
 {
     std::array<capnp::word, scratch_words> scratch{};
     capnp::MallocMessageBuilder builder(
@@ -284,7 +291,8 @@
 
 byte_buffer encode_packet(const forwarded_packet& packet)
 {
-    // Vectors of bytes come from operator new, which aligns for a word.
+    // The buffer is aligned to `wire_alignment`, since operator new allocates
+    // it.
     byte_buffer result(encoded_size(packet));
     encode_into(packet, result.data(), result.size());
     return result;
@@ -296,9 +304,10 @@
 {
     std::size_t words = fixed_packet_words();
     words += words_of_text(packet.service_.value());
-    words += words_of_life(packet.target_);
-    words += is_named(packet.sender_) ? words_of_life(packet.sender_) : 0;
-    words += words_of_lives(packet.expired_members_);
+    words += words_of_incarnation(packet.target_);
+    words +=
+        is_named(packet.sender_) ? words_of_incarnation(packet.sender_) : 0;
+    words += words_of_incarnations(packet.expired_members_);
     words += words_of_bytes(packet.payload_.size());
     return segment_table_bytes + words * word_bytes;
 }
@@ -311,11 +320,11 @@
     {
         return 0;
     }
-    // Builders take the memory to be zero.
+    // Cap'n Proto builders expect zeroed memory.
     std::memset(buffer, 0, size);
     const std::size_t words = (size - segment_table_bytes) / word_bytes;
     write_segment_table(buffer, words);
-    // The size is exact, so the builder never runs out of room.
+    // The builder cannot add a segment, but `words` is the exact size.
     capnp::FlatMessageBuilder builder(kj::arrayPtr(
         reinterpret_cast<capnp::word*>(buffer + segment_table_bytes), words));
     write(builder.initRoot<schema::Datagram>().initForwarded(), packet);
@@ -330,9 +339,9 @@
     }
     if (const auto* peer = std::get_if<peer_message>(&message))
     {
-        return encode_control(*peer);
+        return encode_message(*peer);
     }
-    return encode_control(std::get<stale_notice>(message));
+    return encode_message(std::get<stale_notice>(message));
 }
 
 } // namespace galenafork
--- a/src/libwire/fields.cpp
+++ b/src/libwire/fields.cpp
@@ -10,39 +10,39 @@
 namespace
 {
 
-constexpr std::size_t word_bytes = 8;
+constexpr std::size_t u64_bytes = 8;
 
 } // namespace
 
-std::uint64_t load_word(const std::uint8_t* bytes)
+std::uint64_t load_u64(const std::uint8_t* bytes)
 {
     std::uint64_t value = 0;
-    for (std::size_t i = word_bytes; i-- > 0;)
+    for (std::size_t i = u64_bytes; i-- > 0;)
     {
         value = (value << 8U) | bytes[i];
     }
     return value;
 }
 
-void store_word(std::uint8_t* bytes, std::uint64_t value)
+void store_u64(std::uint8_t* bytes, std::uint64_t value)
 {
-    for (std::size_t i = 0; i < word_bytes; ++i)
+    for (std::size_t i = 0; i < u64_bytes; ++i)
     {
         bytes[i] = static_cast<std::uint8_t>(value >> (8U * i));
     }
 }
 
-address_words to_words(const ip_address& address)
+address_halves to_halves(const ip_address& address)
 {
-    return {load_word(address.bytes_.data()),
-            load_word(address.bytes_.data() + word_bytes)};
+    return {load_u64(address.bytes_.data()),
+            load_u64(address.bytes_.data() + u64_bytes)};
 }
 
-ip_address from_words(std::uint64_t low, std::uint64_t high)
+ip_address from_halves(std::uint64_t low, std::uint64_t high)
 {
     ip_address address;
-    store_word(address.bytes_.data(), low);
-    store_word(address.bytes_.data() + word_bytes, high);
+    store_u64(address.bytes_.data(), low);
+    store_u64(address.bytes_.data() + u64_bytes, high);
     return address;
 }
 
@@ -58,16 +58,16 @@
 
 void write(schema::Endpoint::Builder out, const endpoint& value)
 {
-    const address_words words = to_words(value.address_);
-    out.setAddressLow(words.low_);
-    out.setAddressHigh(words.high_);
+    const address_halves halves = to_halves(value.address_);
+    out.setAddressLow(halves.low_);
+    out.setAddressHigh(halves.high_);
     out.setPort(value.port_);
 }
 
 void write(schema::FlowKey::Builder out, const flow_key& value)
 {
-    const address_words caller = to_words(value.caller_.address_);
-    const address_words service = to_words(value.service_address_.address_);
+    const address_halves caller = to_halves(value.caller_.address_);
+    const address_halves service = to_halves(value.service_address_.address_);
     out.setCallerLow(caller.low_);
     out.setCallerHigh(caller.high_);
     out.setCallerPort(value.caller_.port_);
@@ -84,9 +84,9 @@
 
 void write(schema::TraceContext::Builder out, const trace_context& value)
 {
-    out.setTraceIdLow(load_word(value.trace_id_.data()));
-    out.setTraceIdHigh(load_word(value.trace_id_.data() + word_bytes));
-    out.setSpanId(load_word(value.span_id_.data()));
+    out.setTraceIdLow(load_u64(value.trace_id_.data()));
+    out.setTraceIdHigh(load_u64(value.trace_id_.data() + u64_bytes));
+    out.setSpanId(load_u64(value.span_id_.data()));
     out.setSampled(value.sampled_);
 }
 
@@ -108,11 +108,11 @@
     out.setAnswer(data_of(value.answer_));
 }
 
-void require(bool valid, const char* what)
+void require(bool valid, const char* reason)
 {
     if (!valid)
     {
-        throw bad_field{what};
+        throw bad_field{reason};
     }
 }
 
@@ -120,34 +120,34 @@
 {
     require(text.size() <= max_name_bytes, "name is too long");
     std::string name(text.begin(), text.size());
-    require(is_valid_name(name), "bad name");
+    require(is_valid_name(name), "invalid name");
     return name;
 }
 
-byte_buffer read_bytes(capnp::Data::Reader data, std::size_t limit)
+byte_buffer read_bytes(capnp::Data::Reader data, std::size_t max_bytes)
 {
-    require(data.size() <= limit, "byte string is too long");
+    require(data.size() <= max_bytes, "byte string is too long");
     return {data.begin(), data.end()};
 }
 
 bucket_id read_bucket(std::uint16_t value)
 {
-    require(value < bucket_count, "no such bucket");
+    require(value < bucket_count, "bucket is out of range");
     return bucket_id(value);
 }
 
 endpoint read(schema::Endpoint::Reader in)
 {
-    return {from_words(in.getAddressLow(), in.getAddressHigh()), in.getPort()};
+    return {from_halves(in.getAddressLow(), in.getAddressHigh()), in.getPort()};
 }
 
 flow_key read(schema::FlowKey::Reader in)
 {
     flow_key flow;
-    flow.caller_ = {from_words(in.getCallerLow(), in.getCallerHigh()),
+    flow.caller_ = {from_halves(in.getCallerLow(), in.getCallerHigh()),
                     in.getCallerPort()};
     flow.service_address_ = {
-        from_words(in.getServiceLow(), in.getServiceHigh()),
+        from_halves(in.getServiceLow(), in.getServiceHigh()),
         in.getServicePort()};
     return flow;
 }
@@ -161,9 +161,9 @@
 trace_context read(schema::TraceContext::Reader in)
 {
     trace_context trace;
-    store_word(trace.trace_id_.data(), in.getTraceIdLow());
-    store_word(trace.trace_id_.data() + word_bytes, in.getTraceIdHigh());
-    store_word(trace.span_id_.data(), in.getSpanId());
+    store_u64(trace.trace_id_.data(), in.getTraceIdLow());
+    store_u64(trace.trace_id_.data() + u64_bytes, in.getTraceIdHigh());
+    store_u64(trace.span_id_.data(), in.getSpanId());
     trace.sampled_ = in.getSampled();
     return trace;
 }
@@ -182,7 +182,7 @@
 {
     require(in.getState() <=
                 static_cast<std::uint8_t>(journal_entry_state::refused),
-            "unknown journal state");
+            "unknown state of a journal entry");
     journal_entry entry;
     entry.key_.flow_ = read(in.getFlow());
     entry.key_.message_id_ = in.getMessageId();
--- a/src/libwire/fields.h
+++ b/src/libwire/fields.h
@@ -1,5 +1,6 @@
 /// \file
-/// The parts that several messages share, to and from Cap'n Proto.
+/// Cap'n Proto encoding and decoding of the structs that several messages
+/// share.
 
 #ifndef GALENAFORK_LIBWIRE_FIELDS_H
 #define GALENAFORK_LIBWIRE_FIELDS_H
@@ -11,73 +12,77 @@
 namespace galenafork::pvt
 {
 
-/// An address as two words, each read little-endian.
-struct address_words
+/// The two halves of an IP address, each read as a little-endian integer.
+struct address_halves
 {
     std::uint64_t low_ = 0;
     std::uint64_t high_ = 0;
 };
 
-/// The words of `address`.
-address_words to_words(const ip_address& address);
+/// Returns the halves of `address`.
+address_halves to_halves(const ip_address& address);
 
-/// The address of these words.
-ip_address from_words(std::uint64_t low, std::uint64_t high);
+/// Returns the address with these halves.
+ip_address from_halves(std::uint64_t low, std::uint64_t high);
 
-/// Reads eight bytes little-endian.
-std::uint64_t load_word(const std::uint8_t* bytes);
+/// Reads a 64-bit integer from eight bytes, little-endian.
+std::uint64_t load_u64(const std::uint8_t* bytes);
 
-/// Writes eight bytes little-endian.
-void store_word(std::uint8_t* bytes, std::uint64_t value);
+/// Writes a 64-bit integer to eight bytes, little-endian.
+void store_u64(std::uint8_t* bytes, std::uint64_t value);
 
-/// The characters of `text`, not copied.
+/// Returns a view of `text`; does not copy the characters.
 capnp::Text::Reader text_of(const std::string& text);
 
-/// The bytes of `bytes`, not copied.
+/// Returns a view of `bytes`; does not copy them.
 capnp::Data::Reader data_of(const byte_buffer& bytes);
 
-/// Fills `out` with the value.
+/// Writes `value` to `out`.
 void write(schema::Endpoint::Builder out, const endpoint& value);
-/// Fills `out` with the value.
+/// Writes `value` to `out`.
 void write(schema::FlowKey::Builder out, const flow_key& value);
-/// Fills `out` with the value.
+/// Writes `value` to `out`.
 void write(schema::InstanceLife::Builder out,
            const instance_incarnation& value);
-/// Fills `out` with the value.
+/// Writes `value` to `out`.
 void write(schema::TraceContext::Builder out, const trace_context& value);
-/// Fills `out` with the value.
+/// Writes `value` to `out`.
 void write(schema::LoadReport::Builder out, const load_report& value);
-/// Fills `out` with the value.
+/// Writes `value` to `out`.
 void write(schema::JournalEntry::Builder out, const journal_entry& value);
 
-/// A field that breaks its limits. Thrown by the `read` functions and caught
-/// in `decode`, as Cap'n Proto's own exceptions are.
+/// Thrown by `require` and the `read` functions if a field has an invalid
+/// value. Caught in `decode`, as Cap'n Proto's own exceptions are.
 struct bad_field
 {
-    const char* what_ = "";
+    const char* reason_ = "";
 };
 
-/// Fails (see `bad_field`) with `what` unless `valid`.
-void require(bool valid, const char* what);
+/// Throws `bad_field` with `reason` unless `valid`.
+void require(bool valid, const char* reason);
 
-/// A service or instance name.
+/// Returns a service or instance name. Throws `bad_field` if it is invalid.
 std::string read_name(capnp::Text::Reader text);
-/// A byte string of at most `limit` bytes.
-byte_buffer read_bytes(capnp::Data::Reader data, std::size_t limit);
-/// A bucket below `bucket_count`.
+/// Returns the bytes of `data`. Throws `bad_field` if there are more than
+/// `max_bytes`.
+byte_buffer read_bytes(capnp::Data::Reader data, std::size_t max_bytes);
+/// Returns the bucket `value`. Throws `bad_field` unless it is below
+/// `bucket_count`.
 bucket_id read_bucket(std::uint16_t value);
 
-/// The value that `write` wrote; fails on a bad field.
+/// Returns the value that `write` wrote.
 endpoint read(schema::Endpoint::Reader in);
-/// The value that `write` wrote; fails on a bad field.
+/// Returns the value that `write` wrote.
 flow_key read(schema::FlowKey::Reader in);
-/// The value that `write` wrote; fails on a bad field.
+/// Returns the value that `write` wrote. Throws `bad_field` if the name is
+/// invalid.
 instance_incarnation read(schema::InstanceLife::Reader in);
-/// The value that `write` wrote; fails on a bad field.
+/// Returns the value that `write` wrote.
 trace_context read(schema::TraceContext::Reader in);
-/// The value that `write` wrote; fails on a bad field.
+/// Returns the value that `write` wrote.
 load_report read(schema::LoadReport::Reader in);
-/// The value that `write` wrote; fails on a bad field.
+/// Returns the value that `write` wrote. Throws `bad_field` if a field is
+/// invalid.
 journal_entry read(schema::JournalEntry::Reader in);
 
 } // namespace galenafork::pvt
--- a/src/libwire/galenafork.capnp
+++ b/src/libwire/galenafork.capnp
@@ -1,13 +1,19 @@
-# Datagrams between balancers and agents. The C++ beside this file is made by
-#   capnp compile -oc++ src/libwire/galenafork.capnp
-# and committed. src/include/galenafork/messages.h says what each message means.
+# Datagrams between balancers and agents. The C++ beside this file is committed;
+# this command, run in src/libwire, generates it:
+#   capnp compile -oc++ galenafork.capnp
+# src/include/galenafork/messages.h documents each message. Some names differ
+# there: `InstanceLife` is `instance_incarnation`, `lapsed` is
+# `expired_members_`, `lapsePromise` is `expiry_promise` and `JournalMark` is
+# `complete_journal_copy`.
 
 @0xb7c3a5d1e94f2086;
 
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("galenafork::pvt::schema");
 
-# An address takes two words: bytes 0-7 and 8-15, each read little-endian.
+# An address is sent as two 64-bit integers: `addressLow` has bytes 0-7 and
+# `addressHigh` bytes 8-15, each read in little-endian order. Other addresses
+# and trace ids are split in the same way.
 struct Endpoint {
   addressLow @0 :UInt64;
   addressHigh @1 :UInt64;
@@ -48,7 +54,7 @@
   payload @9 :Data;
   rulesVersion @10 :UInt64;
   establishedOnly @11 :Bool;
-  sender @12 :InstanceLife;  # null from a balancer
+  sender @12 :InstanceLife;  # Null if a balancer sent the packet.
   placement @13 :UInt64;
   lapsed @14 :List(InstanceLife);
 }
--- a/src/libwire/proxy_protocol.cpp
+++ b/src/libwire/proxy_protocol.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr std::array<std::uint8_t, 12> signature{
+constexpr std::array<std::uint8_t, 12> v2_signature{
     0x0d, 0x0a, 0x0d, 0x0a, 0x00, 0x0d, 0x0a, 0x51, 0x55, 0x49, 0x54, 0x0a};
 constexpr std::uint8_t version_2_proxy = 0x21;
 constexpr std::uint8_t udp_over_v4 = 0x12;
@@ -18,9 +18,9 @@
 constexpr std::size_t command_offset = 12;
 constexpr std::size_t family_offset = 13;
 constexpr std::size_t length_offset = 14;
-constexpr std::size_t fixed_bytes = 16;
-constexpr std::size_t v4_bytes = 4;
-constexpr std::size_t v6_bytes = 16;
+constexpr std::size_t fixed_header_bytes = 16;
+constexpr std::size_t v4_address_bytes = 4;
+constexpr std::size_t v6_address_bytes = 16;
 constexpr std::size_t port_bytes = 2;
 
 constexpr std::size_t address_block_bytes(std::size_t address_bytes)
@@ -28,20 +28,20 @@
     return 2 * (address_bytes + port_bytes);
 }
 
-// Type, and length in two bytes.
-constexpr std::size_t extension_head_bytes = 3;
+// Type (1 byte) and length (2 bytes).
+constexpr std::size_t extension_header_bytes = 3;
 
 constexpr std::size_t trace_id_bytes = 16;
 constexpr std::size_t span_id_bytes = 8;
-constexpr std::size_t trace_bytes = trace_id_bytes + span_id_bytes + 1;
+constexpr std::size_t trace_value_bytes = trace_id_bytes + span_id_bytes + 1;
 
-static_assert(fixed_bytes + address_block_bytes(v6_bytes) +
-                  extension_head_bytes + trace_bytes ==
+static_assert(fixed_header_bytes + address_block_bytes(v6_address_bytes) +
+                  extension_header_bytes + trace_value_bytes ==
               max_proxy_header_bytes);
 
-tl::unexpected<error> bad_header(const char* what)
+tl::unexpected<error> bad_header(const char* reason)
 {
-    return tl::unexpected(error{error_code::bad_message, what});
+    return tl::unexpected(error{error_code::bad_message, reason});
 }
 
 void put_u16(std::uint8_t* out, std::size_t value)
@@ -55,7 +55,8 @@
     return static_cast<std::uint16_t>((in[0] << 8U) | in[1]);
 }
 
-// Copies the last `address_bytes` of an address: all of it, or its IPv4 part.
+// Writes the last `address_bytes` bytes of `address`: all of it or its IPv4
+// part.
 void put_address(std::uint8_t* out, const ip_address& address,
                  std::size_t address_bytes)
 {
@@ -65,16 +66,17 @@
 
 ip_address get_address(const std::uint8_t* in, std::size_t address_bytes)
 {
-    if (address_bytes == v4_bytes)
+    if (address_bytes == v4_address_bytes)
     {
         return make_v4(in[0], in[1], in[2], in[3]);
     }
     ip_address address;
-    std::copy(in, in + v6_bytes, address.bytes_.begin());
+    std::copy(in, in + v6_address_bytes, address.bytes_.begin());
     return address;
 }
 
-proxy_header get_block(const std::uint8_t* in, std::size_t address_bytes)
+proxy_header get_address_block(const std::uint8_t* in,
+                               std::size_t address_bytes)
 {
     proxy_header header;
     const std::uint8_t* ports = in + 2 * address_bytes;
@@ -94,12 +96,12 @@
 std::size_t put_trace(std::uint8_t* out, const trace_context& trace)
 {
     out[0] = proxy_trace_tlv_type;
-    put_u16(out + 1, trace_bytes);
-    out += extension_head_bytes;
+    put_u16(out + 1, trace_value_bytes);
+    out += extension_header_bytes;
     out = std::copy(trace.trace_id_.begin(), trace.trace_id_.end(), out);
     out = std::copy(trace.span_id_.begin(), trace.span_id_.end(), out);
     *out = trace.sampled_ ? 1 : 0;
-    return extension_head_bytes + trace_bytes;
+    return extension_header_bytes + trace_value_bytes;
 }
 
 trace_context get_trace(const std::uint8_t* in)
@@ -112,21 +114,21 @@
     return trace;
 }
 
-// Reads the extensions in [in, end); false if one is cut short.
+// Reads the extensions in [in, end). Returns false if one is truncated.
 bool get_extensions(const std::uint8_t* in, const std::uint8_t* end,
                     proxy_header& header)
 {
     while (in != end)
     {
-        const auto left = static_cast<std::size_t>(end - in);
-        if (left < extension_head_bytes ||
-            left - extension_head_bytes < get_u16(in + 1))
+        const auto remaining = static_cast<std::size_t>(end - in);
+        if (remaining < extension_header_bytes ||
+            remaining - extension_header_bytes < get_u16(in + 1))
         {
             return false;
         }
         const std::size_t length = get_u16(in + 1);
-        const std::uint8_t* value = in + extension_head_bytes;
-        if (in[0] == proxy_trace_tlv_type && length == trace_bytes)
+        const std::uint8_t* value = in + extension_header_bytes;
+        if (in[0] == proxy_trace_tlv_type && length == trace_value_bytes)
         {
             header.trace_ = get_trace(value);
         }
@@ -142,13 +144,13 @@
 {
     const bool v4 =
         header.source_.address_.is_v4() && header.destination_.address_.is_v4();
-    const std::size_t address_bytes = v4 ? v4_bytes : v6_bytes;
+    const std::size_t address_bytes = v4 ? v4_address_bytes : v6_address_bytes;
     const std::size_t block_bytes = address_block_bytes(address_bytes);
-    std::copy(signature.begin(), signature.end(), buffer);
+    std::copy(v2_signature.begin(), v2_signature.end(), buffer);
     buffer[command_offset] = version_2_proxy;
     buffer[family_offset] = v4 ? udp_over_v4 : udp_over_v6;
 
-    std::uint8_t* block = buffer + fixed_bytes;
+    std::uint8_t* block = buffer + fixed_header_bytes;
     std::uint8_t* ports = block + 2 * address_bytes;
     put_address(block, header.source_.address_, address_bytes);
     put_address(block + address_bytes, header.destination_.address_,
@@ -162,7 +164,7 @@
         length += put_trace(block + block_bytes, header.trace_);
     }
     put_u16(buffer + length_offset, length);
-    return fixed_bytes + length;
+    return fixed_header_bytes + length;
 }
 
 byte_buffer make_proxy_datagram(const proxy_header& header,
@@ -177,14 +179,14 @@
 tl::expected<parsed_proxy_header, error>
 parse_proxy_header(const std::uint8_t* bytes, std::size_t size)
 {
-    if (size < fixed_bytes ||
-        !std::equal(signature.begin(), signature.end(), bytes))
+    if (size < fixed_header_bytes ||
+        !std::equal(v2_signature.begin(), v2_signature.end(), bytes))
     {
-        return bad_header("no PROXY v2 header");
+        return bad_header("datagram does not start with a PROXY v2 header");
     }
     if (bytes[command_offset] != version_2_proxy)
     {
-        return bad_header("PROXY v2: not the command PROXY");
+        return bad_header("PROXY v2: not version 2 with the command PROXY");
     }
     const std::uint8_t family = bytes[family_offset];
     if (family != udp_over_v4 && family != udp_over_v6)
@@ -192,17 +194,17 @@
         return bad_header("PROXY v2: not UDP over IPv4 or IPv6");
     }
     const std::size_t address_bytes =
-        family == udp_over_v4 ? v4_bytes : v6_bytes;
+        family == udp_over_v4 ? v4_address_bytes : v6_address_bytes;
     const std::size_t length = get_u16(bytes + length_offset);
     if (length < address_block_bytes(address_bytes) ||
-        fixed_bytes + length > size)
+        fixed_header_bytes + length > size)
     {
         return bad_header("PROXY v2: truncated header");
     }
-    const std::uint8_t* block = bytes + fixed_bytes;
+    const std::uint8_t* block = bytes + fixed_header_bytes;
     parsed_proxy_header result;
-    result.header_ = get_block(block, address_bytes);
-    result.payload_offset_ = fixed_bytes + length;
+    result.header_ = get_address_block(block, address_bytes);
+    result.payload_offset_ = fixed_header_bytes + length;
     if (!get_extensions(block + address_block_bytes(address_bytes),
                         bytes + result.payload_offset_, result.header_))
     {
--- a/testsuite/standins/caller/flow.cpp
+++ b/testsuite/standins/caller/flow.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-constexpr unsigned timeout_growth = 2;
+constexpr unsigned ack_timeout_growth = 2;
 
 void append_u32(byte_buffer& bytes, std::uint32_t value)
 {
@@ -35,65 +35,65 @@
 
 } // namespace
 
-flow::flow(event_loop& loop, const flow_settings& settings, tally& counts,
-           std::uint32_t number, std::string tag)
-    : loop_(loop), settings_(settings), counts_(counts), number_(number),
+flow::flow(event_loop& loop, const flow_settings& settings,
+           request_stats& stats, std::uint32_t number, std::string tag)
+    : loop_(loop), settings_(settings), stats_(stats), number_(number),
       tag_(std::move(tag)),
       random_(std::hash<std::string>()(tag_ + std::to_string(number))),
-      socket_(any_loopback_port()), transmission_(random_()),
+      socket_(any_loopback_port()), attempt_(random_()),
       message_id_(static_cast<std::uint16_t>(random_()))
 {
-    loop_.watch(socket_->descriptor(), [this] { take_datagrams(); });
+    loop_.watch(socket_->descriptor(), [this] { receive_datagrams(); });
 }
 
 void flow::start(duration delay, event_loop::handler on_end)
 {
     on_end_ = std::move(on_end);
-    ends_at_ = read_monotonic_clock() + delay + settings_.life_;
+    ends_at_ = read_monotonic_clock() + delay + settings_.lifetime_;
     loop_.after(delay, [this] { begin_request(); });
 }
 
 void flow::begin_request()
 {
-    if (ending_ || read_monotonic_clock() >= ends_at_)
+    if (stopping_ || read_monotonic_clock() >= ends_at_)
     {
         end_flow();
         return;
     }
     ++sequence_;
     retries_ = 0;
-    maybe_ran_ = false;
-    counts_.sent();
+    may_have_run_ = false;
+    stats_.count_sent();
     sent_at_ = read_monotonic_clock();
-    send_anew();
+    start_attempt();
 }
 
-// A new message with its own id and token for the request under way.
-void flow::send_anew()
+// Sends the current request in a new message with its own message id and token.
+void flow::start_attempt()
 {
     ++message_id_;
-    ++transmission_;
-    repeats_ = 0;
+    ++attempt_;
+    retransmits_ = 0;
     acknowledged_ = false;
-    waiting_ = true;
-    timeout_ = settings_.ack_timeout_;
+    request_pending_ = true;
+    current_ack_timeout_ = settings_.ack_timeout_;
     build_request();
     transmit();
 }
 
 void flow::transmit()
 {
-    socket_->send(request_, settings_.service_);
-    arm(timeout_, &flow::on_ack_timeout);
+    socket_->send(request_, settings_.service_endpoint_);
+    start_timer(current_ack_timeout_, &flow::on_ack_timeout);
 }
 
-void flow::arm(duration delay, void (flow::*action)())
+void flow::start_timer(duration delay, void (flow::*action)())
 {
-    const std::uint64_t timer = ++timer_;
+    const std::uint64_t timer_number = ++timer_number_;
     loop_.after(delay,
-                [this, timer, action]
+                [this, timer_number, action]
                 {
-                    if (timer == timer_ && waiting_)
+                    if (timer_number == timer_number_ && request_pending_)
                     {
                         (this->*action)();
                     }
@@ -102,13 +102,13 @@
 
 void flow::on_ack_timeout()
 {
-    if (repeats_ == settings_.most_repeats_)
+    if (retransmits_ == settings_.max_retransmits_)
     {
         end_request(outcome::broken, "no_answer");
         return;
     }
-    ++repeats_;
-    timeout_ *= timeout_growth;
+    ++retransmits_;
+    current_ack_timeout_ *= ack_timeout_growth;
     transmit();
 }
 
@@ -117,7 +117,7 @@
     end_request(outcome::broken, "no_separate_answer");
 }
 
-void flow::take_datagrams()
+void flow::receive_datagrams()
 {
     while (socket_.has_value())
     {
@@ -126,46 +126,49 @@
         {
             return;
         }
-        if (received->from_ == settings_.service_)
+        if (received->from_ == settings_.service_endpoint_)
         {
-            take_message(received->bytes_);
+            handle_message(received->bytes_);
         }
         else
         {
-            take_stray(*received);
+            handle_stray_datagram(*received);
         }
     }
 }
 
-// A new flow may get the port of one that ended, and with it late answers of
-// another service. Only an answer to this flow's own requests is misdelivered.
-void flow::take_stray(const received_datagram& stray)
+// Handles a datagram that does not come from the service. The flow may have got
+// the port of one that has ended, and receive late answers of another service.
+// Only answers to the flow's own requests count as misdelivered.
+void flow::handle_stray_datagram(const received_datagram& stray)
 {
-    const std::string own = " id=" + tag_ + "-" + std::to_string(number_) + "-";
+    const std::string own_id_prefix =
+        " id=" + tag_ + "-" + std::to_string(number_) + "-";
     const std::string text = to_text(stray.bytes_);
-    if (text.find(own) != std::string::npos)
+    if (text.find(own_id_prefix) != std::string::npos)
     {
-        counts_.ended(outcome::misdelivered, "answer_from_another_service");
+        stats_.count_outcome(outcome::misdelivered,
+                             "answer_from_another_service");
         return;
     }
-    counts_.came_late();
+    stats_.count_late_answer();
     log_line("stray")
         .with("flow", number_)
         .with("from", to_string(stray.from_))
         .with("size", stray.bytes_.size());
 }
 
-void flow::take_message(const byte_buffer& bytes)
+void flow::handle_message(const byte_buffer& bytes)
 {
     if (settings_.kind_ == flow_kind::udp)
     {
-        take_text(to_text(bytes));
+        handle_text_answer(to_text(bytes));
         return;
     }
     const auto message = parse_coap(bytes.data(), bytes.size());
     if (!message.has_value())
     {
-        counts_.ended(outcome::broken, "malformed_answer");
+        stats_.count_outcome(outcome::broken, "malformed_answer");
         log_line("malformed_answer")
             .with("flow", number_)
             .with("size", bytes.size());
@@ -174,13 +177,13 @@
     if (is_response(*message))
     {
         acknowledge(*message);
-        take_response(*message);
+        handle_response(*message);
     }
-    else if (message->type_ == coap_type::acknowledgement && waiting_ &&
+    else if (message->type_ == coap_type::acknowledgement && request_pending_ &&
              message->message_id_ == message_id_)
     {
         acknowledged_ = true;
-        arm(settings_.answer_timeout_, &flow::on_answer_timeout);
+        start_timer(settings_.answer_timeout_, &flow::on_answer_timeout);
     }
 }
 
@@ -196,28 +199,29 @@
     const auto bytes = encode_coap(ack);
     if (bytes.has_value())
     {
-        socket_->send(*bytes, settings_.service_);
+        socket_->send(*bytes, settings_.service_endpoint_);
     }
 }
 
-void flow::take_response(const coap_message& response)
+void flow::handle_response(const coap_message& response)
 {
-    byte_buffer own;
-    append_u32(own, number_);
-    const bool of_this_flow =
+    byte_buffer flow_number;
+    append_u32(flow_number, number_);
+    const bool is_for_this_flow =
         response.token_.size() == token().size() &&
-        std::equal(own.begin(), own.end(), response.token_.begin());
-    if (!of_this_flow)
+        std::equal(flow_number.begin(), flow_number.end(),
+                   response.token_.begin());
+    if (!is_for_this_flow)
     {
-        counts_.ended(outcome::broken, "answer_of_another_flow");
+        stats_.count_outcome(outcome::broken, "answer_of_another_flow");
     }
-    else if (!waiting_ || response.token_ != token())
+    else if (!request_pending_ || response.token_ != token())
     {
-        counts_.came_late();
+        stats_.count_late_answer();
     }
     else if (is_refusal(response.code_))
     {
-        take_refusal(response);
+        handle_refusal(response);
     }
     else if (!is_success(response.code_))
     {
@@ -225,20 +229,20 @@
     }
     else if (settings_.kind_ == flow_kind::photo)
     {
-        take_photo_block(response);
+        handle_photo_block(response);
     }
     else
     {
-        take_text(to_text(response.payload_));
+        handle_text_answer(to_text(response.payload_));
     }
 }
 
-void flow::take_refusal(const coap_message& response)
+void flow::handle_refusal(const coap_message& response)
 {
-    const bool clean = response.code_ == coap_code::service_unavailable;
-    const bool repeatable = settings_.kind_ != flow_kind::intake;
-    maybe_ran_ = maybe_ran_ || !clean;
-    if ((!clean && !repeatable) || retries_ == settings_.most_retries_)
+    const bool did_not_run = response.code_ == coap_code::service_unavailable;
+    const bool idempotent = settings_.kind_ != flow_kind::intake;
+    may_have_run_ = may_have_run_ || !did_not_run;
+    if ((!did_not_run && !idempotent) || retries_ == settings_.max_retries_)
     {
         end_request(outcome::refused, to_text(response.payload_));
         return;
@@ -246,96 +250,98 @@
     ++retries_;
     const std::chrono::seconds hint(
         uint_option(response, coap_option_number::max_age).value_or(1));
-    const duration wait =
-        std::min<duration>(hint, settings_.longest_retry_wait_);
-    arm(wait, &flow::send_anew);
+    const duration wait = std::min<duration>(hint, settings_.max_retry_wait_);
+    start_timer(wait, &flow::start_attempt);
 }
 
-void flow::take_text(const std::string& payload)
+void flow::handle_text_answer(const std::string& payload)
 {
-    const auto text = parse_answer_text(payload);
-    const bool udp = settings_.kind_ == flow_kind::udp;
-    if (udp && (!waiting_ || !text.has_value() || text->id_ != request_id()))
-    {
-        // Without tokens a late echo shows by its id only.
-        counts_.came_late();
+    const auto identity = parse_answer_identity(payload);
+    const bool is_udp = settings_.kind_ == flow_kind::udp;
+    if (is_udp && (!request_pending_ || !identity.has_value() ||
+                   identity->id_ != request_id()))
+    {
+        // Echoed datagrams have no token, so late ones are recognized by the
+        // request id.
+        stats_.count_late_answer();
         return;
     }
-    if (text.has_value() && text->id_ != request_id())
+    if (identity.has_value() && identity->id_ != request_id())
     {
         end_request(outcome::broken, "answer_of_another_request");
         return;
     }
-    check_answer(text);
+    check_answer(identity);
 }
 
-void flow::take_photo_block(const coap_message& response)
+void flow::handle_photo_block(const coap_message& response)
 {
     const auto block = block_option(response, coap_option_number::block2);
-    const auto text = parse_answer_text(to_text(response.payload_));
-    if (!block.has_value() || block->number_ != block_ || !text.has_value())
+    const auto identity = parse_answer_identity(to_text(response.payload_));
+    if (!block.has_value() || block->number_ != block_number_ ||
+        !identity.has_value())
     {
         end_request(outcome::broken, "wrong_block");
         return;
     }
     const std::string expected =
-        photo_bytes({text->service_, text->instance_, request_id()},
+        photo_bytes({identity->service_, identity->instance_, request_id()},
                     block->offset(), response.payload_.size());
     if (to_text(response.payload_) != expected)
     {
         end_request(outcome::broken, "wrong_bytes");
         return;
     }
-    block_ = block->more_ ? block_ + 1 : 0;
-    photo_ += block->more_ ? 0 : 1;
-    check_answer(text);
+    block_number_ = block->more_ ? block_number_ + 1 : 0;
+    photo_number_ += block->more_ ? 0 : 1;
+    check_answer(identity);
 }
 
-void flow::check_answer(const std::optional<answer_text>& text)
+void flow::check_answer(const std::optional<answer_identity>& identity)
 {
-    if (!text.has_value())
+    if (!identity.has_value())
     {
         end_request(outcome::broken, "unreadable_answer");
     }
-    else if (text->service_ != settings_.expected_)
+    else if (identity->service_ != settings_.expected_service_)
     {
         end_request(outcome::misdelivered, "wrong_service");
     }
-    else if (instance_.has_value() && *instance_ != text->instance_)
+    else if (instance_.has_value() && *instance_ != identity->instance_)
     {
-        instance_ = text->instance_;
+        instance_ = identity->instance_;
         end_request(outcome::broken, "moved");
     }
     else
     {
-        instance_ = text->instance_;
+        instance_ = identity->instance_;
         end_request(outcome::answered, "");
     }
 }
 
-void flow::end_request(outcome how, const std::string& reason)
+void flow::end_request(outcome result, const std::string& reason)
 {
-    waiting_ = false;
-    counts_.ended(how, reason);
-    if (how == outcome::broken || how == outcome::misdelivered)
+    request_pending_ = false;
+    stats_.count_outcome(result, reason);
+    if (result == outcome::broken || result == outcome::misdelivered)
     {
         log_line("broken")
             .with("reason", reason)
             .with("id", request_id())
             .with("caller", to_string(socket_->local()))
-            .with("repeats", repeats_)
+            .with("repeats", retransmits_)
             .with("acknowledged", acknowledged_)
             .with("instance", instance_ ? instance_->value() : "none");
     }
-    if (how == outcome::answered)
+    if (result == outcome::answered)
     {
-        counts_.took(read_monotonic_clock() - sent_at_);
+        stats_.add_latency(read_monotonic_clock() - sent_at_);
         record_intake(intake_state::ran);
     }
-    else if (how == outcome::refused)
+    else if (result == outcome::refused)
     {
-        record_intake(maybe_ran_ ? intake_state::may_have_run
-                                 : intake_state::did_not_run);
+        record_intake(may_have_run_ ? intake_state::may_have_run
+                                    : intake_state::did_not_run);
     }
     else
     {
@@ -350,7 +356,7 @@
 {
     if (settings_.kind_ == flow_kind::intake)
     {
-        counts_.intake_ended(state, request_id());
+        stats_.write_intake_state(state, request_id());
     }
 }
 
@@ -386,26 +392,28 @@
     {
         set_uri_path(request, "/photos/" + request_id());
         set_block_option(request, coap_option_number::block2,
-                         {block_, false, 6});
+                         {block_number_, false, 6});
     }
     request_ = encode_coap(request).value_or(byte_buffer{});
 }
 
-// Flow, then transmission: an answer to another message cannot match.
+// The token consists of flow number and attempt, so that no answer to another
+// message matches it.
 byte_buffer flow::token() const
 {
     byte_buffer bytes;
     append_u32(bytes, number_);
-    append_u32(bytes, transmission_);
+    append_u32(bytes, attempt_);
     return bytes;
 }
 
-// All blocks of a photo set are asked for under one id.
+// All blocks of a photo set are requested under the same id.
 std::string flow::request_id() const
 {
-    const std::uint32_t part =
-        settings_.kind_ == flow_kind::photo ? photo_ : sequence_;
-    return tag_ + "-" + std::to_string(number_) + "-" + std::to_string(part);
+    const std::uint32_t request_number =
+        settings_.kind_ == flow_kind::photo ? photo_number_ : sequence_;
+    return tag_ + "-" + std::to_string(number_) + "-" +
+           std::to_string(request_number);
 }
 
 } // namespace galenafork::standin
--- a/testsuite/standins/caller/flow.h
+++ b/testsuite/standins/caller/flow.h
@@ -1,12 +1,13 @@
 /// \file
-/// One caller's flow: a socket that sends one request after another.
+/// A flow of a caller, which sends one request after another from its own
+/// socket.
 
 #ifndef GALENAFORK_STANDINS_FLOW_H
 #define GALENAFORK_STANDINS_FLOW_H
 
-#include <common/tally.h>
+#include <common/request_stats.h>
 
-#include <common/answer_text.h>
+#include <common/answer_identity.h>
 #include <common/event_loop.h>
 #include <common/udp_socket.h>
 
@@ -18,7 +19,7 @@
 namespace galenafork::standin
 {
 
-/// What the requests of a flow are.
+/// The kind of requests that a flow sends.
 enum class flow_kind
 {
     status,
@@ -28,65 +29,68 @@
     udp,
 };
 
-/// What every flow is told.
+/// Settings that flows of a group share.
 struct flow_settings
 {
     flow_kind kind_ = flow_kind::status;
-    /// The fabric's socket of the service.
-    endpoint service_;
-    /// The service that must answer.
-    service_name expected_;
+    /// The fabric's address for the service, to which requests are sent.
+    endpoint service_endpoint_;
+    /// The service whose instances must answer.
+    service_name expected_service_;
     /// Mean pause between two requests.
     duration pause_ = std::chrono::milliseconds(50);
-    /// The flow ends after that long.
-    duration life_ = std::chrono::seconds(3);
-    /// First wait for an acknowledgement; doubles with each repeat.
+    /// Time from the start of the flow after which it starts no further
+    /// request.
+    duration lifetime_ = std::chrono::seconds(3);
+    /// Timeout of the first transmission, doubled with each retransmission.
     duration ack_timeout_ = std::chrono::milliseconds(300);
-    unsigned most_repeats_ = 4;
-    /// Wait for a separate answer after the acknowledgement.
+    unsigned max_retransmits_ = 4;
+    /// Timeout of a separate answer, from the acknowledgement of the request.
     duration answer_timeout_ = std::chrono::seconds(10);
-    /// How often a refused request is sent anew.
-    unsigned most_retries_ = 5;
-    /// A retry waits as long as it was told, but no longer than that.
-    duration longest_retry_wait_ = std::chrono::seconds(2);
+    /// How often a refused request is retried.
+    unsigned max_retries_ = 5;
+    /// Upper limit of the wait before a retry, which a refusal sets with
+    /// Max-Age.
+    duration max_retry_wait_ = std::chrono::seconds(2);
 };
 
-/// One flow. Works while its loop runs; must outlive the loop's last run.
+/// A flow. It sends requests while `loop` runs, and must not be destroyed
+/// before the loop has stopped.
 class flow
 {
 public:
-    /// `number` is unique in the run and goes into every request; `tag`
-    /// tells runs apart.
-    flow(event_loop& loop, const flow_settings& settings, tally& counts,
+    /// `number` identifies the flow within the run, `tag` identifies the run;
+    /// both are part of every request id.
+    flow(event_loop& loop, const flow_settings& settings, request_stats& stats,
          std::uint32_t number, std::string tag);
 
-    /// Sends the first request after `delay`; calls `on_end` once the flow
-    /// has ended.
+    /// Sends the first request after `delay`. Calls `on_end` when the flow has
+    /// ended.
     void start(duration delay, event_loop::handler on_end);
 
-    /// Sends no further request.
-    void finish_up()
+    /// Ends the flow after the current request.
+    void stop_gracefully()
     {
-        ending_ = true;
+        stopping_ = true;
     }
 
 private:
     void begin_request();
-    void send_anew();
+    void start_attempt();
     void transmit();
-    void arm(duration delay, void (flow::*action)());
+    void start_timer(duration delay, void (flow::*action)());
     void on_ack_timeout();
     void on_answer_timeout();
-    void take_datagrams();
-    void take_stray(const received_datagram& stray);
-    void take_message(const byte_buffer& bytes);
-    void take_response(const coap_message& response);
+    void receive_datagrams();
+    void handle_stray_datagram(const received_datagram& stray);
+    void handle_message(const byte_buffer& bytes);
+    void handle_response(const coap_message& response);
     void acknowledge(const coap_message& message);
-    void take_refusal(const coap_message& response);
-    void take_text(const std::string& payload);
-    void take_photo_block(const coap_message& response);
-    void check_answer(const std::optional<answer_text>& text);
-    void end_request(outcome how, const std::string& reason);
+    void handle_refusal(const coap_message& response);
+    void handle_text_answer(const std::string& payload);
+    void handle_photo_block(const coap_message& response);
+    void check_answer(const std::optional<answer_identity>& identity);
+    void end_request(outcome result, const std::string& reason);
     void record_intake(intake_state state);
     void end_flow();
     void build_request();
@@ -95,31 +99,32 @@
 
     event_loop& loop_;
     const flow_settings& settings_;
-    tally& counts_;
+    request_stats& stats_;
     std::uint32_t number_;
     std::string tag_;
     std::mt19937 random_;
     std::optional<udp_socket> socket_;
     event_loop::handler on_end_;
     instant ends_at_;
-    bool ending_ = false;
+    bool stopping_ = false;
 
-    // The instance that owns the flow, once one has answered.
+    // The instance that has sent the last answer of the expected service.
     std::optional<instance_id> instance_;
 
-    // The request under way. Timers of an older one do nothing.
-    bool waiting_ = false;
-    std::uint64_t timer_ = 0;
+    // State of the current request. Only the timer that was started last takes
+    // effect.
+    bool request_pending_ = false;
+    std::uint64_t timer_number_ = 0;
     std::uint32_t sequence_ = 0;
-    std::uint32_t transmission_ = 0;
-    std::uint32_t block_ = 0;
-    std::uint32_t photo_ = 0;
+    std::uint32_t attempt_ = 0;
+    std::uint32_t block_number_ = 0;
+    std::uint32_t photo_number_ = 0;
     std::uint16_t message_id_ = 0;
     bool acknowledged_ = false;
-    bool maybe_ran_ = false;
-    unsigned repeats_ = 0;
+    bool may_have_run_ = false;
+    unsigned retransmits_ = 0;
     unsigned retries_ = 0;
-    duration timeout_{};
+    duration current_ack_timeout_{};
     instant sent_at_;
     byte_buffer request_;
 };
--- a/testsuite/standins/common/event_loop.cpp
+++ b/testsuite/standins/common/event_loop.cpp
@@ -12,22 +12,25 @@
 namespace
 {
 
-constexpr int longest_wait_ms = 1000;
-constexpr std::size_t events_per_wait = 64;
+constexpr int max_wait_ms = 1000;
+constexpr std::size_t max_events_per_wait = 64;
 
-int checked(int descriptor, const char* what)
+// Returns the result of a system call; throws `std::system_error` if the call
+// has failed.
+int checked(int call_result, const char* call)
 {
-    if (descriptor < 0)
+    if (call_result < 0)
     {
-        throw std::system_error(errno, std::generic_category(), what);
+        throw std::system_error(errno, std::generic_category(), call);
     }
-    return descriptor;
+    return call_result;
 }
 
 } // namespace
 
 event_loop::event_loop()
-    : poll_descriptor_(checked(::epoll_create1(EPOLL_CLOEXEC), "epoll")),
+    : epoll_descriptor_(
+          checked(::epoll_create1(EPOLL_CLOEXEC), "epoll_create1")),
       signal_descriptor_(-1)
 {
     sigemptyset(&signals_);
@@ -40,7 +43,7 @@
 event_loop::~event_loop()
 {
     ::close(signal_descriptor_);
-    ::close(poll_descriptor_);
+    ::close(epoll_descriptor_);
 }
 
 void event_loop::watch(int descriptor, handler on_readable)
@@ -48,15 +51,15 @@
     epoll_event event{};
     event.events = EPOLLIN;
     event.data.fd = descriptor;
-    checked(::epoll_ctl(poll_descriptor_, EPOLL_CTL_ADD, descriptor, &event),
+    checked(::epoll_ctl(epoll_descriptor_, EPOLL_CTL_ADD, descriptor, &event),
             "epoll_ctl");
-    readers_[descriptor] = std::move(on_readable);
+    read_handlers_[descriptor] = std::move(on_readable);
 }
 
 void event_loop::unwatch(int descriptor)
 {
-    ::epoll_ctl(poll_descriptor_, EPOLL_CTL_DEL, descriptor, nullptr);
-    readers_.erase(descriptor);
+    ::epoll_ctl(epoll_descriptor_, EPOLL_CTL_DEL, descriptor, nullptr);
+    read_handlers_.erase(descriptor);
 }
 
 void event_loop::at(instant when, handler action)
@@ -91,39 +94,40 @@
 {
     while (running_)
     {
-        run_timers();
-        wait();
+        run_due_timers();
+        wait_for_events();
     }
 }
 
-void event_loop::run_timers()
+void event_loop::run_due_timers()
 {
     const instant now = read_monotonic_clock();
     while (running_ && !timers_.empty() && timers_.begin()->first <= now)
     {
-        // A handler may add timers, so the due one leaves the map first.
+        // The timer is removed before its handler runs, because the handler
+        // may add timers.
         const auto due = timers_.extract(timers_.begin());
         due.mapped()();
     }
 }
 
-void event_loop::wait()
+void event_loop::wait_for_events()
 {
     if (!running_)
     {
         return;
     }
-    std::array<epoll_event, events_per_wait> events{};
-    const int count = ::epoll_wait(poll_descriptor_, events.data(),
+    std::array<epoll_event, max_events_per_wait> events{};
+    const int count = ::epoll_wait(epoll_descriptor_, events.data(),
                                    static_cast<int>(events.size()),
                                    milliseconds_to_next_timer());
     for (int i = 0; i < count; ++i)
     {
         const auto reader =
-            readers_.find(events.at(static_cast<std::size_t>(i)).data.fd);
-        if (reader != readers_.end())
+            read_handlers_.find(events.at(static_cast<std::size_t>(i)).data.fd);
+        if (reader != read_handlers_.end())
         {
-            // A handler may end its own watch, so it runs from a copy.
+            // The handler is copied because it may remove its own watch.
             const handler on_readable = reader->second;
             on_readable();
         }
@@ -148,16 +152,16 @@
 {
     if (timers_.empty())
     {
-        return longest_wait_ms;
+        return max_wait_ms;
     }
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+    const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(
         timers_.begin()->first - read_monotonic_clock());
-    if (left.count() <= 0)
+    if (remaining.count() <= 0)
     {
         return 0;
     }
     return static_cast<int>(
-        std::min<std::int64_t>(left.count(), longest_wait_ms));
+        std::min<std::int64_t>(remaining.count(), max_wait_ms));
 }
 
 } // namespace galenafork::standin
--- a/testsuite/standins/common/log.h
+++ b/testsuite/standins/common/log.h
@@ -1,5 +1,6 @@
 /// \file
-/// Log lines of stand-ins, one `key=value` line an event, on standard error.
+/// The log of a stand-in on standard error: one line of `key=value` pairs per
+/// event.
 
 #ifndef GALENAFORK_STANDINS_LOG_H
 #define GALENAFORK_STANDINS_LOG_H
@@ -11,7 +12,8 @@
 namespace galenafork::standin
 {
 
-/// Collects `key=value` pairs and writes them as one line on destruction.
+/// Collects the `key=value` pairs of an event and writes the line on
+/// destruction.
 class log_line
 {
 public:
@@ -27,7 +29,7 @@
     log_line(const log_line&) = delete;
     log_line& operator=(const log_line&) = delete;
 
-    /// Adds one pair. Values hold no spaces.
+    /// Adds a pair. The value must not contain spaces, as it is not quoted.
     template <class Value>
     log_line& with(const char* key, const Value& value)
     {
--- a/testsuite/standins/common/options.cpp
+++ b/testsuite/standins/common/options.cpp
@@ -20,7 +20,7 @@
                 const std::function<int()>& body)
 {
     po::options_description all(options);
-    all.add_options()("help", "print the options");
+    all.add_options()("help", "print the options and exit");
     try
     {
         po::variables_map values;
@@ -68,7 +68,8 @@
     const auto equals = text.find('=');
     if (equals == std::string::npos)
     {
-        throw std::invalid_argument("'" + text + "' is not A=B");
+        throw std::invalid_argument("'" + text +
+                                    "' is not of the form IP:PORT=IP:PORT");
     }
     return {endpoint_argument(text.substr(0, equals)),
             endpoint_argument(text.substr(equals + 1))};
--- a/testsuite/standins/common/options.h
+++ b/testsuite/standins/common/options.h
@@ -1,5 +1,5 @@
 /// \file
-/// Command lines of stand-ins.
+/// Command-line parsing of the stand-ins.
 
 #ifndef GALENAFORK_STANDINS_OPTIONS_H
 #define GALENAFORK_STANDINS_OPTIONS_H
@@ -15,20 +15,21 @@
 namespace galenafork::standin
 {
 
-/// Parses the command line into `options`, then runs `body`; returns the exit
-/// status. Prints the options and returns 0 for `--help`; prints the reason
-/// and returns 2 for a bad command line, 1 if `body` throws.
+/// Parses the command line into `options`, then runs `body` and returns its
+/// exit status. Prints the options and returns 0 for `--help`. Prints an error
+/// and returns 2 for an invalid command line or if `body` throws
+/// `std::invalid_argument`, 1 if `body` throws another exception.
 int run_program(int argc, char** argv,
                 const boost::program_options::options_description& options,
                 const std::function<int()>& body);
 
-/// `text` as an endpoint; throws `std::invalid_argument`.
+/// Parses `IP:PORT`; throws `std::invalid_argument` if that fails.
 endpoint endpoint_argument(const std::string& text);
 
-/// Two endpoints written `A=B`; throws `std::invalid_argument`.
+/// Parses `IP:PORT=IP:PORT`; throws `std::invalid_argument` if that fails.
 std::pair<endpoint, endpoint> endpoint_pair_argument(const std::string& text);
 
-/// Milliseconds as a duration.
+/// Converts milliseconds to a duration.
 constexpr duration milliseconds(std::int64_t count)
 {
     return std::chrono::milliseconds(count);
--- a/testsuite/standins/common/tally.cpp
+++ b/testsuite/standins/common/request_stats.cpp
@@ -1,4 +1,4 @@
-#include <common/tally.h>
+#include <common/request_stats.h>
 
 #include <common/log.h>
 
@@ -30,17 +30,17 @@
 
 } // namespace
 
-tally::tally(const std::string& path)
+request_stats::request_stats(const std::string& path)
 {
     if (!path.empty())
     {
-        intakes_.open(path, std::ios::app);
+        intakes_file_.open(path, std::ios::app);
     }
 }
 
-void tally::ended(outcome how, const std::string& reason)
+void request_stats::count_outcome(outcome result, const std::string& reason)
 {
-    switch (how)
+    switch (result)
     {
     case outcome::answered:
         ++answered_;
@@ -58,12 +58,13 @@
     ++reasons_[reason];
 }
 
-void tally::intake_ended(intake_state state, const std::string& id)
+void request_stats::write_intake_state(intake_state state,
+                                       const std::string& id)
 {
-    intakes_ << to_string(state) << ' ' << id << std::endl;
+    intakes_file_ << to_string(state) << ' ' << id << std::endl;
 }
 
-std::string tally::summary() const
+std::string request_stats::summary() const
 {
     std::ostringstream text;
     text << "caller sent=" << sent_ << " answered=" << answered_
@@ -72,23 +73,24 @@
     return text.str();
 }
 
-void tally::log_details()
+void request_stats::log_details()
 {
     log_line line("details");
-    line.with("late", late_);
+    line.with("late", late_answers_);
     for (const auto& [reason, count] : reasons_)
     {
         line.with(reason.c_str(), count);
     }
-    if (times_.empty())
+    if (latencies_.empty())
     {
         return;
     }
-    std::sort(times_.begin(), times_.end());
+    std::sort(latencies_.begin(), latencies_.end());
     for (const std::size_t rank : {50, 99})
     {
         const std::string key = "p" + std::to_string(rank) + "_us";
-        line.with(key.c_str(), times_[times_.size() * rank / percent].count());
+        line.with(key.c_str(),
+                  latencies_[latencies_.size() * rank / percent].count());
     }
 }
 
--- a/testsuite/standins/common/span.cpp
+++ b/testsuite/standins/common/span.cpp
@@ -8,7 +8,7 @@
 {
 
 template <class Bytes>
-std::string hex(const Bytes& bytes)
+std::string to_hex(const Bytes& bytes)
 {
     constexpr const char* digits = "0123456789abcdef";
     std::string text;
@@ -21,7 +21,7 @@
 }
 
 template <class Bytes>
-void fill(Bytes& bytes, std::mt19937_64& random)
+void fill_random(Bytes& bytes, std::mt19937_64& random)
 {
     for (std::uint8_t& byte : bytes)
     {
@@ -34,8 +34,8 @@
 trace_context start_trace(std::mt19937_64& random)
 {
     trace_context trace;
-    fill(trace.trace_id_, random);
-    fill(trace.span_id_, random);
+    fill_random(trace.trace_id_, random);
+    fill_random(trace.span_id_, random);
     trace.sampled_ = true;
     return trace;
 }
@@ -43,7 +43,7 @@
 trace_context child_span(const trace_context& parent, std::mt19937_64& random)
 {
     trace_context child = parent;
-    fill(child.span_id_, random);
+    fill_random(child.span_id_, random);
     return child;
 }
 
@@ -57,10 +57,10 @@
 {
     log_line("span")
         .with("hop", hop)
-        .with("trace_id", hex(trace.trace_id_))
-        .with("span_id", hex(trace.span_id_))
+        .with("trace_id", to_hex(trace.trace_id_))
+        .with("span_id", to_hex(trace.span_id_))
         .with("parent_id",
-              is_sampled(parent) ? hex(parent.span_id_) : std::string())
+              is_sampled(parent) ? to_hex(parent.span_id_) : std::string())
         .with("peer", peer);
 }
 
--- a/testsuite/standins/common/span.h
+++ b/testsuite/standins/common/span.h
@@ -12,17 +12,18 @@
 namespace galenafork::standin
 {
 
-/// A sampled trace with new ids.
+/// Returns a sampled trace context with random ids.
 trace_context start_trace(std::mt19937_64& random);
 
-/// The same trace under a new span id.
+/// Returns the context of a new span of the same trace.
 trace_context child_span(const trace_context& parent, std::mt19937_64& random);
 
-/// True if `trace` is to be recorded.
+/// Returns whether spans of `trace` are to be recorded. An unset trace id
+/// counts as not sampled.
 bool is_sampled(const trace_context& trace);
 
-/// Logs one span of `hop`: ids in hexadecimal as in W3C Trace Context; the
-/// parent is empty for a root.
+/// Logs one span of `hop`, with ids in hexadecimal as in W3C Trace Context. The
+/// parent id is left empty if `parent` isn't sampled, as for a root span.
 void log_span(const char* hop, const trace_context& trace,
               const trace_context& parent, const std::string& peer);
 
--- a/testsuite/standins/common/udp_socket.cpp
+++ b/testsuite/standins/common/udp_socket.cpp
@@ -16,10 +16,11 @@
 namespace
 {
 
-constexpr int buffer_bytes = 4 * 1024 * 1024;
+constexpr int receive_buffer_bytes = 4 * 1024 * 1024;
+// Offset of an IPv4 address in its v4-mapped form.
 constexpr std::size_t v4_offset = 12;
 
-// An address in the form that the system calls take.
+// An address in the form that system calls expect.
 struct socket_address
 {
     sockaddr_storage storage_{};
@@ -73,9 +74,9 @@
     return result;
 }
 
-[[noreturn]] void fail(const char* what)
+[[noreturn]] void throw_errno(const char* call)
 {
-    throw std::system_error(errno, std::generic_category(), what);
+    throw std::system_error(errno, std::generic_category(), call);
 }
 
 } // namespace
@@ -86,17 +87,17 @@
 {
     if (descriptor_ < 0)
     {
-        fail("socket");
+        throw_errno("socket");
     }
-    ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
-                 sizeof(buffer_bytes));
+    ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+                 sizeof(receive_buffer_bytes));
     socket_address address = to_socket_address(local);
     if (::bind(descriptor_, address.get(), address.length_) != 0)
     {
-        const int reason = errno;
+        const int bind_errno = errno;
         ::close(descriptor_);
-        errno = reason;
-        fail("bind");
+        errno = bind_errno;
+        throw_errno("bind");
     }
 }
 
@@ -122,7 +123,8 @@
 std::optional<received_datagram> udp_socket::receive() const
 {
     static thread_local std::array<std::uint8_t, max_datagram_bytes> buffer;
-    // A refusal by ICMP of an earlier send is reported once and skipped.
+    // An ICMP error caused by an earlier send makes one call fail, so a second
+    // attempt is made.
     constexpr int attempts = 2;
     for (int i = 0; i < attempts; ++i)
     {
--- a/testsuite/standins/common/udp_socket.h
+++ b/testsuite/standins/common/udp_socket.h
@@ -1,5 +1,5 @@
 /// \file
-/// A UDP socket.
+/// The UDP socket of a stand-in.
 
 #ifndef GALENAFORK_STANDINS_UDP_SOCKET_H
 #define GALENAFORK_STANDINS_UDP_SOCKET_H
@@ -12,7 +12,7 @@
 namespace galenafork::standin
 {
 
-/// A datagram and where it came from.
+/// A datagram and its source address.
 struct received_datagram
 {
     endpoint from_;
@@ -23,32 +23,34 @@
 class udp_socket
 {
 public:
-    /// Binds to `local`; port 0 takes a free one. Throws `std::system_error`.
+    /// Binds to `local`; with port 0 the system chooses a free port. Throws
+    /// `std::system_error` if the socket can't be opened or bound.
     explicit udp_socket(const endpoint& local);
     ~udp_socket();
     udp_socket(const udp_socket&) = delete;
     udp_socket& operator=(const udp_socket&) = delete;
 
-    /// The descriptor, for polling.
+    /// Returns the descriptor, for polling.
     int descriptor() const
     {
         return descriptor_;
     }
 
-    /// The address that the socket is bound to.
+    /// Returns the address that the socket is bound to.
     endpoint local() const;
 
-    /// Sends one datagram; a failure counts as a loss on the way.
+    /// Sends a datagram. Errors are ignored, as if the network had dropped the
+    /// datagram.
     void send(const byte_buffer& bytes, const endpoint& to) const;
 
-    /// The next datagram, or nothing if none waits.
+    /// Returns the next datagram, or nothing if none is queued.
     std::optional<received_datagram> receive() const;
 
 private:
     int descriptor_;
 };
 
-/// 127.0.0.1 with port 0.
+/// Returns 127.0.0.1 with port 0.
 endpoint any_loopback_port();
 
 } // namespace galenafork::standin
--- a/testsuite/standins/fabric/fabric.cpp
+++ b/testsuite/standins/fabric/fabric.cpp
@@ -11,14 +11,16 @@
 namespace
 {
 
-constexpr duration balancers_file_period = std::chrono::milliseconds(50);
-constexpr std::int64_t longest_hold_back_us = 20000;
+constexpr duration balancers_file_check_interval =
+    std::chrono::milliseconds(50);
+constexpr std::int64_t max_reorder_delay_us = 20000;
 
 } // namespace
 
 fabric::fabric(event_loop& loop, fabric_settings settings)
     : loop_(loop), settings_(std::move(settings)), random_(settings_.seed_),
-      answers_(settings_.answers_), out_(any_loopback_port())
+      answer_socket_(settings_.answer_endpoint_),
+      balancer_socket_(any_loopback_port())
 {
     for (const auto& [listen, address] : settings_.services_)
     {
@@ -27,17 +29,18 @@
         const service_port* port = ports_.back().get();
         ports_by_address_[address] = port;
         loop_.watch(port->socket_.descriptor(),
-                    [this, port] { take_requests(*port); });
+                    [this, port] { forward_requests(*port); });
     }
-    loop_.watch(answers_.descriptor(), [this] { take_answers(); });
+    loop_.watch(answer_socket_.descriptor(), [this] { forward_answers(); });
     if (!settings_.balancers_file_.empty())
     {
-        reread_balancers();
-        loop_.run_every(balancers_file_period, [this] { reread_balancers(); });
+        reload_balancers();
+        loop_.run_every(balancers_file_check_interval,
+                        [this] { reload_balancers(); });
     }
 }
 
-void fabric::take_requests(const service_port& port)
+void fabric::forward_requests(const service_port& port)
 {
     while (const auto received = port.socket_.receive())
     {
@@ -49,23 +52,24 @@
         proxy_header header;
         header.source_ = received->from_;
         header.destination_ = port.address_;
-        header.trace_ = maybe_trace(received->from_);
-        const std::size_t pick = random_() % settings_.balancers_.size();
+        header.trace_ = sample_trace(received->from_);
+        const std::size_t balancer_index =
+            random_() % settings_.balancers_.size();
         ++counters_.to_balancers_;
-        send(out_, make_proxy_datagram(header, received->bytes_),
-             settings_.balancers_[pick]);
+        send(balancer_socket_, make_proxy_datagram(header, received->bytes_),
+             settings_.balancers_[balancer_index]);
     }
 }
 
-void fabric::take_answers()
+void fabric::forward_answers()
 {
-    while (const auto received = answers_.receive())
+    while (const auto received = answer_socket_.receive())
     {
-        pass_answer(received->bytes_);
+        forward_answer(received->bytes_);
     }
 }
 
-void fabric::pass_answer(const byte_buffer& bytes)
+void fabric::forward_answer(const byte_buffer& bytes)
 {
     const auto parsed = parse_proxy_header(bytes.data(), bytes.size());
     const auto port = parsed.has_value()
@@ -86,21 +90,21 @@
 void fabric::send(const udp_socket& socket, byte_buffer bytes,
                   const endpoint& to)
 {
-    if (chance(settings_.faults_.drop_permille_))
+    if (is_selected_at_random(settings_.faults_.drop_permille_))
     {
         ++counters_.dropped_;
         return;
     }
-    if (chance(settings_.faults_.duplicate_permille_))
+    if (is_selected_at_random(settings_.faults_.duplicate_permille_))
     {
         ++counters_.duplicated_;
         socket.send(bytes, to);
     }
-    if (chance(settings_.faults_.reorder_permille_))
+    if (is_selected_at_random(settings_.faults_.reorder_permille_))
     {
         ++counters_.reordered_;
         const auto delay =
-            static_cast<std::int64_t>(random_() % longest_hold_back_us);
+            static_cast<std::int64_t>(random_() % max_reorder_delay_us);
         loop_.after(duration(delay), [&socket, bytes = std::move(bytes), to]
                     { socket.send(bytes, to); });
         return;
@@ -108,16 +112,16 @@
     socket.send(bytes, to);
 }
 
-void fabric::reread_balancers()
+void fabric::reload_balancers()
 {
     std::error_code failed;
     const auto time =
         std::filesystem::last_write_time(settings_.balancers_file_, failed);
-    if (failed || time == file_time_)
+    if (failed || time == balancers_file_time_)
     {
         return;
     }
-    file_time_ = time;
+    balancers_file_time_ = time;
     settings_.balancers_.clear();
     std::ifstream file(settings_.balancers_file_);
     for (std::string line; std::getline(file, line);)
@@ -131,15 +135,15 @@
     log_line("balancers").with("count", settings_.balancers_.size());
 }
 
-bool fabric::chance(unsigned permille)
+bool fabric::is_selected_at_random(unsigned permille)
 {
     constexpr unsigned whole = 1000;
     return permille != 0 && random_() % whole < permille;
 }
 
-trace_context fabric::maybe_trace(const endpoint& caller)
+trace_context fabric::sample_trace(const endpoint& caller)
 {
-    if (!chance(settings_.trace_permille_))
+    if (!is_selected_at_random(settings_.trace_permille_))
     {
         return {};
     }
--- a/testsuite/standins/fabric/fabric.h
+++ b/testsuite/standins/fabric/fabric.h
@@ -1,6 +1,6 @@
 /// \file
-/// The fabric stand-in: sprays callers' datagrams over the balancers and takes
-/// answers back to the callers.
+/// The fabric stand-in: forwards each datagram of a caller to a random
+/// balancer, and answers of agents to the callers.
 
 #ifndef GALENAFORK_STANDINS_FABRIC_H
 #define GALENAFORK_STANDINS_FABRIC_H
@@ -21,7 +21,8 @@
 namespace galenafork::standin
 {
 
-/// How often a datagram is dropped, sent twice or held back, each way.
+/// Fractions of the datagrams, in both directions, that are dropped, sent twice
+/// or delayed.
 struct link_faults
 {
     unsigned drop_permille_ = 0;
@@ -29,25 +30,28 @@
     unsigned reorder_permille_ = 0;
 };
 
-/// What the fabric is told at its start.
+/// Settings of the fabric.
 struct fabric_settings
 {
-    /// Socket that callers send to, and the service address it stands for.
+    /// For each service the address that callers send to, and the service
+    /// address that it represents.
     std::vector<std::pair<endpoint, endpoint>> services_;
-    /// Where agents send answers.
-    endpoint answers_;
+    /// Address that agents send answers to.
+    endpoint answer_endpoint_;
     std::vector<endpoint> balancers_;
-    /// One balancer a line; read again whenever it changes. Empty: none.
+    /// File with the address of one balancer per line, reloaded when it
+    /// changes. If it is empty, `balancers_` stays as it is.
     std::string balancers_file_;
     link_faults faults_;
-    /// Share of datagrams that start a trace.
+    /// Fraction of the callers' datagrams that start a trace.
     unsigned trace_permille_ = 0;
     std::uint64_t seed_ = 1;
 };
 
-/// Counters, printed at the end.
+/// Counters, logged when the fabric stops.
 struct fabric_counters
 {
+    /// Forwarded datagrams, including those that are dropped on the way.
     std::uint64_t to_balancers_ = 0;
     std::uint64_t to_callers_ = 0;
     std::uint64_t dropped_ = 0;
@@ -57,14 +61,14 @@
     std::uint64_t bad_answers_ = 0;
 };
 
-/// The fabric; works while `loop` runs.
+/// The fabric. It forwards datagrams while `loop` runs.
 class fabric
 {
 public:
-    /// Binds all sockets; throws `std::system_error`.
+    /// Throws `std::system_error` if a socket can't be bound.
     fabric(event_loop& loop, fabric_settings settings);
 
-    /// What has passed so far.
+    /// Returns the counters since the start.
     const fabric_counters& counters() const
     {
         return counters_;
@@ -77,23 +81,23 @@
         endpoint address_;
     };
 
-    void take_requests(const service_port& port);
-    void take_answers();
-    void pass_answer(const byte_buffer& bytes);
+    void forward_requests(const service_port& port);
+    void forward_answers();
+    void forward_answer(const byte_buffer& bytes);
     void send(const udp_socket& socket, byte_buffer bytes, const endpoint& to);
-    void reread_balancers();
-    bool chance(unsigned permille);
-    trace_context maybe_trace(const endpoint& caller);
+    void reload_balancers();
+    bool is_selected_at_random(unsigned permille);
+    trace_context sample_trace(const endpoint& caller);
 
     event_loop& loop_;
     fabric_settings settings_;
     std::mt19937_64 random_;
-    udp_socket answers_;
-    // Towards balancers; its own address shows in no message.
-    udp_socket out_;
+    udp_socket answer_socket_;
+    // Sends to balancers. Its own address appears in no message.
+    udp_socket balancer_socket_;
     std::vector<std::unique_ptr<service_port>> ports_;
     std::map<endpoint, const service_port*> ports_by_address_;
-    std::filesystem::file_time_type file_time_;
+    std::filesystem::file_time_type balancers_file_time_;
     fabric_counters counters_;
 };
 
--- a/testsuite/standins/fabric/main.cpp
+++ b/testsuite/standins/fabric/main.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Fabric stand-in: a program around `fabric`.
+/// The fabric stand-in as a program.
 
 #include "fabric.h"
 
@@ -22,7 +22,7 @@
     fabric_settings settings_;
 };
 
-po::options_description describe(arguments& a)
+po::options_description describe_options(arguments& a)
 {
     fabric_settings& s = a.settings_;
     link_faults& f = s.faults_;
@@ -35,22 +35,23 @@
     add("balancer", po::value(&a.balancers_)->composing(),
         "IP:PORT of a balancer; repeatable");
     add("balancers-file", po::value(&s.balancers_file_),
-        "file of balancers, one a line; read again when it changes");
-    add("drop-permille", po::value(&f.drop_permille_), "datagrams lost");
+        "file with one balancer per line; reloaded when it changes");
+    add("drop-permille", po::value(&f.drop_permille_),
+        "permille of datagrams that are dropped");
     add("duplicate-permille", po::value(&f.duplicate_permille_),
-        "datagrams sent twice");
+        "permille of datagrams that are sent twice");
     add("reorder-permille", po::value(&f.reorder_permille_),
-        "datagrams held back up to 20 ms");
+        "permille of datagrams that are delayed by up to 20 ms");
     add("trace-permille", po::value(&s.trace_permille_),
-        "datagrams that start a trace");
-    add("seed", po::value(&s.seed_), "seed of every random choice");
+        "permille of the callers' datagrams that start a trace");
+    add("seed", po::value(&s.seed_), "seed of all random choices");
     return options;
 }
 
-fabric_settings settings_of(const arguments& a)
+fabric_settings make_settings(const arguments& a)
 {
     fabric_settings settings = a.settings_;
-    settings.answers_ = endpoint_argument(a.answers_);
+    settings.answer_endpoint_ = endpoint_argument(a.answers_);
     for (const std::string& service : a.services_)
     {
         settings.services_.push_back(endpoint_pair_argument(service));
@@ -67,7 +68,7 @@
     event_loop loop;
     loop.on_signal(SIGTERM, [&loop] { loop.stop(); });
     loop.on_signal(SIGINT, [&loop] { loop.stop(); });
-    const fabric f(loop, settings_of(a));
+    const fabric f(loop, make_settings(a));
     log_line("ready").with("answers", a.answers_);
     loop.run();
     const fabric_counters& c = f.counters();
@@ -87,5 +88,6 @@
 int main(int argc, char** argv)
 {
     arguments a;
-    return run_program(argc, argv, describe(a), [&a] { return run(a); });
+    return run_program(argc, argv, describe_options(a),
+                       [&a] { return run(a); });
 }
--- a/testsuite/standins/libcoap_caller/client.cpp
+++ b/testsuite/standins/libcoap_caller/client.cpp
@@ -13,9 +13,11 @@
 namespace
 {
 
+// In seconds and thousandths of a second.
 constexpr coap_fixed_point_t ack_timeout{0, 300};
-constexpr std::uint16_t most_repeats = 4;
-constexpr std::uint32_t step_ms = 20;
+constexpr std::uint16_t max_retransmits = 4;
+constexpr std::uint32_t max_io_wait_ms = 20;
+// Offset of an IPv4 address in its v4-mapped form.
 constexpr std::size_t v4_offset = 12;
 
 client_session& session_of(const coap_session_t* session)
@@ -26,7 +28,7 @@
 coap_response_t on_response(coap_session_t* session, const coap_pdu_t* /*sent*/,
                             const coap_pdu_t* received, coap_mid_t /*mid*/)
 {
-    session_of(session).take_answer(*received);
+    session_of(session).handle_answer(*received);
     return COAP_RESPONSE_OK;
 }
 
@@ -34,7 +36,7 @@
              coap_nack_reason_t reason, coap_mid_t /*mid*/)
 {
     const bool timeout = reason == COAP_NACK_TOO_MANY_RETRIES;
-    session_of(session).take_failure(timeout ? "no_answer" : "rejected");
+    session_of(session).handle_failure(timeout ? "no_answer" : "rejected");
 }
 
 coap_address_t to_coap_address(const endpoint& e)
@@ -63,24 +65,25 @@
     }
 }
 
-// Says where a photo set first differs from what its first cell promised: a
-// body put together from two instances shows here.
-void log_wrong_bytes(const answer_text& text, const std::string& body)
+// Logs the first cell of a photo set that does not match the identity in its
+// first cell, for example because the blocks came from two instances.
+void log_first_mismatch(const answer_identity& identity,
+                        const std::string& body)
 {
-    std::size_t at = 0;
-    while (at < body.size() &&
-           body.compare(at, photo_cell_bytes,
-                        photo_cell(text, at / photo_cell_bytes)) == 0)
+    std::size_t offset = 0;
+    while (offset < body.size() &&
+           body.compare(offset, photo_cell_bytes,
+                        photo_cell(identity, offset / photo_cell_bytes)) == 0)
     {
-        at += photo_cell_bytes;
+        offset += photo_cell_bytes;
     }
-    const auto found = parse_answer_text(
-        body.substr(std::min(at, body.size()), photo_cell_bytes));
+    const auto found = parse_answer_identity(
+        body.substr(std::min(offset, body.size()), photo_cell_bytes));
     log_line("wrong_bytes")
-        .with("id", text.id_)
-        .with("instance", text.instance_.value())
+        .with("id", identity.id_)
+        .with("instance", identity.instance_.value())
         .with("size", body.size())
-        .with("cell", at / photo_cell_bytes)
+        .with("cell", offset / photo_cell_bytes)
         .with("found_id", found ? found->id_ : "none")
         .with("found_instance", found ? found->instance_.value() : "none");
 }
@@ -101,36 +104,36 @@
 } // namespace
 
 client_session::client_session(coap_context_t& context,
-                               session_settings settings, tally& counts)
-    : settings_(std::move(settings)), counts_(counts)
+                               session_settings settings, request_stats& stats)
+    : settings_(std::move(settings)), stats_(stats)
 {
-    const coap_address_t server = to_coap_address(settings_.service_);
+    const coap_address_t server = to_coap_address(settings_.service_endpoint_);
     session_ =
         coap_new_client_session(&context, nullptr, &server, COAP_PROTO_UDP);
     if (session_ == nullptr)
     {
-        throw std::runtime_error("libcoap opened no session");
+        throw std::runtime_error("libcoap could not create a session");
     }
     coap_session_set_app_data(session_, this);
     coap_session_set_ack_timeout(session_, ack_timeout);
-    coap_session_set_max_retransmit(session_, most_repeats);
+    coap_session_set_max_retransmit(session_, max_retransmits);
 }
 
 client_session::~client_session()
 {
-    take_failure("unfinished");
+    handle_failure("unfinished");
     coap_session_release(session_);
 }
 
-void client_session::next()
+void client_session::send_next()
 {
-    if (waiting_ || started_ == settings_.requests_)
+    if (request_pending_ || started_requests_ == settings_.requests_)
     {
         return;
     }
-    ++started_;
-    waiting_ = true;
-    counts_.sent();
+    ++started_requests_;
+    request_pending_ = true;
+    stats_.count_sent();
     if (settings_.kind_ == session_kind::photos)
     {
         send(COAP_REQUEST_CODE_GET, "/photos/" + request_id(), "");
@@ -161,26 +164,26 @@
     }
     if (coap_send(session_, pdu) == COAP_INVALID_MID)
     {
-        take_failure("not_sent");
+        handle_failure("not_sent");
     }
 }
 
-void client_session::take_answer(const coap_pdu_t& answer)
+void client_session::handle_answer(const coap_pdu_t& answer)
 {
-    if (!waiting_)
+    if (!request_pending_)
     {
-        counts_.came_late();
+        stats_.count_late_answer();
         return;
     }
     const coap_pdu_code_t code = coap_pdu_get_code(&answer);
-    const bool not_run = code == COAP_RESPONSE_CODE_SERVICE_UNAVAILABLE;
-    if (not_run || code == COAP_RESPONSE_CODE_GATEWAY_TIMEOUT)
+    const bool did_not_run = code == COAP_RESPONSE_CODE_SERVICE_UNAVAILABLE;
+    if (did_not_run || code == COAP_RESPONSE_CODE_GATEWAY_TIMEOUT)
     {
         if (is_intake())
         {
-            counts_.intake_ended(not_run ? intake_state::did_not_run
-                                         : intake_state::may_have_run,
-                                 request_id());
+            stats_.write_intake_state(did_not_run ? intake_state::did_not_run
+                                                  : intake_state::may_have_run,
+                                      request_id());
         }
         end_request(outcome::refused, body_of(answer));
         return;
@@ -190,65 +193,66 @@
 
 void client_session::check_body(const std::string& body)
 {
-    const auto text = parse_answer_text(body);
-    const bool photo = settings_.kind_ == session_kind::photos;
-    if (!text.has_value() || text->id_ != request_id())
+    const auto identity = parse_answer_identity(body);
+    const bool is_photo = settings_.kind_ == session_kind::photos;
+    if (!identity.has_value() || identity->id_ != request_id())
     {
         end_request(outcome::broken, "answer_of_another_request");
     }
-    else if (text->service_ != settings_.expected_)
+    else if (identity->service_ != settings_.expected_service_)
     {
         end_request(outcome::misdelivered, "wrong_service");
     }
-    else if (instance_.has_value() && *instance_ != text->instance_)
+    else if (instance_.has_value() && *instance_ != identity->instance_)
     {
-        instance_ = text->instance_;
+        instance_ = identity->instance_;
         end_request(outcome::broken, "moved");
     }
-    else if (photo && body != photo_bytes(*text, 0, body.size()))
+    else if (is_photo && body != photo_bytes(*identity, 0, body.size()))
     {
-        log_wrong_bytes(*text, body);
+        log_first_mismatch(*identity, body);
         end_request(outcome::broken, "wrong_bytes");
     }
     else
     {
-        instance_ = text->instance_;
+        instance_ = identity->instance_;
         if (is_intake())
         {
-            counts_.intake_ended(intake_state::ran, request_id());
+            stats_.write_intake_state(intake_state::ran, request_id());
         }
         end_request(outcome::answered, "");
     }
 }
 
-void client_session::take_failure(const char* reason)
+void client_session::handle_failure(const char* reason)
 {
-    if (!waiting_)
+    if (!request_pending_)
     {
         return;
     }
     if (is_intake())
     {
-        counts_.intake_ended(intake_state::unknown, request_id());
+        stats_.write_intake_state(intake_state::unknown, request_id());
     }
     end_request(outcome::broken, reason);
 }
 
-void client_session::end_request(outcome how, const std::string& reason)
+void client_session::end_request(outcome result, const std::string& reason)
 {
-    waiting_ = false;
-    ++ended_;
-    counts_.ended(how, reason);
+    request_pending_ = false;
+    ++ended_requests_;
+    stats_.count_outcome(result, reason);
 }
 
 bool client_session::is_intake() const
 {
-    return settings_.kind_ == session_kind::orders && started_ % 2 == 1;
+    return settings_.kind_ == session_kind::orders &&
+           started_requests_ % 2 == 1;
 }
 
 std::string client_session::request_id() const
 {
-    return settings_.tag_ + "-" + std::to_string(started_);
+    return settings_.tag_ + "-" + std::to_string(started_requests_);
 }
 
 client::client()
@@ -257,7 +261,7 @@
     context_ = coap_new_context(nullptr);
     if (context_ == nullptr)
     {
-        throw std::runtime_error("libcoap made no context");
+        throw std::runtime_error("libcoap could not create a context");
     }
     coap_context_set_block_mode(context_, COAP_BLOCK_USE_LIBCOAP |
                                               COAP_BLOCK_SINGLE_BODY);
@@ -272,24 +276,24 @@
     coap_cleanup();
 }
 
-void client::add(session_settings settings, tally& counts)
+void client::add(session_settings settings, request_stats& stats)
 {
     sessions_.push_back(std::make_unique<client_session>(
-        *context_, std::move(settings), counts));
+        *context_, std::move(settings), stats));
 }
 
-bool client::run(duration limit, const std::function<void()>& add_more)
+bool client::run(duration limit, const std::function<void()>& add_sessions)
 {
     const instant end = read_monotonic_clock() + limit;
     while (read_monotonic_clock() < end)
     {
-        const auto done =
+        const auto kept_end =
             std::remove_if(sessions_.begin(), sessions_.end(),
                            [](const auto& s) { return s->done(); });
-        sessions_.erase(done, sessions_.end());
+        sessions_.erase(kept_end, sessions_.end());
         if (sessions_.empty())
         {
-            add_more();
+            add_sessions();
         }
         if (sessions_.empty())
         {
@@ -297,9 +301,9 @@
         }
         for (const auto& session : sessions_)
         {
-            session->next();
+            session->send_next();
         }
-        coap_io_process(context_, step_ms);
+        coap_io_process(context_, max_io_wait_ms);
     }
     sessions_.clear();
     return false;
--- a/testsuite/standins/libcoap_caller/client.h
+++ b/testsuite/standins/libcoap_caller/client.h
@@ -1,12 +1,12 @@
 /// \file
-/// A caller built on libcoap's own client, sessions and block-wise transfer:
-/// nothing of galenafork's codec takes part.
+/// A caller built on libcoap's client, sessions and block-wise transfer. It
+/// uses none of galenafork's CoAP code and so checks it independently.
 
 #ifndef GALENAFORK_STANDINS_LIBCOAP_CLIENT_H
 #define GALENAFORK_STANDINS_LIBCOAP_CLIENT_H
 
-#include <common/answer_text.h>
-#include <common/tally.h>
+#include <common/answer_identity.h>
+#include <common/request_stats.h>
 
 #include <coap3/coap.h>
 #include <functional>
@@ -19,66 +19,67 @@
 namespace galenafork::standin
 {
 
-/// What a session asks for, one request after another.
+/// The kind of requests that a session sends.
 enum class session_kind
 {
-    /// By turns POST /intake and GET /status.
+    /// POST /intake and GET /status alternately.
     orders,
-    /// GET /photos, each set as a whole.
+    /// GET /photos. Each photo set is received as a whole.
     photos,
 };
 
-/// What a session is told.
+/// Settings of a session.
 struct session_settings
 {
     session_kind kind_ = session_kind::orders;
-    endpoint service_;
-    service_name expected_;
+    endpoint service_endpoint_;
+    service_name expected_service_;
     unsigned requests_ = 10;
-    /// Unique in the run; part of every request id.
+    /// Identifies the session within the run; part of every request id.
     std::string tag_;
 };
 
-/// One session of a client, which is one flow.
+/// A session of a client. Each session is a flow.
 class client_session
 {
 public:
-    /// Opens the session; throws `std::runtime_error` if libcoap refuses.
+    /// Throws `std::runtime_error` if libcoap can't create a session.
     client_session(coap_context_t& context, session_settings settings,
-                   tally& counts);
+                   request_stats& stats);
     ~client_session();
     client_session(const client_session&) = delete;
     client_session& operator=(const client_session&) = delete;
 
-    /// Sends the next request, or none if all were sent.
-    void next();
+    /// Sends the next request, unless one is pending or all have been sent.
+    void send_next();
 
-    /// The whole answer to the request under way.
-    void take_answer(const coap_pdu_t& answer);
+    /// Handles an answer, reassembled from its blocks.
+    void handle_answer(const coap_pdu_t& answer);
 
-    /// libcoap gave the request under way up.
-    void take_failure(const char* reason);
+    /// Ends the current request as broken for `reason`. Does nothing if none is
+    /// pending.
+    void handle_failure(const char* reason);
 
-    /// True once every request has ended.
+    /// Returns whether all requests have ended.
     bool done() const
     {
-        return ended_ == settings_.requests_;
+        return ended_requests_ == settings_.requests_;
     }
 
 private:
     void send(coap_pdu_code_t code, const std::string& path,
               const std::string& payload);
     void check_body(const std::string& body);
-    void end_request(outcome how, const std::string& reason);
+    void end_request(outcome result, const std::string& reason);
     bool is_intake() const;
     std::string request_id() const;
 
     session_settings settings_;
-    tally& counts_;
+    request_stats& stats_;
     coap_session_t* session_;
-    unsigned started_ = 0;
-    unsigned ended_ = 0;
-    bool waiting_ = false;
+    unsigned started_requests_ = 0;
+    unsigned ended_requests_ = 0;
+    bool request_pending_ = false;
     std::optional<instance_id> instance_;
 };
 
@@ -86,19 +87,19 @@
 class client
 {
 public:
-    /// Throws `std::runtime_error` if libcoap refuses.
+    /// Throws `std::runtime_error` if libcoap can't create a context.
     client();
     ~client();
     client(const client&) = delete;
     client& operator=(const client&) = delete;
 
-    /// Adds a session.
-    void add(session_settings settings, tally& counts);
+    /// Opens a session.
+    void add(session_settings settings, request_stats& stats);
 
-    /// Runs all sessions to their end, then calls `add_more` for the next
-    /// ones, until it adds none or `limit` has passed; false if some had not
-    /// ended.
-    bool run(duration limit, const std::function<void()>& add_more);
+    /// Runs all sessions to their end, then calls `add_sessions`, which may add
+    /// the next ones. Returns true when it adds none, or false when `limit` has
+    /// passed. Sessions that have not ended by then are closed.
+    bool run(duration limit, const std::function<void()>& add_sessions);
 
 private:
     coap_context_t* context_;
--- a/testsuite/standins/libcoap_caller/main.cpp
+++ b/testsuite/standins/libcoap_caller/main.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// A caller that is an ordinary libcoap client.
+/// A caller that is an unmodified libcoap client, as a program.
 
 #include "client.h"
 
@@ -28,26 +28,30 @@
     std::string intakes_;
 };
 
-po::options_description describe(arguments& a)
+po::options_description describe_options(arguments& a)
 {
     po::options_description options("libcoap_caller");
     auto add = options.add_options();
-    add("orders", po::value(&a.orders_)->required(), "IP:PORT of orders");
-    add("photos", po::value(&a.photos_)->required(), "IP:PORT of photos");
-    add("callers", po::value(&a.callers_), "callers side by side");
-    add("requests", po::value(&a.requests_), "orders requests of a session");
-    add("photo-sets", po::value(&a.photo_sets_), "photo sets of a session");
+    add("orders", po::value(&a.orders_)->required(),
+        "IP:PORT of the orders service");
+    add("photos", po::value(&a.photos_)->required(),
+        "IP:PORT of the photo archive");
+    add("callers", po::value(&a.callers_), "concurrent callers");
+    add("requests", po::value(&a.requests_), "requests per orders session");
+    add("photo-sets", po::value(&a.photo_sets_),
+        "photo sets per photos session");
     add("duration-ms", po::value(&a.duration_ms_),
-        "rounds of sessions begin for that long");
-    add("limit-ms", po::value(&a.limit_ms_), "longest run");
-    add("tag", po::value(&a.tag_), "mark of this run's requests");
+        "time after which no further round of sessions is started");
+    add("limit-ms", po::value(&a.limit_ms_), "maximum length of the run");
+    add("tag", po::value(&a.tag_), "first part of every request id");
     add("intakes", po::value(&a.intakes_),
-        "file for what became of each intake");
+        "file to which the state of each intake request is appended");
     return options;
 }
 
-// Opens the sessions of round `round`; each is a flow of its own.
-void add_round(const arguments& a, unsigned round, client& c, tally& counts)
+// Opens the sessions of a round. Each is a flow of its own.
+void add_round(const arguments& a, unsigned round, client& c,
+               request_stats& stats)
 {
     for (unsigned i = 0; i < a.callers_; ++i)
     {
@@ -55,16 +59,16 @@
             a.tag_ + "-" + std::to_string(round) + "-" + std::to_string(i);
         c.add({session_kind::orders, endpoint_argument(a.orders_),
                service_name("orders"), a.requests_, tag + "-o"},
-              counts);
+              stats);
         c.add({session_kind::photos, endpoint_argument(a.photos_),
                service_name("photos"), a.photo_sets_, tag + "-p"},
-              counts);
+              stats);
     }
 }
 
 int run(const arguments& a)
 {
-    tally counts(a.intakes_);
+    request_stats stats(a.intakes_);
     client c;
     const instant end = read_monotonic_clock() + milliseconds(a.duration_ms_);
     unsigned rounds = 0;
@@ -73,13 +77,13 @@
                             {
                                 if (rounds == 0 || read_monotonic_clock() < end)
                                 {
-                                    add_round(a, rounds, c, counts);
+                                    add_round(a, rounds, c, stats);
                                     ++rounds;
                                 }
                             });
-    counts.log_details();
-    std::cout << counts.summary() << std::endl;
-    return done && counts.is_clean() ? 0 : 1;
+    stats.log_details();
+    std::cout << stats.summary() << std::endl;
+    return done && stats.is_clean() ? 0 : 1;
 }
 
 } // namespace
@@ -87,5 +91,6 @@
 int main(int argc, char** argv)
 {
     arguments a;
-    return run_program(argc, argv, describe(a), [&a] { return run(a); });
+    return run_program(argc, argv, describe_options(a),
+                       [&a] { return run(a); });
 }
--- a/testsuite/standins/platform/api_request.cpp
+++ b/testsuite/standins/platform/api_request.cpp
@@ -18,7 +18,7 @@
     return result.ec == std::errc() && result.ptr == end && !text.empty();
 }
 
-std::string text_of(kj::StringPtr s)
+std::string to_std_string(kj::StringPtr s)
 {
     return {s.begin(), s.size()};
 }
@@ -31,11 +31,11 @@
     for (const kj::String& part : parsed.path)
     {
         request.path_ += request.path_.empty() ? "" : "/";
-        request.path_ += text_of(part);
+        request.path_ += to_std_string(part);
     }
     for (const auto& param : parsed.query)
     {
-        request.query_[text_of(param.name)] = text_of(param.value);
+        request.query_[to_std_string(param.name)] = to_std_string(param.value);
     }
     return request;
 }
--- a/testsuite/standins/platform/api_request.h
+++ b/testsuite/standins/platform/api_request.h
@@ -1,5 +1,5 @@
 /// \file
-/// One call to the platform stand-in, read from HTTP.
+/// A call of the platform's object API, parsed from an HTTP request.
 
 #ifndef STANDINS_PLATFORM_API_REQUEST_H
 #define STANDINS_PLATFORM_API_REQUEST_H
@@ -12,41 +12,40 @@
 namespace galenafork::standin
 {
 
-/// Path of the list of objects.
+/// Path of the collection of objects, without the leading `/`.
 inline constexpr const char* objects_path = "v1/objects";
 
-/// Prefix of the path of one object.
+/// Prefix of the path of an object, without the leading `/`.
 inline constexpr const char* object_prefix = "v1/objects/";
 
-/// One call, its body read.
+/// A call with its body.
 struct api_request
 {
     kj::HttpMethod method_ = kj::HttpMethod::GET;
-    /// Path without the leading `/`, percent-decoded.
+    /// The percent-decoded path without the leading `/`.
     std::string path_;
     std::map<std::string, std::string> query_;
-    /// Value of `If-Match`, empty if there was none.
+    /// Value of the header `If-Match`, empty if it is missing.
     std::string if_match_;
     std::string body_;
 };
 
-/// The call without header and body.
+/// Parses method and URL. Header fields and body are left empty.
 api_request parse_request(kj::HttpMethod method, kj::StringPtr url);
 
-/// Name of the object that the path names.
+/// Returns the name of the object in a path that begins with `object_prefix`.
 std::string object_name(const api_request& request);
 
-/// True if the call waits for a newer version.
+/// Returns whether the call waits for a newer version.
 bool is_watch(const api_request& request);
 
-/// True if `text` begins with `prefix`.
 bool starts_with(const std::string& text, const std::string& prefix);
 
-/// Reads a decimal number; false if `text` is none.
+/// Parses a decimal number; returns false if `text` isn't one.
 bool parse_number(const std::string& text, std::uint64_t& number);
 
-/// The text as a standard string.
-std::string text_of(kj::StringPtr s);
+/// Converts a kj string to a standard string.
+std::string to_std_string(kj::StringPtr s);
 
 } // namespace galenafork::standin
 
--- a/testsuite/standins/platform/faults.cpp
+++ b/testsuite/standins/platform/faults.cpp
@@ -10,9 +10,10 @@
 
 using json = nlohmann::json;
 
-// Removes `key` from `j`, so that what is left over is unknown.
+// Moves the value of `key`, if present, from `j` to `value`. The keys that
+// remain in `j` at the end are unknown.
 template <class T>
-void take_key(json& j, const char* key, T& value)
+void extract_key(json& j, const char* key, T& value)
 {
     const auto found = j.find(key);
     if (found != j.end())
@@ -22,7 +23,7 @@
     }
 }
 
-void refuse_rest(const json& j)
+void reject_unknown_keys(const json& j)
 {
     if (!j.empty())
     {
@@ -30,32 +31,32 @@
     }
 }
 
-fault_plan plan_from(json j)
+fault_plan plan_from_json(json j)
 {
     fault_plan plan;
-    take_key(j, "outage", plan.outage_);
-    take_key(j, "delay_ms", plan.delay_ms_);
-    take_key(j, "lose_answer_next_writes", plan.lose_answer_next_writes_);
-    take_key(j, "conflict_next_writes", plan.conflict_next_writes_);
-    take_key(j, "fail_rate", plan.fail_rate_);
-    take_key(j, "stale_read", plan.stale_read_rate_);
+    extract_key(j, "outage", plan.outage_);
+    extract_key(j, "delay_ms", plan.delay_ms_);
+    extract_key(j, "lose_answer_next_writes", plan.lose_answer_next_writes_);
+    extract_key(j, "conflict_next_writes", plan.conflict_next_writes_);
+    extract_key(j, "fail_rate", plan.fail_rate_);
+    extract_key(j, "stale_read", plan.stale_read_rate_);
     json watch = json::object();
-    take_key(j, "watch", watch);
-    take_key(watch, "late_ms", plan.watch_.late_ms_);
-    take_key(watch, "duplicate", plan.watch_.duplicate_rate_);
-    take_key(watch, "reorder", plan.watch_.reorder_rate_);
-    refuse_rest(watch);
-    refuse_rest(j);
+    extract_key(j, "watch", watch);
+    extract_key(watch, "late_ms", plan.watch_.event_delay_ms_);
+    extract_key(watch, "duplicate", plan.watch_.duplicate_rate_);
+    extract_key(watch, "reorder", plan.watch_.reorder_rate_);
+    reject_unknown_keys(watch);
+    reject_unknown_keys(j);
     return plan;
 }
 
 } // namespace
 
-tl::expected<fault_plan, error> read_fault_plan(const std::string& text)
+tl::expected<fault_plan, error> parse_fault_plan(const std::string& text)
 {
     try
     {
-        return plan_from(json::parse(text));
+        return plan_from_json(json::parse(text));
     }
     catch (const std::exception& e)
     {
@@ -63,12 +64,12 @@
     }
 }
 
-bool fault_injector::draw(double rate)
+bool fault_injector::should_inject(double rate)
 {
     return rate > 0 && std::uniform_real_distribution<>(0, 1)(random_) < rate;
 }
 
-bool fault_injector::take(std::uint64_t& remaining)
+bool fault_injector::consume_one(std::uint64_t& remaining)
 {
     if (remaining == 0)
     {
--- a/testsuite/standins/platform/faults.h
+++ b/testsuite/standins/platform/faults.h
@@ -1,5 +1,5 @@
 /// \file
-/// What the platform stand-in does wrong, on order of a test.
+/// Faults that tests inject into the platform stand-in.
 
 #ifndef STANDINS_PLATFORM_FAULTS_H
 #define STANDINS_PLATFORM_FAULTS_H
@@ -16,51 +16,55 @@
 /// Faults of watch events.
 struct watch_faults
 {
-    /// Events come this much later.
-    std::uint64_t late_ms_ = 0;
-    /// Share of watches answered at once with the version already known.
+    /// Delay of each event.
+    std::uint64_t event_delay_ms_ = 0;
+    /// Fraction of watches that are answered at once even if there is no newer
+    /// version.
     double duplicate_rate_ = 0;
-    /// Share of events that carry the version before the newest.
+    /// Fraction of events that carry the previous version.
     double reorder_rate_ = 0;
 };
 
-/// The faults in force. Rates are from 0 to 1.
+/// The active faults. Rates are from 0 to 1.
 struct fault_plan
 {
-    /// Every call is cut off without an answer.
+    /// The connection of every call is closed without a response.
     bool outage_ = false;
-    /// Every call is handled this much later.
+    /// Delay before each call is handled.
     std::uint64_t delay_ms_ = 0;
-    /// So many writes take effect and are cut off without an answer.
+    /// Number of next writes that are handled, but whose response is lost
+    /// because the connection is closed.
     std::uint64_t lose_answer_next_writes_ = 0;
-    /// So many writes find that another writer came first.
+    /// Number of next writes to existing objects that are preceded by a write
+    /// from another writer, so that they are refused.
     std::uint64_t conflict_next_writes_ = 0;
-    /// Share of calls answered 503 without effect.
+    /// Fraction of calls that are answered with 503 and have no effect.
     double fail_rate_ = 0;
-    /// Share of reads answered with the version before the newest.
+    /// Fraction of reads that are answered with the previous version.
     double stale_read_rate_ = 0;
     watch_faults watch_;
 };
 
-/// Reads the JSON that `POST /v1/standin/faults` takes; keys left out mean "no
-/// such fault". Fails with `bad_message` on unknown keys and wrong types.
-tl::expected<fault_plan, error> read_fault_plan(const std::string& json);
+/// Parses the JSON body of `POST /v1/standin/faults`. Faults whose keys are
+/// missing are off. Fails with `bad_message` on invalid JSON, unknown keys and
+/// wrong types.
+tl::expected<fault_plan, error> parse_fault_plan(const std::string& json);
 
-/// Draws what happens to each call.
+/// Decides for each call which of the active faults to inject.
 class fault_injector
 {
 public:
     explicit fault_injector(std::uint64_t seed) : random_(seed) {}
 
-    /// The faults in force; counts of faults still to come are taken down in
-    /// place.
+    /// The active faults. The numbers of next writes to disturb are decremented
+    /// in place.
     fault_plan plan_;
 
-    /// True with probability `rate`.
-    bool draw(double rate);
+    /// Returns true with probability `rate`.
+    bool should_inject(double rate);
 
-    /// True, and one less to come, if `remaining` is not zero.
-    static bool take(std::uint64_t& remaining);
+    /// Decrements `remaining` and returns true; returns false if it is zero.
+    static bool consume_one(std::uint64_t& remaining);
 
 private:
     std::mt19937_64 random_;
--- a/testsuite/standins/platform/main.cpp
+++ b/testsuite/standins/platform/main.cpp
@@ -54,21 +54,22 @@
 int run(int argc, char** argv)
 {
     options o;
-    po::options_description known("Options");
-    known.add_options()("help", "show this text");
-    known.add_options()(
+    po::options_description description("Options");
+    description.add_options()("help", "print the options and exit");
+    description.add_options()(
         "listen", po::value(&o.listen_)->value_name("IP:PORT")->required(),
-        "where to answer; port 0 picks a free port");
-    known.add_options()("seed", po::value(&o.seed_), "seed of injected faults");
-    po::variables_map given;
-    po::store(po::parse_command_line(argc, argv, known), given);
-    if (given.count("help") != 0)
+        "address to listen on; with port 0 the system chooses a free port");
+    description.add_options()("seed", po::value(&o.seed_),
+                              "seed for the choice of injected faults");
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, description), values);
+    if (values.count("help") != 0)
     {
         std::cout << "usage: platform_standin --listen IP:PORT [--seed N]\n"
-                  << known;
+                  << description;
         return 0;
     }
-    po::notify(given);
+    po::notify(values);
     return serve(o);
 }
 
--- a/testsuite/standins/platform/memory_platform.h
+++ b/testsuite/standins/platform/memory_platform.h
@@ -1,6 +1,5 @@
 /// \file
-/// The platform in memory, for unit tests of code that takes a
-/// `platform_store`.
+/// An in-memory platform, for unit tests of code that uses a `platform_store`.
 
 #ifndef STANDINS_PLATFORM_MEMORY_PLATFORM_H
 #define STANDINS_PLATFORM_MEMORY_PLATFORM_H
@@ -14,11 +13,12 @@
 namespace galenafork::standin
 {
 
-/// Answers at once and counts calls; fails as told.
+/// Answers calls without any delay except that of waiting watches, counts them,
+/// and injects the failures that the test has set.
 class memory_platform final : public platform_store
 {
 public:
-    /// `timer` must outlive this.
+    /// `timer` must outlive this object.
     explicit memory_platform(kj::Timer& timer) : timer_(timer) {}
 
     kj::Promise<tl::expected<platform_object, error>>
@@ -29,14 +29,15 @@
     kj::Promise<tl::expected<std::vector<object_entry>, error>>
     list(std::string prefix) override;
 
-    /// While true, nothing is answered but `unavailable`.
+    /// While true, every call fails with `unavailable`.
     bool outage_ = false;
-    /// So many writes take effect with the outcome `unknown`.
+    /// Number of next writes that are handled, but whose outcome is reported as
+    /// `unknown`.
     std::uint64_t lose_answer_next_writes_ = 0;
-    /// Calls so far, a watch being one.
+    /// Number of calls. A watch is one call.
     std::uint64_t calls_ = 0;
-    /// The objects, for tests to look at and to change behind the back of the
-    /// code under test.
+    /// The stored objects. Tests inspect them and change them as another writer
+    /// would.
     object_store objects_;
 
 private:
--- a/testsuite/standins/platform/object_store.cpp
+++ b/testsuite/standins/platform/object_store.cpp
@@ -12,7 +12,7 @@
     return found == objects_.end() ? stored_object{} : found->second.current_;
 }
 
-stored_object object_store::find_earlier(const std::string& name) const
+stored_object object_store::find_previous(const std::string& name) const
 {
     const auto found = objects_.find(name);
     if (found == objects_.end())
@@ -20,7 +20,7 @@
         return {};
     }
     const entry& e = found->second;
-    return e.earlier_.version_ == 0 ? e.current_ : e.earlier_;
+    return e.previous_.version_ == 0 ? e.current_ : e.previous_;
 }
 
 bool object_store::put_if(const std::string& name, std::uint64_t expected,
@@ -31,12 +31,12 @@
         return false;
     }
     entry& e = objects_[name];
-    e.earlier_ = std::move(e.current_);
+    e.previous_ = std::move(e.current_);
     e.current_ = {expected + 1, std::move(value)};
-    watchers woken = std::exchange(watchers_[name], {});
-    for (auto& watcher : woken)
+    watch_fulfillers fulfillers = std::exchange(watches_[name], {});
+    for (auto& fulfiller : fulfillers)
     {
-        watcher->fulfill();
+        fulfiller->fulfill();
     }
     return true;
 }
@@ -57,18 +57,18 @@
 kj::Promise<void> object_store::next_write(const std::string& name)
 {
     auto pair = kj::newPromiseAndFulfiller<void>();
-    watchers_[name].push_back(kj::mv(pair.fulfiller));
+    watches_[name].push_back(kj::mv(pair.fulfiller));
     return kj::mv(pair.promise);
 }
 
 void object_store::fail_watches()
 {
-    auto cut = std::exchange(watchers_, {});
-    for (auto& [waiting_name, waiting] : cut)
+    auto failed = std::exchange(watches_, {});
+    for (auto& [failed_name, fulfillers] : failed)
     {
-        for (auto& watcher : waiting)
+        for (auto& fulfiller : fulfillers)
         {
-            watcher->reject(KJ_EXCEPTION(DISCONNECTED, "outage"));
+            fulfiller->reject(KJ_EXCEPTION(DISCONNECTED, "outage"));
         }
     }
 }
--- a/testsuite/standins/platform/object_store.h
+++ b/testsuite/standins/platform/object_store.h
@@ -1,5 +1,6 @@
 /// \file
-/// Objects of the platform stand-in: versions, conditional updates, watches.
+/// The object store of the platform stand-in, with versions, conditional writes
+/// and watches.
 
 #ifndef STANDINS_PLATFORM_OBJECT_STORE_H
 #define STANDINS_PLATFORM_OBJECT_STORE_H
@@ -16,47 +17,50 @@
 /// One version of an object.
 struct stored_object
 {
-    /// From 1, rising by one with each write; 0 if there is no object.
+    /// Starts at 1 and is incremented by each write; 0 if the object does not
+    /// exist.
     std::uint64_t version_ = 0;
-    /// A JSON text.
+    /// The value as JSON.
     std::string value_;
 };
 
-/// The objects, in memory only.
+/// An in-memory object store that keeps the current and the previous version of
+/// each object.
 class object_store
 {
 public:
-    /// The object in force; version 0 if there is none.
+    /// Returns the current version of an object.
     stored_object find(const std::string& name) const;
 
-    /// The version before the one in force, or the one in force if it is the
-    /// first.
-    stored_object find_earlier(const std::string& name) const;
+    /// Returns the previous version of an object, or the current one if it is
+    /// the first.
+    stored_object find_previous(const std::string& name) const;
 
-    /// Writes if the version in force is `expected`; true if it was.
+    /// Writes an object if its current version is `expected`. Returns whether
+    /// it was written.
     bool put_if(const std::string& name, std::uint64_t expected,
                 std::string value);
 
-    /// Name and version of each object whose name begins with `prefix`.
+    /// Returns name and version of each object whose name begins with `prefix`.
     std::map<std::string, std::uint64_t> list(const std::string& prefix) const;
 
-    /// Resolves when the object is written next; fails if `fail_watches` comes
-    /// first.
+    /// Returns a promise that resolves at the next write of the object, and
+    /// fails if `fail_watches` is called before.
     kj::Promise<void> next_write(const std::string& name);
 
-    /// Fails every promise of `next_write`.
+    /// Fails all pending promises of `next_write`.
     void fail_watches();
 
 private:
     struct entry
     {
         stored_object current_;
-        stored_object earlier_;
+        stored_object previous_;
     };
-    using watchers = std::vector<kj::Own<kj::PromiseFulfiller<void>>>;
+    using watch_fulfillers = std::vector<kj::Own<kj::PromiseFulfiller<void>>>;
 
     std::map<std::string, entry> objects_;
-    std::map<std::string, watchers> watchers_;
+    std::map<std::string, watch_fulfillers> watches_;
 };
 
 } // namespace galenafork::standin
