--- a/testsuite/standins/platform/service.cpp
+++ b/testsuite/standins/platform/service.cpp
@@ -14,6 +14,7 @@
 using json = nlohmann::json;
 
 constexpr const char* standin_prefix = "v1/standin/";
+// Longest time that a watch waits, and the default if `wait_ms` is missing.
 constexpr std::uint64_t max_wait_ms = 60'000;
 constexpr kj::uint status_ok = 200;
 constexpr kj::uint status_not_modified = 304;
@@ -28,7 +29,7 @@
     return json{{"version", version}}.dump();
 }
 
-// The value is JSON already: it is not parsed again.
+// The value is inserted as it is, since it is JSON already.
 std::string object_json(const stored_object& object)
 {
     return R"({"version":)" + std::to_string(object.version_) + R"(,"value":)" +
@@ -40,9 +41,9 @@
     return json{{"error", reason}}.dump();
 }
 
-kj::Exception cut_off()
+kj::Exception disconnect_error()
 {
-    return KJ_EXCEPTION(DISCONNECTED, "cut off by an injected fault");
+    return KJ_EXCEPTION(DISCONNECTED, "connection closed by an injected fault");
 }
 
 std::string counts_json(const call_counts& c)
@@ -52,9 +53,9 @@
                 {"list", c.list_},
                 {"watch", c.watch_},
                 {"total", c.get_ + c.put_ + c.list_ + c.watch_},
-                {"waiting", c.waiting_},
-                {"peak_reads_per_second", c.peak_reads_},
-                {"peak_writes_per_second", c.peak_writes_}}
+                {"waiting", c.pending_watches_},
+                {"peak_reads_per_second", c.peak_reads_per_second_},
+                {"peak_writes_per_second", c.peak_writes_per_second_}}
         .dump();
 }
 
@@ -87,14 +88,14 @@
                                             Response& response)
 {
     api_request request = parse_request(method, url);
-    request.if_match_ =
-        text_of(headers.get(headers_.if_match_).orDefault(kj::StringPtr()));
+    request.if_match_ = to_std_string(
+        headers.get(headers_.if_match_).orDefault(kj::StringPtr()));
     return body.readAllText(max_value_bytes + 1)
         .then(
             [this, request = std::move(request),
              &response](const kj::String& text) mutable
             {
-                request.body_ = text_of(text);
+                request.body_ = to_std_string(text);
                 return route(std::move(request), response);
             });
 }
@@ -109,9 +110,9 @@
     count_call(request);
     if (faults_.plan_.outage_)
     {
-        return cut_off();
+        return disconnect_error();
     }
-    if (faults_.draw(faults_.plan_.fail_rate_))
+    if (faults_.should_inject(faults_.plan_.fail_rate_))
     {
         return send(response, status_unavailable, error_json("injected"));
     }
@@ -125,7 +126,7 @@
         {
             if (faults_.plan_.outage_)
             {
-                return cut_off();
+                return disconnect_error();
             }
             return handle(request, response);
         });
@@ -142,7 +143,7 @@
     }
     if (call == "faults" && request.method_ == kj::HttpMethod::POST)
     {
-        const auto plan = read_fault_plan(request.body_);
+        const auto plan = parse_fault_plan(request.body_);
         if (!plan)
         {
             return send(response, status_bad_request,
@@ -151,7 +152,8 @@
         set_faults(*plan);
         return send(response, status_ok, "{}");
     }
-    return send(response, status_not_found, error_json("no such call"));
+    return send(response, status_not_found,
+                error_json("unknown path or method"));
 }
 
 kj::Promise<void> platform_service::handle(const api_request& request,
@@ -164,7 +166,8 @@
     }
     if (!starts_with(request.path_, object_prefix))
     {
-        return send(response, status_not_found, error_json("no such call"));
+        return send(response, status_not_found,
+                    error_json("unknown path or method"));
     }
     if (request.method_ == kj::HttpMethod::PUT)
     {
@@ -172,7 +175,8 @@
     }
     if (!is_get)
     {
-        return send(response, status_bad_request, error_json("bad method"));
+        return send(response, status_bad_request,
+                    error_json("method is not GET or PUT"));
     }
     return is_watch(request) ? watch(request, response)
                              : get(request, response);
@@ -182,12 +186,13 @@
                                         Response& response)
 {
     const std::string name = object_name(request);
-    const bool stale = faults_.draw(faults_.plan_.stale_read_rate_);
+    const bool stale = faults_.should_inject(faults_.plan_.stale_read_rate_);
     const stored_object object =
-        stale ? store_.find_earlier(name) : store_.find(name);
+        stale ? store_.find_previous(name) : store_.find(name);
     if (object.version_ == 0)
     {
-        return send(response, status_not_found, error_json("no such object"));
+        return send(response, status_not_found,
+                    error_json("object does not exist"));
     }
     return send(response, status_ok, object_json(object));
 }
@@ -198,27 +203,30 @@
     std::uint64_t expected = 0;
     if (!parse_number(request.if_match_, expected))
     {
-        return send(response, status_bad_request, error_json("no If-Match"));
+        return send(response, status_bad_request,
+                    error_json("If-Match is not a version"));
     }
     if (request.body_.size() > max_value_bytes)
     {
-        return send(response, status_too_large, error_json("too large"));
+        return send(response, status_too_large,
+                    error_json("value exceeds 1 MiB"));
     }
     if (!json::accept(request.body_))
     {
-        return send(response, status_bad_request, error_json("not JSON"));
+        return send(response, status_bad_request,
+                    error_json("value is not JSON"));
     }
     const std::string name = object_name(request);
-    const stored_object before = store_.find(name);
-    if (before.version_ != 0 &&
-        fault_injector::take(faults_.plan_.conflict_next_writes_))
+    const stored_object current = store_.find(name);
+    if (current.version_ != 0 &&
+        fault_injector::consume_one(faults_.plan_.conflict_next_writes_))
     {
-        store_.put_if(name, before.version_, before.value_);
+        store_.put_if(name, current.version_, current.value_);
     }
     const bool written = store_.put_if(name, expected, request.body_);
-    if (fault_injector::take(faults_.plan_.lose_answer_next_writes_))
+    if (fault_injector::consume_one(faults_.plan_.lose_answer_next_writes_))
     {
-        return cut_off();
+        return disconnect_error();
     }
     return send(response, written ? status_ok : status_precondition_failed,
                 version_json(store_.find(name).version_));
@@ -241,16 +249,18 @@
 kj::Promise<void> platform_service::watch(const api_request& request,
                                           Response& response)
 {
-    std::uint64_t known = 0;
-    if (!parse_number(request.query_.at("watch"), known))
+    std::uint64_t known_version = 0;
+    if (!parse_number(request.query_.at("watch"), known_version))
     {
-        return send(response, status_bad_request, error_json("bad watch"));
+        return send(response, status_bad_request,
+                    error_json("parameter watch is not a version"));
     }
     const std::string name = object_name(request);
     const std::uint64_t version = store_.find(name).version_;
-    const bool repeats =
-        version != 0 && faults_.draw(faults_.plan_.watch_.duplicate_rate_);
-    if (version > known || repeats)
+    const bool inject_duplicate =
+        version != 0 &&
+        faults_.should_inject(faults_.plan_.watch_.duplicate_rate_);
+    if (version > known_version || inject_duplicate)
     {
         return send_event(name, response);
     }
@@ -264,15 +274,16 @@
     const auto wait = request.query_.find("wait_ms");
     if (wait != request.query_.end() && !parse_number(wait->second, wait_ms))
     {
-        return send(response, status_bad_request, error_json("bad wait_ms"));
+        return send(response, status_bad_request,
+                    error_json("parameter wait_ms is not a number"));
     }
     const std::string name = object_name(request);
-    const auto limit = std::min(wait_ms, max_wait_ms) * kj::MILLISECONDS;
-    ++calls_.waiting_;
+    const auto wait_limit = std::min(wait_ms, max_wait_ms) * kj::MILLISECONDS;
+    ++calls_.pending_watches_;
     auto written = store_.next_write(name).then([] { return true; });
-    auto elapsed = timer_.afterDelay(limit).then([] { return false; });
+    auto elapsed = timer_.afterDelay(wait_limit).then([] { return false; });
     return written.exclusiveJoin(kj::mv(elapsed))
-        .attach(kj::defer([this] { --calls_.waiting_; }))
+        .attach(kj::defer([this] { --calls_.pending_watches_; }))
         .then(
             [this, name, &response](bool has_event) -> kj::Promise<void>
             {
@@ -288,10 +299,10 @@
                                                Response& response)
 {
     const watch_faults& faults = faults_.plan_.watch_;
-    const stored_object object = faults_.draw(faults.reorder_rate_)
-                                     ? store_.find_earlier(name)
+    const stored_object object = faults_.should_inject(faults.reorder_rate_)
+                                     ? store_.find_previous(name)
                                      : store_.find(name);
-    return timer_.afterDelay(faults.late_ms_ * kj::MILLISECONDS)
+    return timer_.afterDelay(faults.event_delay_ms_ * kj::MILLISECONDS)
         .then([this, object, &response]
               { return send(response, status_ok, object_json(object)); });
 }
@@ -317,7 +328,7 @@
     if (request.method_ == kj::HttpMethod::PUT)
     {
         ++calls_.put_;
-        count_in_window(writes_, calls_.peak_writes_);
+        count_in_window(writes_, calls_.peak_writes_per_second_);
         return;
     }
     if (request.path_ == objects_path)
@@ -332,10 +343,10 @@
     {
         ++calls_.get_;
     }
-    count_in_window(reads_, calls_.peak_reads_);
+    count_in_window(reads_, calls_.peak_reads_per_second_);
 }
 
-void platform_service::count_in_window(second_window& window,
+void platform_service::count_in_window(one_second_window& window,
                                        std::uint64_t& peak)
 {
     if (timer_.now() - window.start_ >= 1 * kj::SECONDS)
--- a/testsuite/standins/platform/service.h
+++ b/testsuite/standins/platform/service.h
@@ -1,17 +1,19 @@
 /// \file
-/// The HTTP side of the platform stand-in.
+/// The HTTP API of the platform stand-in:
 ///
-/// | call | answer |
-/// |---|---|
-/// | `GET /v1/objects/NAME` | 200 `{version, value}`, 404 |
-/// | `GET /v1/objects/NAME?watch=VERSION&wait_ms=N` | 200 once the version is
-/// above VERSION, 304 after N ms | | `GET /v1/objects?prefix=P` | 200
-/// `{objects: [{name, version}]}` | | `PUT /v1/objects/NAME`, `If-Match:
-/// VERSION` | 200 `{version}`, 412 `{version}` | | `GET /v1/standin/calls` |
-/// 200, counts of calls | | `POST /v1/standin/faults` | 200; see
-/// `read_fault_plan` |
+/// - `GET /v1/objects/NAME` returns 200 `{version, value}`, or 404.
+/// - `GET /v1/objects/NAME?watch=VERSION&wait_ms=N` returns 200
+///   `{version, value}` once the version is above VERSION, or 304 after N ms.
+/// - `GET /v1/objects?prefix=PREFIX` returns 200
+///   `{objects: [{name, version}]}`.
+/// - `PUT /v1/objects/NAME` with `If-Match: VERSION` returns 200 `{version}`.
+///   It returns 412 `{version}` if the current version is not VERSION.
+/// - `GET /v1/standin/calls` returns 200 and the counts of calls.
+/// - `POST /v1/standin/faults` sets the active faults and returns 200; see
+///   `parse_fault_plan`.
 ///
-/// NAME may hold `/`; VERSION 0 means "no object"; a value is any JSON.
+/// NAME may contain `/`. VERSION is 0 for an object that does not exist. A
+/// value is any JSON.
 
 #ifndef STANDINS_PLATFORM_SERVICE_H
 #define STANDINS_PLATFORM_SERVICE_H
@@ -27,28 +29,29 @@
 namespace galenafork::standin
 {
 
-/// Longest value, in bytes.
+/// Maximum size of a value.
 inline constexpr std::size_t max_value_bytes = 1U << 20U;
 
-/// Calls taken, cut off ones included. A waiting watch is one call.
+/// Counts of object calls, including those that fail because of an injected
+/// fault. A watch is one call. Calls below `/v1/standin` are not counted.
 struct call_counts
 {
     std::uint64_t get_ = 0;
     std::uint64_t put_ = 0;
     std::uint64_t list_ = 0;
     std::uint64_t watch_ = 0;
-    /// Watches waiting now.
-    std::uint64_t waiting_ = 0;
-    /// Most reads (get, list, watch) within one second.
-    std::uint64_t peak_reads_ = 0;
-    /// Most writes within one second.
-    std::uint64_t peak_writes_ = 0;
+    /// Watches that are waiting for a newer version now.
+    std::uint64_t pending_watches_ = 0;
+    /// Maximum number of reads (get, list, watch) in a one-second window.
+    std::uint64_t peak_reads_per_second_ = 0;
+    /// Maximum number of writes in a one-second window.
+    std::uint64_t peak_writes_per_second_ = 0;
 };
 
 /// Header names of the API.
 struct api_headers
 {
-    /// Builds the table; `If-Match` is not among kj's own headers.
+    /// Builds the table with `If-Match`, which kj does not predefine.
     api_headers();
 
     kj::HttpHeaderTable::Builder builder_;
@@ -58,12 +61,14 @@
 
 struct api_request;
 
-/// Answers the calls. Hand it to a `kj::HttpServer` whose error handler is
-/// `disconnect_error_handler`, else a cut-off call would get an answer.
+/// Handles the calls. The error handler of its `kj::HttpServer` must be
+/// `disconnect_error_handler`: the default one sends an error response where a
+/// fault requires that the connection is closed without a response.
 class platform_service final : public kj::HttpService
 {
 public:
-    /// `timer` and `headers` must outlive this.
+    /// `timer` and `headers` must outlive the service. `seed` determines the
+    /// random choice of calls that faults affect.
     platform_service(kj::Timer& timer, const api_headers& headers,
                      std::uint64_t seed);
 
@@ -72,17 +77,18 @@
                               kj::AsyncInputStream& body,
                               Response& response) override;
 
-    /// The counts so far.
+    /// Returns the counts since the start.
     const call_counts& calls() const
     {
         return calls_;
     }
 
-    /// Changes the faults in force, for tests in the same process.
+    /// Replaces the active faults, as `POST /v1/standin/faults` does. An outage
+    /// also disconnects the pending watches.
     void set_faults(const fault_plan& plan);
 
 private:
-    struct second_window
+    struct one_second_window
     {
         kj::TimePoint start_ = kj::origin<kj::TimePoint>();
         std::uint64_t count_ = 0;
@@ -102,18 +108,19 @@
     kj::Promise<void> send(Response& response, kj::uint status,
                            std::string body);
     void count_call(const api_request& request);
-    void count_in_window(second_window& window, std::uint64_t& peak);
+    void count_in_window(one_second_window& window, std::uint64_t& peak);
 
     kj::Timer& timer_;
     const api_headers& headers_;
     fault_injector faults_;
     object_store store_;
     call_counts calls_;
-    second_window reads_;
-    second_window writes_;
+    one_second_window reads_;
+    one_second_window writes_;
 };
 
-/// Closes the connection of a cut-off call without an answer.
+/// Closes the connection without a response if a call fails with
+/// `DISCONNECTED`.
 class disconnect_error_handler final : public kj::HttpServerErrorHandler
 {
 public:
--- a/testsuite/standins/spread_driver/main.cpp
+++ b/testsuite/standins/spread_driver/main.cpp
@@ -1,21 +1,26 @@
 /// \file
-/// Drives the platform and the balancers' control pages for testsuite/spread.
+/// A client of the platform stand-in and of the balancers' HTTP pages, for
+/// testsuite/spread.
 ///
 /// usage: spread_driver PLATFORM COMMAND ARGUMENT...
 ///
 /// | command | does |
 /// |---|---|
-/// | `rules TEXT` | accepts a rule file; prints its version |
+/// | `rules TEXT` | writes rules to the platform; prints their version |
 /// | `join SERVICE N` | adds member N to the roster of SERVICE |
-/// | `fill SERVICES MEMBERS` | rules and rosters of so many services |
-/// | `faults JSON` | orders faults of the platform stand-in |
+/// | `fill SERVICES MEMBERS` | writes rules and rosters of SERVICES services |
+/// | `faults JSON` | sets the active faults of the platform stand-in |
 /// | `calls` | prints the stand-in's counts of calls |
 /// | `get HTTP PATH` | prints status and body of a page |
-/// | `wait_rules VERSION MS HTTP...` | waits until every page shows at least
-/// VERSION; prints how long it took |
+/// | `wait_rules VERSION MS HTTP...` | waits for the rules; prints the time |
 /// | `wait_epoch SERVICE EPOCH MS HTTP...` | the same for a roster |
 ///
-/// Exits with 1 if a wait ran out or a write was not accepted.
+/// `fill` gives each service MEMBERS members. The wait commands wait up to MS
+/// milliseconds until every balancer reports at least the given version or
+/// epoch in `/status`.
+///
+/// Exits with a nonzero status if a wait timed out, a write was not accepted or
+/// a page could not be fetched.
 
 #include <galenafork/platform_client.h>
 #include <galenafork/roster.h>
@@ -35,10 +40,10 @@
 
 using arguments = std::vector<std::string>;
 
-constexpr auto poll_pause = 10 * kj::MILLISECONDS;
+constexpr auto poll_interval = 10 * kj::MILLISECONDS;
 constexpr auto page_timeout = 2 * kj::SECONDS;
 
-/// A page, or status 0 if nobody answered.
+/// An HTTP response; status 0 if the request failed.
 struct page
 {
     unsigned status_ = 0;
@@ -50,9 +55,9 @@
 public:
     explicit driver(const endpoint& platform)
         : platform_(platform), io_(kj::setupAsyncIo()),
-          client_(settings_for(platform),
+          client_(make_settings(platform),
                   {io_.provider->getTimer(), io_.provider->getNetwork(),
-                   read_monotonic_clock, [this] { return draw(); }})
+                   read_monotonic_clock, [this] { return random_fraction(); }})
     {
     }
 
@@ -122,39 +127,40 @@
         return failures;
     }
 
-    int print(const endpoint& at, kj::HttpMethod method,
+    int print(const endpoint& server, kj::HttpMethod method,
               const std::string& path, const std::string& body)
     {
-        const page got = fetch(at, method, path, body);
-        std::cout << got.status_ << " " << got.body_ << "\n";
-        return got.status_ == 0 ? 1 : 0;
+        const page fetched = fetch(server, method, path, body);
+        std::cout << fetched.status_ << " " << fetched.body_ << "\n";
+        return fetched.status_ == 0 ? 1 : 0;
     }
 
     int
     wait_for(const std::function<std::uint64_t(const nlohmann::json&)>& read,
-             std::uint64_t wanted, int ms, const arguments& pages)
+             std::uint64_t min_value, int timeout_ms, const arguments& servers)
     {
         const instant start = read_monotonic_clock();
-        const instant end = start + std::chrono::milliseconds(ms);
-        for (const std::string& at : pages)
+        const instant end = start + std::chrono::milliseconds(timeout_ms);
+        for (const std::string& server : servers)
         {
-            while (value_at(at, read) < wanted)
+            while (fetch_value(server, read) < min_value)
             {
                 if (read_monotonic_clock() > end)
                 {
-                    std::cout << "late page=" << at
-                              << " has=" << value_at(at, read)
-                              << " wanted=" << wanted << "\n";
+                    std::cout << "late page=" << server
+                              << " has=" << fetch_value(server, read)
+                              << " wanted=" << min_value << "\n";
                     return 1;
                 }
                 io_.provider->getTimer()
-                    .afterDelay(poll_pause)
+                    .afterDelay(poll_interval)
                     .wait(io_.waitScope);
             }
         }
-        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
-            read_monotonic_clock() - start);
-        std::cout << "took_ms=" << took.count() << "\n";
+        const auto elapsed =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                read_monotonic_clock() - start);
+        std::cout << "took_ms=" << elapsed.count() << "\n";
         return 0;
     }
 
@@ -164,7 +170,7 @@
     }
 
 private:
-    static platform_settings settings_for(const endpoint& platform)
+    static platform_settings make_settings(const endpoint& platform)
     {
         platform_settings s;
         s.address_ = platform;
@@ -173,7 +179,7 @@
         return s;
     }
 
-    double draw()
+    double random_fraction()
     {
         return std::uniform_real_distribution<double>(0, 1)(random_);
     }
@@ -187,42 +193,43 @@
     }
 
     std::uint64_t
-    value_at(const std::string& at,
-             const std::function<std::uint64_t(const nlohmann::json&)>& read)
+    fetch_value(const std::string& server,
+                const std::function<std::uint64_t(const nlohmann::json&)>& read)
     {
-        const page got =
-            fetch(*parse_endpoint(at), kj::HttpMethod::GET, "/status", "");
-        const auto json = nlohmann::json::parse(got.body_, nullptr, false);
+        const page status =
+            fetch(*parse_endpoint(server), kj::HttpMethod::GET, "/status", "");
+        const auto json = nlohmann::json::parse(status.body_, nullptr, false);
         return json.is_object() ? read(json) : 0;
     }
 
-    page fetch(const endpoint& at, kj::HttpMethod method,
+    page fetch(const endpoint& server, kj::HttpMethod method,
                const std::string& path, const std::string& body)
     {
         auto http = kj::newHttpClient(io_.provider->getTimer(), table_,
                                       io_.provider->getNetwork(), nullptr);
-        const std::string url = "http://" + to_string(at) + path;
+        const std::string url = "http://" + to_string(server) + path;
         auto request = http->request(method, url.c_str(),
                                      kj::HttpHeaders(table_), body.size());
-        auto sent = body.empty()
-                        ? kj::Promise<void>(kj::READY_NOW)
-                        : request.body->write(body.data(), body.size());
-        sent = sent.attach(kj::mv(request.body));
-        auto answer = sent.then([response = kj::mv(request.response)]() mutable
-                                { return kj::mv(response); })
-                          .then(
-                              [](kj::HttpClient::Response&& response)
-                              {
-                                  const unsigned status = response.statusCode;
-                                  return response.body->readAllText()
-                                      .then(
-                                          [status](kj::String&& text) {
-                                              return page{status, text.cStr()};
-                                          })
-                                      .attach(kj::mv(response.body));
-                              });
+        auto body_sent = body.empty()
+                             ? kj::Promise<void>(kj::READY_NOW)
+                             : request.body->write(body.data(), body.size());
+        body_sent = body_sent.attach(kj::mv(request.body));
+        auto fetched = body_sent
+                           .then([response = kj::mv(request.response)]() mutable
+                                 { return kj::mv(response); })
+                           .then(
+                               [](kj::HttpClient::Response&& response)
+                               {
+                                   const unsigned status = response.statusCode;
+                                   return response.body->readAllText()
+                                       .then(
+                                           [status](kj::String&& text) {
+                                               return page{status, text.cStr()};
+                                           })
+                                       .attach(kj::mv(response.body));
+                               });
         return io_.provider->getTimer()
-            .timeoutAfter(page_timeout, kj::mv(answer))
+            .timeoutAfter(page_timeout, kj::mv(fetched))
             .catch_(
                 [](kj::Exception&& failure) {
                     return page{0, failure.getDescription().cStr()};
@@ -238,7 +245,7 @@
     platform_client client_;
 };
 
-arguments rest(const arguments& a, std::size_t from)
+arguments arguments_from(const arguments& a, std::size_t from)
 {
     return {a.begin() + static_cast<std::ptrdiff_t>(from), a.end()};
 }
@@ -277,7 +284,8 @@
     {
         return d.wait_for([](const nlohmann::json& status)
                           { return status.value("rules_version", 0UL); },
-                          std::stoul(a.at(1)), std::stoi(a.at(2)), rest(a, 3));
+                          std::stoul(a.at(1)), std::stoi(a.at(2)),
+                          arguments_from(a, 3));
     }
     if (command == "wait_epoch")
     {
@@ -289,7 +297,7 @@
                        : 0UL;
         };
         return d.wait_for(read, std::stoul(a.at(2)), std::stoi(a.at(3)),
-                          rest(a, 4));
+                          arguments_from(a, 4));
     }
     std::cerr << "unknown command " << command << "\n";
     return 2;
@@ -308,5 +316,5 @@
         return 2;
     }
     driver d(*platform);
-    return run(d, rest(all, 1));
+    return run(d, arguments_from(all, 1));
 }
--- a/testsuite/standins/upstream/ledger.cpp
+++ b/testsuite/standins/upstream/ledger.cpp
@@ -11,7 +11,7 @@
     }
 }
 
-std::uint64_t ledger::record(const std::string& id)
+std::uint64_t ledger::record_run(const std::string& id)
 {
     constexpr std::uint64_t second_run = 2;
     file_ << id << std::endl;
@@ -19,7 +19,7 @@
     const std::uint64_t runs = ++runs_by_id_[id];
     if (runs == second_run)
     {
-        ++doubled_;
+        ++duplicated_ids_;
     }
     return runs;
 }
--- a/testsuite/standins/upstream/ledger.h
+++ b/testsuite/standins/upstream/ledger.h
@@ -1,5 +1,5 @@
 /// \file
-/// The record of every run of a non-idempotent request.
+/// A record of the runs of non-idempotent requests.
 
 #ifndef GALENAFORK_STANDINS_LEDGER_H
 #define GALENAFORK_STANDINS_LEDGER_H
@@ -12,34 +12,35 @@
 namespace galenafork::standin
 {
 
-/// Counts runs by request id and appends each to a file at once, so that the
-/// record outlives a killed process.
+/// Counts runs by request id and appends the id of each run to a file, flushed
+/// at once so that it is not lost when the process is killed.
 class ledger
 {
 public:
-    /// Appends to `path`; empty for no file.
+    /// Opens `path` for appending. An empty path means that no file is written.
     explicit ledger(const std::string& path);
 
-    /// Records a run and returns how often this id has run.
-    std::uint64_t record(const std::string& id);
+    /// Records a run and returns how often the request `id` has run, including
+    /// this time.
+    std::uint64_t record_run(const std::string& id);
 
-    /// Runs so far, repeats included.
+    /// Returns the number of runs, including repeated runs of a request.
     std::uint64_t runs() const
     {
         return runs_;
     }
 
-    /// Ids that ran more than once.
-    std::uint64_t doubled() const
+    /// Returns the number of request ids that have run more than once.
+    std::uint64_t duplicated_ids() const
     {
-        return doubled_;
+        return duplicated_ids_;
     }
 
 private:
     std::ofstream file_;
     std::unordered_map<std::string, std::uint64_t> runs_by_id_;
     std::uint64_t runs_ = 0;
-    std::uint64_t doubled_ = 0;
+    std::uint64_t duplicated_ids_ = 0;
 };
 
 } // namespace galenafork::standin
--- a/testsuite/standins/upstream/main.cpp
+++ b/testsuite/standins/upstream/main.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Upstream stand-in: a program around `upstream`.
+/// The upstream stand-in as a program.
 
 #include "upstream.h"
 
@@ -24,11 +24,11 @@
     std::int64_t intake_ms_ = 5;
     std::int64_t photo_ms_ = 1;
     std::int64_t cold_ms_ = 0;
-    std::int64_t load_lag_ms_ = 0;
+    std::int64_t load_report_interval_ms_ = 0;
     upstream_settings settings_;
 };
 
-po::options_description describe(arguments& a)
+po::options_description describe_options(arguments& a)
 {
     upstream_settings& s = a.settings_;
     po::options_description options("upstream_standin");
@@ -37,25 +37,28 @@
     add("service", po::value(&a.service_)->required(), "name of the service");
     add("instance", po::value(&a.instance_)->required(),
         "name of the instance");
-    add("slots", po::value(&a.slots_), "requests served side by side");
-    add("queue", po::value(&s.queue_limit_), "requests that may wait");
+    add("slots", po::value(&a.slots_), "requests served concurrently");
+    add("queue", po::value(&s.queue_limit_),
+        "maximum number of queued requests");
     add("status-ms", po::value(&a.status_ms_), "time to serve GET /status");
     add("intake-ms", po::value(&a.intake_ms_), "time to serve POST /intake");
     add("photo-ms", po::value(&a.photo_ms_), "time to serve a photo block");
     add("photo-bytes", po::value(&s.photo_bytes_), "size of a photo set");
     add("cold-ms", po::value(&a.cold_ms_), "length of the cold start");
     add("cold-factor", po::value(&s.cold_factor_),
-        "how much slower while cold");
-    add("load-lag-ms", po::value(&a.load_lag_ms_), "age of GET /load at worst");
+        "factor on service times during the cold start");
+    add("load-lag-ms", po::value(&a.load_report_interval_ms_),
+        "maximum age of the report of GET /load");
     add("load-bias-permille", po::value(&s.load_bias_permille_),
-        "reported load in thousandths of the true one");
-    add("echo", po::bool_switch(&s.echo_), "echo opaque datagrams");
+        "reported load in thousandths of the actual load");
+    add("echo", po::bool_switch(&s.echo_),
+        "echo opaque datagrams instead of serving CoAP");
     add("ledger", po::value(&s.ledger_path_),
-        "file that each run of an intake is appended to");
+        "file to which the id of each intake run is appended");
     return options;
 }
 
-upstream_settings settings_of(const arguments& a)
+upstream_settings make_settings(const arguments& a)
 {
     upstream_settings settings = a.settings_;
     settings.listen_ = endpoint_argument(a.listen_);
@@ -65,15 +68,15 @@
     settings.status_time_ = milliseconds(a.status_ms_);
     settings.intake_time_ = milliseconds(a.intake_ms_);
     settings.photo_time_ = milliseconds(a.photo_ms_);
-    settings.cold_time_ = milliseconds(a.cold_ms_);
-    settings.load_lag_ = milliseconds(a.load_lag_ms_);
+    settings.cold_start_length_ = milliseconds(a.cold_ms_);
+    settings.load_report_interval_ = milliseconds(a.load_report_interval_ms_);
     return settings;
 }
 
 int run(const arguments& a)
 {
     event_loop loop;
-    upstream u(loop, settings_of(a));
+    upstream u(loop, make_settings(a));
     loop.on_signal(SIGTERM, [&u] { u.drain(); });
     loop.on_signal(SIGINT, [&loop] { loop.stop(); });
     log_line("ready")
@@ -86,12 +89,12 @@
         .with("service", a.service_)
         .with("instance", a.instance_)
         .with("served", c.served_)
-        .with("shed", c.shed_)
-        .with("late", c.late_)
+        .with("shed", c.refused_)
+        .with("late", c.expired_)
         .with("cancelled", c.cancelled_)
         .with("malformed", c.malformed_)
-        .with("runs", u.runs().runs())
-        .with("doubled", u.runs().doubled());
+        .with("runs", u.run_ledger().runs())
+        .with("doubled", u.run_ledger().duplicated_ids());
     return 0;
 }
 
@@ -100,5 +103,6 @@
 int main(int argc, char** argv)
 {
     arguments a;
-    return run_program(argc, argv, describe(a), [&a] { return run(a); });
+    return run_program(argc, argv, describe_options(a),
+                       [&a] { return run(a); });
 }
