Agents drop data of earlier flows, and openings that waited out a pause

Cause: reports of operators of similar systems. An upstream's late second copy of an answer went to the caller although the addresses and ports were those of a new flow; and an agent that was paused while the balancer sent the retransmission elsewhere refused the first one on waking, with a reset of a flow that another agent had opened. Change: data outside the sequence numbers of the present flow is dropped and logged; an agent that handled nothing for 500 ms drops openings for the next 30 ms, which lets copies decide. Tests, red before: 'a late answer of an earlier flow', 'an agent that was paused'. Already held: a paused balancer places by no old status; a restarted one places nothing at an agent that is only listed (tests added).

--- a/src/include/galenafork/pass_agent.h
+++ b/src/include/galenafork/pass_agent.h
@@ -108,6 +108,13 @@
     /// A balancer that is neither listed nor sends a hello for this time is
     /// forgotten.
     duration forget_balancer_after_ = std::chrono::seconds(60);
+    /// An agent that handled nothing for longer than this was paused or starved
+    /// of processor time. The time is well below the silence after which
+    /// balancers send retransmissions to another agent.
+    duration max_unattended_ = std::chrono::milliseconds(500);
+    /// Time after a pause in which opening segments are taken for ones that
+    /// arrived during it. Reading the socket's buffer takes less.
+    duration resume_time_ = std::chrono::milliseconds(30);
     /// Time between two statuses to balancers of earlier versions, which do not
     /// ask for an interval.
     duration default_status_interval_ = std::chrono::milliseconds(600);
@@ -194,6 +201,10 @@
     instant started_at_{};
     upstream_report upstream_;
     instant last_report_at_{};
+    /// When the agent last handled an event; unset before the first one.
+    std::optional<instant> last_attended_at_;
+    /// When the agent resumed after its last pause.
+    std::optional<instant> resumed_at_;
     bool shutting_down_ = false;
     /// The upstream is suspected of being down, because it leaves opening
     /// segments unanswered.
@@ -276,7 +287,9 @@
 
 /// Handles an opening segment: offers it to the upstream, forwards it to
 /// another agent, queues or refuses it. A retransmission of a segment that the
-/// upstream has is sent to the upstream again.
+/// upstream has is sent to the upstream again. A segment that may have waited
+/// during a pause of this process is dropped: another agent may have opened the
+/// flow since, and a refusal would reset it.
 void handle_place(pass_agent_state& state, const place_message& message,
                   const segment_header& opening, instant now,
                   pass_actions& out);
@@ -299,7 +312,8 @@
                    const segment_header& s, instant now, pass_actions& out);
 
 /// Handles a segment from the upstream: one for the caller, or a caller's
-/// segment that the upstream returned (`bounced_`).
+/// segment that the upstream returned (`bounced_`). Data of an earlier flow
+/// with the same addresses and ports is dropped.
 void handle_upstream_segment(pass_agent_state& state, const segment_header& s,
                              byte_view bytes, instant now, pass_actions& out);
 
--- a/src/libpass/agent_lifecycle.cpp
+++ b/src/libpass/agent_lifecycle.cpp
@@ -261,6 +261,7 @@
 
 void handle_tick(pass_agent_state& state, instant now, pass_actions& out)
 {
+    pvt::note_attention(state, now);
     for (auto it = state.flows_.begin(); it != state.flows_.end();)
     {
         agent_flow& flow = it->second;
--- a/src/libpass/agent_opening.cpp
+++ b/src/libpass/agent_opening.cpp
@@ -310,6 +310,18 @@
     return forward_to_next_candidate(state, key, flow, reason, now, out);
 }
 
+bool note_attention(pass_agent_state& state, instant now)
+{
+    if (state.last_attended_at_ &&
+        now - *state.last_attended_at_ > state.settings_.max_unattended_)
+    {
+        state.resumed_at_ = now;
+    }
+    state.last_attended_at_ = now;
+    return state.resumed_at_ &&
+           now - *state.resumed_at_ < state.settings_.resume_time_;
+}
+
 void update_average(duration& average, duration sample)
 {
     const auto old_value = static_cast<double>(average.count());
@@ -427,6 +439,15 @@
                   const segment_header& opening, instant now, pass_actions& out)
 {
     const flow_key& key = opening.flow_;
+    if (pvt::note_attention(state, now))
+    {
+        agent_flow unplaced;
+        unplaced.opening_sequence_ = opening.sequence_;
+        unplaced.attempt_started_at_ = now - message.age_;
+        pvt::add_decision(out, state, key, unplaced, "dropped",
+                          "process_paused", now, true, message.balancer_);
+        return;
+    }
     const auto existing = state.flows_.find(key);
     if (existing != state.flows_.end() &&
         existing->second.opening_sequence_ == opening.sequence_)
--- a/src/libpass/agent_pvt.h
+++ b/src/libpass/agent_pvt.h
@@ -46,6 +46,10 @@
 /// visit of this agent no longer counts.
 void reroute_queued(pass_agent_state& state, instant now, pass_actions& out);
 
+/// Records that the agent handles an event now. Returns whether it has resumed
+/// after a pause so recently that messages may have waited during the pause.
+bool note_attention(pass_agent_state& state, instant now);
+
 /// Sets whether the flow counts as one of the upstream's requests in flight.
 void set_occupies_slot(pass_agent_state& state, agent_flow& flow,
                        bool occupies);
--- a/src/libpass/agent_segments.cpp
+++ b/src/libpass/agent_segments.cpp
@@ -223,6 +223,32 @@
     return_to_sender(bytes, balancer, state, out);
 }
 
+// Returns whether the upstream sent the segment on an earlier flow with the
+// same addresses and ports. Callers use ports again, and an upstream may send
+// data of an old flow, late or once more, after the agent has a new one.
+bool is_of_earlier_flow(const agent_flow& flow, const segment_header& s)
+{
+    if (s.opens_ || s.resets_ || flow.adopted_)
+    {
+        return false;
+    }
+    switch (flow.phase_)
+    {
+    case pass_phase::queued:
+    case pass_phase::refused:
+        return true;
+    case pass_phase::opening:
+    case pass_phase::open:
+        return !flow.upstream_sequence_ ||
+               s.sequence_ - *flow.upstream_sequence_ > max_sequence_distance;
+    case pass_phase::ended:
+    case pass_phase::moved:
+    case pass_phase::unknown_to_upstream:
+        break;
+    }
+    return false;
+}
+
 void track_upstream(pass_agent_state& state, agent_flow& flow,
                     const segment_header& s, instant now)
 {
@@ -401,6 +427,12 @@
     if (it != state.flows_.end())
     {
         agent_flow& flow = it->second;
+        if (is_of_earlier_flow(flow, s))
+        {
+            add_decision(out, state, s.flow_, flow, "dropped",
+                         "earlier_flow_of_same_address", now, true);
+            return;
+        }
         if (flow.adopted_ && flow.place_.earlier_agent_ != host_address())
         {
             // The upstream has the flow, so the searching peer, which on an
--- a/src/libpass/agent_test.cpp
+++ b/src/libpass/agent_test.cpp
@@ -196,10 +196,11 @@
     // arrived, and the report then reset this flow too.
     pass_agent_state state = make_agent();
     open_flow(state, 1, start);
+    pass_actions out;
+    handle_tick(state, start + milliseconds(2950), out);
     open_flow(state, 2, start + seconds(3));
     upstream_report report = make_report(5000, 1);
     report.started_monotonic_ = start + milliseconds(2900);
-    pass_actions out;
     apply_report(state, report, start + milliseconds(3200), out);
     REQUIRE(count(out, pass_target::reset) == 1);
     CHECK(out.datagrams_[0].flow_ == make_flow(1));
@@ -324,6 +325,7 @@
     // The upstream frees no slot for the rest of the attempt.
     state.in_flight_ = 100;
     pass_actions out;
+    handle_tick(state, start + milliseconds(1250), out);
     apply_report(state, make_report(1000, 2), start + milliseconds(1299), out);
     handle_tick(state, start + milliseconds(1350), out);
     const auto notifications = std::count_if(
@@ -446,3 +448,77 @@
     CHECK(state.flows_.empty());
     CHECK(state.in_flight_ == 0);
 }
+
+TEST_CASE("a late answer of an earlier flow does not reach the next caller")
+{
+    // Reported by operators of similar systems: an upstream sent a second copy
+    // of an answer on a connection that was in use again.
+    pass_agent_state state = make_agent();
+    open_flow(state, 1, start);
+    pass_actions out;
+    segment_header answer = make_answer(1);
+    answer.finishes_ = true;
+    handle_upstream_segment(state, answer, sample_bytes(), start, out);
+    CHECK(count(out, pass_target::caller) == 1);
+
+    // The caller uses its port again.
+    const instant later = start + milliseconds(500);
+    segment_header reopening = make_opening(1);
+    reopening.sequence_ = 7777;
+    handle_tick(state, later, out);
+    handle_place(state, make_place(), reopening, later, out);
+    pass_actions before_handshake;
+    handle_upstream_segment(state, answer, sample_bytes(), later,
+                            before_handshake);
+    CHECK(count(before_handshake, pass_target::caller) == 0);
+
+    constexpr std::uint32_t new_sequence = 3000000000;
+    handle_upstream_segment(state, make_opening_answer(1, new_sequence),
+                            sample_bytes(), later, out);
+    segment_header request = make_request(1, new_sequence);
+    request.sequence_ = 7778;
+    handle_caller_segment(state, request, sample_bytes(), balancer_x, later,
+                          out);
+    pass_actions late_copy;
+    handle_upstream_segment(state, answer, sample_bytes(), later, late_copy);
+    CHECK(count(late_copy, pass_target::caller) == 0);
+
+    pass_actions answered;
+    handle_upstream_segment(state, make_answer(1, new_sequence), sample_bytes(),
+                            later, answered);
+    CHECK(count(answered, pass_target::caller) == 1);
+}
+
+TEST_CASE(
+    "an agent that was paused does not decide about flows that have moved "
+    "on meanwhile")
+{
+    // The balancer has sent the retransmission to another agent, which opened
+    // the flow. A refusal by the resumed agent would reset it.
+    for (const auto pause : {seconds(2), seconds(5), seconds(20)})
+    {
+        pass_agent_state state = make_agent();
+        pass_actions out;
+        handle_tick(state, start, out);
+        open_flow(state, 1, start);
+        open_flow(state, 2, start);
+        open_flow(state, 3, start);
+        const instant resumed_at = start + pause;
+        pass_actions on_resume;
+        handle_place(state, make_place(), make_opening(4), resumed_at,
+                     on_resume);
+        handle_tick(state, resumed_at, on_resume);
+        handle_place(state, make_place(), make_opening(5),
+                     resumed_at + milliseconds(5), on_resume);
+        CHECK(count(on_resume, pass_target::reset) == 0);
+        CHECK(count(on_resume, pass_target::upstream) == 0);
+
+        upstream_report report = make_report(1000, 2);
+        const instant later = resumed_at + milliseconds(60);
+        apply_report(state, report, later, on_resume);
+        handle_tick(state, later, on_resume);
+        pass_actions fresh;
+        handle_place(state, make_place(), make_opening(6), later, fresh);
+        CHECK(fresh.datagrams_.size() == 1);
+    }
+}
--- a/src/libpass/balancer_test.cpp
+++ b/src/libpass/balancer_test.cpp
@@ -324,3 +324,34 @@
         CHECK(read_times[i] - read_times[i - 1] <= seconds(1));
     }
 }
+
+TEST_CASE("a balancer that was paused does not place flows by old statuses")
+{
+    pass_balancer_state state = make_balancer();
+    const instant resumed_at = start + seconds(5);
+    pass_actions out;
+    handle_caller_segment(state, make_opening(1), sample_bytes(), resumed_at,
+                          out);
+    CHECK(count_messages<place_message>(out) == 0);
+    handle_status(state, make_status(agent_b, "a"), resumed_at, out);
+    const auto* place = find_message<place_message>(out);
+    REQUIRE(place != nullptr);
+    CHECK(state.flows_.at(make_flow(1)).owner_ == agent_b);
+}
+
+TEST_CASE("a restarted balancer places nothing at an agent that is only listed")
+{
+    // The store may still list an agent whose upstream has left.
+    pass_balancer_state state = new_pass_balancer({}, 1);
+    update_rules(state, make_rules(3));
+    pass_actions out;
+    add_listed_agent(state, agent_a, start, out);
+    handle_caller_segment(state, make_opening(1), sample_bytes(), start, out);
+    CHECK(count_messages<place_message>(out) == 0);
+    status_message gone = make_status(agent_a, "a");
+    gone.state_ = upstream_state::gone;
+    gone.accepting_ = false;
+    handle_status(state, gone, start, out);
+    handle_tick(state, start + milliseconds(100), out);
+    CHECK(count_messages<place_message>(out) == 0);
+}
--- a/src/libpass/samples.h
+++ b/src/libpass/samples.h
@@ -59,11 +59,15 @@
     return s;
 }
 
-inline segment_header make_answer(std::uint16_t port)
+/// Returns the answer of an upstream whose answer to the opening segment had
+/// sequence number `sequence`.
+inline segment_header make_answer(std::uint16_t port,
+                                  std::uint32_t sequence = 9000)
 {
     segment_header s;
     s.flow_ = make_flow(port);
     s.acknowledges_ = true;
+    s.sequence_ = sequence + 1;
     s.data_bytes_ = 400;
     return s;
 }
