A balancer applies the newest rules of all its seeds, not those of the first

Cause: report of operators: after a restart a withdrawn entry was in use again. With the store out of reach a restarted balancer asked its seeds in turn and applied the first answer, although a seed that was cut off may have rules that have been replaced.

--- a/src/galena_pass_balancer/balancer_daemon.cpp
+++ b/src/galena_pass_balancer/balancer_daemon.cpp
@@ -5,7 +5,7 @@
 #include <platform/report_codec.h>
 #include <platform/store_dialect.h>
 
-#include <algorithm>
+#include <kj/vector.h>
 
 namespace galenafork
 {
@@ -248,18 +248,10 @@
         .then([this] { return follow_members(); });
 }
 
-kj::Promise<void> balancer_daemon::query_seed(host_address host)
+// Returns the seed's rules, or rules of version zero if it gives none.
+kj::Promise<rules_text> balancer_daemon::query_seed(host_address host)
 {
-    return fetch_rules(*loop_, rpc_address(host))
-        .then(
-            [this, host](tl::expected<rules_text, error>&& rules)
-            {
-                if (rules && rules->version_ != pass_rules_version())
-                {
-                    follower_.apply_text(rules->text_, rules_source::peer);
-                }
-                return fetch_members(*loop_, rpc_address(host));
-            })
+    return fetch_members(*loop_, rpc_address(host))
         .then(
             [this](tl::expected<member_lists, error>&& lists)
             {
@@ -270,6 +262,19 @@
                     commands.balancers_ = lists->balancers_;
                     traffic_.commands().post(std::move(commands));
                 }
+            })
+        .then([this, host] { return fetch_rules(*loop_, rpc_address(host)); })
+        .then(
+            [host](tl::expected<rules_text, error>&& rules) -> rules_text
+            {
+                if (rules)
+                {
+                    return std::move(*rules);
+                }
+                log_event(log_level::info, "seed_query_failed",
+                          {{"peer", to_string(host)},
+                           {"reason", rules.error().message_}});
+                return {};
             });
 }
 
@@ -289,16 +294,21 @@
                 {
                     return kj::READY_NOW;
                 }
-                kj::Promise<void> queried = kj::READY_NOW;
+                kj::Vector<kj::Promise<rules_text>> queries;
                 for (const host_address host : settings_.seeds_)
                 {
                     if (host != settings_.host_)
                     {
-                        queried = queried.then([this, host]
-                                               { return query_seed(host); });
+                        queries.add(query_seed(host));
                     }
                 }
-                return queried.then([this] { return query_seeds(); });
+                return kj::joinPromises(queries.releaseAsArray())
+                    .then(
+                        [this](kj::Array<rules_text>&& responses) {
+                            follower_.apply_newest(
+                                {responses.begin(), responses.end()});
+                        })
+                    .then([this] { return query_seeds(); });
             });
 }
 
--- a/src/galena_pass_balancer/balancer_daemon.h
+++ b/src/galena_pass_balancer/balancer_daemon.h
@@ -48,7 +48,7 @@
     member_lists members() const;
     kj::Promise<void> follow_members();
     kj::Promise<void> query_seeds();
-    kj::Promise<void> query_seed(host_address host);
+    kj::Promise<rules_text> query_seed(host_address host);
     kj::Promise<void> drain();
     kj::Promise<void> wait_until_idle(std::uint64_t segments_before);
     std::uint64_t random_bits();
--- a/src/libpass/agent_test.cpp
+++ b/src/libpass/agent_test.cpp
@@ -522,3 +522,68 @@
         CHECK(fresh.datagrams_.size() == 1);
     }
 }
+
+TEST_CASE("a planned stop under load cuts off no segment that was accepted")
+{
+    pass_agent_state state = make_agent();
+    pass_actions out;
+    open_flow(state, 1, start);
+    handle_place(state, make_place(), make_opening(2), start, out);
+    open_flow(state, 3, start);
+    // Queued here after a visit of another agent that was full as well.
+    place_message exhausted = make_place();
+    exhausted.visits_ = {{agent_b, 1.5}, {agent_a, 1.0}};
+    exhausted.candidates_exhausted_ = true;
+    handle_place(state, exhausted, make_opening(4), start, out);
+    REQUIRE(state.queue_.size() == 1);
+
+    pass_actions on_stop;
+    begin_shutdown(state, start, on_stop);
+    CHECK(count(on_stop, pass_target::reset) == 0);
+    REQUIRE(count_messages<place_message>(on_stop) == 1);
+    CHECK_FALSE(is_idle(state));
+    // A balancer sent this before it knew.
+    pass_actions arriving;
+    handle_place(state, make_place({agent_c}), make_opening(5), start,
+                 arriving);
+    CHECK(count(arriving, pass_target::reset) == 0);
+    CHECK(count_messages<place_message>(arriving) == 1);
+
+    // What was accepted is served to its end.
+    pass_actions served;
+    handle_upstream_segment(state, make_opening_answer(2, 9000), sample_bytes(),
+                            start, served);
+    handle_caller_segment(state, make_request(2, 9000), sample_bytes(),
+                          balancer_x, start, served);
+    for (const std::uint16_t port : {1, 2, 3})
+    {
+        segment_header last = make_answer(port);
+        last.finishes_ = true;
+        handle_upstream_segment(state, last, sample_bytes(), start, served);
+        CHECK_FALSE(is_idle(state));
+    }
+    CHECK(count(served, pass_target::caller) == 4);
+    for (const std::uint16_t port : {1, 2, 3})
+    {
+        segment_header finish = make_request(port, 9000);
+        finish.sequence_ = 601;
+        finish.data_bytes_ = 0;
+        finish.finishes_ = true;
+        handle_caller_segment(state, finish, sample_bytes(), balancer_x, start,
+                              served);
+    }
+    CHECK(is_idle(state));
+    CHECK(count(served, pass_target::reset) == 0);
+}
+
+TEST_CASE("an answer that breaks off ends with a reset, not like a whole one")
+{
+    pass_agent_state state = make_agent();
+    open_flow(state, 1, start);
+    pass_actions out;
+    handle_upstream_segment(state, make_answer(1), sample_bytes(), start, out);
+    pass_actions on_restart;
+    apply_report(state, make_report(5000, 1), start + seconds(1), on_restart);
+    CHECK(count(on_restart, pass_target::caller) == 0);
+    CHECK(count(on_restart, pass_target::reset) == 1);
+}
--- a/src/libpassd/rules_follower.cpp
+++ b/src/libpassd/rules_follower.cpp
@@ -4,6 +4,8 @@
 #include <libpassd/daemon_setup.h>
 #include <platform/store_dialect.h>
 
+#include <algorithm>
+
 namespace galenafork
 {
 
@@ -66,6 +68,18 @@
               source != rules_source::watch);
 }
 
+void rules_follower::apply_newest(const std::vector<rules_text>& responses)
+{
+    const auto newest =
+        std::max_element(responses.begin(), responses.end(),
+                         [](const rules_text& a, const rules_text& b)
+                         { return a.version_ < b.version_; });
+    if (newest != responses.end() && newest->version_ > current_.version_)
+    {
+        apply_text(newest->text_, rules_source::peer);
+    }
+}
+
 void rules_follower::handle_store_failure(const error& cause)
 {
     if (store_reachable_)
--- a/src/libpassd/rules_follower.h
+++ b/src/libpassd/rules_follower.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <kj/timer.h>
 #include <memory>
+#include <vector>
 
 namespace galenafork
 {
@@ -94,6 +95,12 @@
     /// Rules that can't be parsed are logged and ignored.
     void apply_text(const std::string& text, rules_source source);
 
+    /// Applies the newest of the rules that several peers gave, if they are
+    /// newer than the current ones. A peer that was paused or cut off may have
+    /// rules that have been replaced; applying its rules first would use a
+    /// removed rule again after a restart.
+    void apply_newest(const std::vector<rules_text>& responses);
+
 private:
     kj::Promise<void> read(read_trigger trigger);
     kj::Promise<void> watch();
--- a/src/libpassd/store_sync_test.cpp
+++ b/src/libpassd/store_sync_test.cpp
@@ -242,3 +242,19 @@
     CHECK(applied_versions_ == std::vector<std::uint64_t>{4});
     CHECK(announced_);
 }
+
+TEST_CASE_FIXTURE(fixture,
+                  "a restarted balancer does not use rules that were replaced")
+{
+    // The store can't be reached, and the first seed was cut off before version
+    // 6 removed a rule.
+    store_.down_ = true;
+    const auto following = follower_.follow();
+    follower_.apply_newest({{pass_rules_version(5), rules_json(5)},
+                            {},
+                            {pass_rules_version(6), rules_json(6)}});
+    CHECK(applied_versions_ == std::vector<std::uint64_t>{6});
+    follower_.apply_newest({{pass_rules_version(5), rules_json(5)}});
+    follower_.apply_newest({});
+    CHECK(applied_versions_ == std::vector<std::uint64_t>{6});
+}
