A balancer that was paused drops openings that waited meanwhile

Cause: routers send a paused balancer's callers elsewhere after two missed checks; on waking it placed the old openings or refused them, with resets of flows that another balancer had opened. Change: after more than a second without an event, pending openings and those in the socket are dropped and logged; copies decide. An agent that is only probed counts as gone after five missed probes instead of three, as two lost datagrams in a row could have led to a reset of an open flow.

--- a/src/galena_pass_balancer/balancer_traffic.cpp
+++ b/src/galena_pass_balancer/balancer_traffic.cpp
@@ -91,9 +91,15 @@
         reactor_.register_handler(fd, &handler, ACE_Event_Handler::READ_MASK);
     }
 
-    void receive_segments()
+    void attend()
     {
         now_ = read_monotonic_clock();
+        note_attention(state_, now_, actions_);
+    }
+
+    void receive_segments()
+    {
+        attend();
         for (int i = 0; i < batches_per_turn; ++i)
         {
             const std::size_t count = segments_.receive(io_.segments());
@@ -105,6 +111,7 @@
             }
             if (count < udp_batch_size)
             {
+                note_caught_up(state_);
                 return;
             }
         }
@@ -126,7 +133,7 @@
 
     void receive_messages()
     {
-        now_ = read_monotonic_clock();
+        attend();
         for (int i = 0; i < batches_per_turn; ++i)
         {
             const std::size_t count = messages_.receive(io_.peers());
@@ -192,7 +199,7 @@
 
     void handle_commands()
     {
-        now_ = read_monotonic_clock();
+        attend();
         for (balancer_commands& commands : owner_.commands_.pop_all())
         {
             if (commands.rules_ && update_rules(state_, commands.rules_))
@@ -221,7 +228,7 @@
     void on_timer()
     {
         tick_.clear();
-        now_ = read_monotonic_clock();
+        attend();
         handle_tick(state_, now_, actions_);
         if (++ticks_ % ticks_per_hello_round == 0)
         {
--- a/src/include/galenafork/pass_balancer.h
+++ b/src/include/galenafork/pass_balancer.h
@@ -12,6 +12,7 @@
 #include <galenafork/pass_types.h>
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <unordered_map>
 #include <unordered_set>
@@ -112,6 +113,9 @@
     /// agent that is only probed, several probes must have had no response.
     duration agent_gone_timeout_ = std::chrono::seconds(8);
     subscription_settings subscriptions_;
+    /// A balancer that handled nothing for longer than this was paused: routers
+    /// have sent its callers' retransmissions to other balancers since.
+    duration max_unattended_ = std::chrono::seconds(1);
 };
 
 /// State of one agent at a balancer.
@@ -194,6 +198,11 @@
     bool members_complete_ = false;
     /// The balancer's process is about to end.
     bool leaving_ = false;
+    /// When the balancer last handled an event; unset before the first one.
+    std::optional<instant> last_attended_at_;
+    /// The balancer was paused, and segments that arrived during the pause may
+    /// still wait in its socket.
+    bool resuming_ = false;
 };
 
 /// Returns the initial state of a balancer.
@@ -212,6 +221,14 @@
                                          const service_name& service,
                                          instant now);
 
+/// Records that the balancer handles an event now. After a pause it drops
+/// opening segments, pending ones and those that waited in its socket: another
+/// balancer may have placed them, and a refusal would reset the flow.
+void note_attention(pass_balancer_state& state, instant now, pass_actions& out);
+
+/// Records that no segment waits in the socket any more.
+void note_caught_up(pass_balancer_state& state);
+
 /// Handles a segment from a caller: places an opening segment, sends any other
 /// segment to the flow's owner, or starts a search for the owner.
 void handle_caller_segment(pass_balancer_state& state, const segment_header& s,
--- a/src/libpass/balancer_members.cpp
+++ b/src/libpass/balancer_members.cpp
@@ -14,7 +14,7 @@
 
 // Number of probe intervals without a response after which an agent counts as
 // gone.
-constexpr int missed_probes = 3;
+constexpr int missed_probes = 5;
 
 void remove_from(std::vector<host_address>& hosts, host_address host)
 {
--- a/src/libpass/balancer_opening.cpp
+++ b/src/libpass/balancer_opening.cpp
@@ -217,6 +217,11 @@
 void handle_opening(pass_balancer_state& state, const segment_header& s,
                     byte_view bytes, instant now, pass_actions& out)
 {
+    if (state.resuming_)
+    {
+        add_decision(out, "dropped", "process_paused", s, {}, true, state, now);
+        return;
+    }
     if (!state.rules_)
     {
         // The balancer has no rules yet, so there may be one for the address.
@@ -303,6 +308,31 @@
 
 } // namespace pvt
 
+void note_attention(pass_balancer_state& state, instant now, pass_actions& out)
+{
+    const bool was_paused =
+        state.last_attended_at_ &&
+        now - *state.last_attended_at_ > state.settings_.max_unattended_;
+    state.last_attended_at_ = now;
+    if (!was_paused)
+    {
+        return;
+    }
+    state.resuming_ = true;
+    for (const pending_opening& pending : state.pending_openings_)
+    {
+        pvt::add_decision(out, "dropped", "process_paused", pending.segment_,
+                          {}, true, state, now);
+    }
+    state.pending_openings_.clear();
+    state.pending_flows_.clear();
+}
+
+void note_caught_up(pass_balancer_state& state)
+{
+    state.resuming_ = false;
+}
+
 std::vector<host_address> candidates_for(pass_balancer_state& state,
                                          const service_name& service,
                                          instant now)
--- a/src/libpass/balancer_test.cpp
+++ b/src/libpass/balancer_test.cpp
@@ -355,3 +355,41 @@
     handle_tick(state, start + milliseconds(100), out);
     CHECK(count_messages<place_message>(out) == 0);
 }
+
+TEST_CASE("a balancer that was paused refuses no flow that moved on meanwhile")
+{
+    // The routers sent the callers' retransmissions to another balancer, which
+    // placed them. A refusal of the first ones would reset open flows.
+    for (const auto pause : {seconds(2), seconds(5), seconds(20)})
+    {
+        pass_balancer_state state = make_balancer();
+        pass_actions out;
+        note_attention(state, start, out);
+        status_message full = make_status(agent_a, "a");
+        full.accepting_ = false;
+        for (const host_address host : {agent_a, agent_b, agent_c})
+        {
+            full.host_ = host;
+            handle_status(state, full, start, out);
+        }
+        handle_caller_segment(state, make_opening(1), sample_bytes(), start,
+                              out);
+        REQUIRE(state.pending_openings_.size() == 1);
+
+        const instant resumed_at = start + pause;
+        pass_actions on_resume;
+        note_attention(state, resumed_at, on_resume);
+        handle_caller_segment(state, make_opening(2), sample_bytes(),
+                              resumed_at, on_resume);
+        handle_status(state, make_status(agent_a, "a"), resumed_at, on_resume);
+        handle_tick(state, resumed_at, on_resume);
+        CHECK(count(on_resume, pass_target::reset) == 0);
+        CHECK(count_messages<place_message>(on_resume) == 0);
+
+        note_caught_up(state);
+        pass_actions fresh;
+        handle_caller_segment(state, make_opening(3), sample_bytes(),
+                              resumed_at, fresh);
+        CHECK(count_messages<place_message>(fresh) == 1);
+    }
+}
