--- a/src/libpass/balancer_pvt.h
+++ b/src/libpass/balancer_pvt.h
@@ -6,9 +6,21 @@
 
 #include <galenafork/pass_balancer.h>
 
+#include <algorithm>
+
 namespace galenafork::pvt
 {
 
+inline void remove_from(std::vector<host_address>& hosts, host_address host)
+{
+    hosts.erase(std::remove(hosts.begin(), hosts.end(), host), hosts.end());
+}
+
+inline bool contains(const std::vector<host_address>& hosts, host_address host)
+{
+    return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+}
+
 /// Adds a decision about the flow of `s` to the log. If `host` is an agent, the
 /// entry contains the load and the age of its last status.
 void add_decision(pass_actions& out, const char* event, const char* reason,
@@ -39,6 +51,29 @@
 placement_targets(const pass_balancer_state& state, const service_name& service,
                   instant now);
 
+/// Returns the hello for peers, without a request for statuses.
+hello_message make_hello(const pass_balancer_state& state);
+
+/// Returns the mean time between two probes of an agent without a subscription.
+duration probe_interval(const pass_balancer_state& state);
+
+/// Sends a subscribed agent the hello that keeps its subscription.
+void send_subscription(const pass_balancer_state& state, host_address host,
+                       const service_agents& agents, agent_record& agent,
+                       instant now, pass_actions& out);
+
+/// Subscribes to the agents of the highest rank and ends other subscriptions.
+/// A silent agent keeps its subscription for a while, and others are subscribed
+/// in its place: if it comes back, it gets flows again without a probe.
+void update_subscriptions(pass_balancer_state& state, service_agents& agents,
+                          instant now, pass_actions& out);
+
+/// Returns whether an agent that accepts flows should be subscribed without
+/// waiting for the next round. After an outage agents start one after the
+/// other; if all balancers kept the first ones, these would get all flows.
+bool is_wanted(const pass_balancer_state& state, const service_agents& agents,
+               host_address host, instant now);
+
 /// Places or refuses pending opening segments; those for which no agent has
 /// capacity yet stay pending.
 void place_pending(pass_balancer_state& state, instant now, pass_actions& out);
