--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts start. They are Python programs, so this
+# only checks that Python is recent enough and that all of them can be parsed.
+# The programs under test come from the build line of deploy/system.toml.
+set -euo pipefail
+cd "$(dirname "$0")"
+python3 -B - lib/*.py [1-5]/case.py ../testsuite/soak/store.py <<'PYTHON'
+import ast
+import sys
+import tomllib  # noqa: F401, the scripts read the deploy file with it
+
+for name in sys.argv[1:]:
+    with open(name) as file:
+        ast.parse(file.read(), name)
+PYTHON
