--- a/review/build.sh
+++ b/review/build.sh
@@ -7,7 +7,9 @@
 python3 -B - lib/*.py [1-5]/case.py ../testsuite/soak/store.py <<'PYTHON'
 import ast
 import sys
-import tomllib  # noqa: F401, the scripts read the deploy file with it
+
+if sys.version_info < (3, 9):
+    sys.exit("the stand-ins need Python 3.9 or later")
 
 for name in sys.argv[1:]:
     with open(name) as file:
--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -6,13 +6,13 @@
 import os
 import pathlib
 import random
+import re
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
-import tomllib
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.append(str(ROOT / "testsuite" / "soak"))
@@ -32,6 +32,18 @@
     """The case could not be set up."""
 
 
+def deploy_command(machine_class):
+    """Returns the words of the deploy file's command for a class of machines."""
+    run = None
+    for line in (ROOT / "deploy" / "system.toml").read_text().splitlines():
+        if match := re.match(r'(run|on) = "([^"]*)"$', line):
+            if match[1] == "run":
+                run = match[2]
+            elif match[2] == machine_class:
+                return run.split()
+    raise CannotRun(f"the deploy file has no role on {machine_class}")
+
+
 class Bed:
     """All processes and stand-ins of one run."""
 
@@ -173,11 +185,8 @@
     def start_node(self, ip):
         """Starts the role's program with the command of the deploy file."""
         server = next((s for s in self.servers if s.ip == ip), None)
-        roles = tomllib.loads(
-            (ROOT / "deploy" / "system.toml").read_text())["roles"]
         on = "side" if server else "frontend"
-        command = next(r["run"] for r in roles.values()
-                       if r["on"] == on).split()
+        command = deploy_command(on)
         if not (ROOT / command[0]).exists():
             raise CannotRun(f"{command[0]} is missing: build it first")
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG")
--- a/review/lib/peers.py
+++ b/review/lib/peers.py
@@ -178,6 +178,7 @@
         if f["phase"] == "syn":
             f["phase"] = "open"
             self.bed.count(f"opened at {self.name}")
+            self.bed.record(f"flow of {p.src} opens at {self.name}")
             self.bed.owners[flow] = self
         if p.flags & RST:
             f["phase"] = "ended"
@@ -256,7 +257,14 @@
         self.client.send(packet)
 
     async def open(self):
-        """Returns "open", "reset" or "silent"."""
+        """Opens the flow; returns "open", "reset" or "silent"."""
+        self.bed.record(f"open {self.src} to {self.target}")
+        outcome = await self._open()
+        if outcome != "open":
+            self.bed.record(f"{self.src} is not open: {outcome}")
+        return outcome
+
+    async def _open(self):
         self.next = (random.getrandbits(32) + 1) & MASK
         isn = (self.next - 1) & MASK
         loop = asyncio.get_running_loop()
