A flow counts as lost only after the agents of all services have denied it

Cause: a balancer that did not know a flow asked only the agents whose last status named a service of the active rule, and reset the flow once these had denied it. The owner was not among them if the rule had changed since the flow opened, nor if the agent had restarted and had no report yet, as its status then names no service.

A filter now only chooses whom to ask first. Agents without a known service are in the first round. Once that round has denied the flow, all others are asked; the reset needs a denial from every agent. A search without a result is repeated at all agents, so that a dead agent in the first round does not hide the owner. The log lines of a search show how many agents were asked, have denied the flow or were ruled out.

Tests: "a flow is not reset by agents of a service that its rule got later" (one to five changes), "a restarted agent without a report is asked for the owner of a flow", "a search without a result is repeated at the agents of all services".

--- a/src/include/galenafork/pass_actions.h
+++ b/src/include/galenafork/pass_actions.h
@@ -9,6 +9,7 @@
 #include <galenafork/pass_types.h>
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace galenafork
@@ -44,6 +45,17 @@
     std::shared_ptr<const pass_message> message_;
 };
 
+/// Agents in a search for the owner of a flow.
+struct search_counts
+{
+    /// Agents that are asked with this decision.
+    std::uint32_t asked_ = 0;
+    /// Agents that have denied the flow.
+    std::uint32_t denied_ = 0;
+    /// Agents that need not be asked.
+    std::uint32_t ruled_out_ = 0;
+};
+
 /// One decision for the log: its subject, its inputs and its outcome.
 struct pass_decision
 {
@@ -66,6 +78,8 @@
     /// On balancers the age of the peer's last status, on agents the age of the
     /// opening segment.
     duration age_{0};
+    /// Only for decisions of a search.
+    std::optional<search_counts> search_;
     /// Marks all but ordinary placements: for example refusals, resets and
     /// changes of state. The log limits their rate separately, so that ordinary
     /// placements do not displace them.
--- a/src/include/galenafork/pass_balancer.h
+++ b/src/include/galenafork/pass_balancer.h
@@ -97,7 +97,10 @@
     duration flow_linger_ = std::chrono::seconds(4);
     /// Minimum time between two searches for the owner of one flow. It is long
     /// enough for the responses of the agents to arrive.
-    duration locate_interval_ = std::chrono::milliseconds(150);
+    duration search_interval_ = std::chrono::milliseconds(150);
+    /// Time for which a search accepts responses. Callers retransmit within
+    /// it, which starts the next search.
+    duration search_timeout_ = std::chrono::seconds(3);
     /// Maximum age of a pending opening segment: half of the duration of a
     /// caller's attempt. An older segment is refused, and the caller starts a
     /// new attempt at once, which can be answered soon.
@@ -154,15 +157,35 @@
     /// retransmission count of the first opening segment that arrived.
     instant attempt_started_at_{};
     std::uint32_t opening_sequence_ = 0;
-    /// When the last search for the owner started.
-    instant locate_sent_at_{};
     /// The caller has finished or reset the flow, or no agent has it.
     bool finished_ = false;
     /// The opening segment is queued at the owner.
     bool queued_ = false;
+};
+
+/// Agents that a search for the owner of a flow has asked so far.
+enum class search_scope : std::uint8_t
+{
+    /// Those whose service the active rule selects, and those whose service is
+    /// unknown. The owner is nearly always one of them.
+    expected_services,
+    /// All. The rule may have had other services when the flow was opened.
+    all_agents,
+};
+
+/// A search for the owner of one flow. The flow counts as lost only after every
+/// agent that may have it has denied it.
+struct owner_search
+{
+    instant started_at_{};
+    search_scope scope_ = search_scope::expected_services;
+    /// The bytes of the segment that started the search.
+    std::vector<std::uint8_t> packet_;
+    /// The agent that returned the segment, or zero.
+    host_address returned_by_;
     /// Next sequence number that the caller expects.
     std::uint32_t caller_expected_sequence_ = 0;
-    /// Agents that do not have the flow, according to the last search.
+    /// Agents that do not have the flow.
     std::vector<host_address> denied_by_;
 };
 
@@ -187,6 +210,8 @@
     /// Other balancers, and when each was last listed or sent a hello.
     std::unordered_map<host_address, instant> peers_;
     std::unordered_map<flow_key, balancer_flow> flows_;
+    /// Searches for the owners of flows of `flows_`.
+    std::unordered_map<flow_key, owner_search> searches_;
     std::vector<pending_opening> pending_openings_;
     /// Flows of `pending_openings_`.
     std::unordered_set<flow_key> pending_flows_;
@@ -268,8 +293,8 @@
                       const agent_record& agent);
 
 /// Handles an agent's message about a flow's owner. Owner zero means that the
-/// sender does not have the flow. If no agent has it, the upstream's process
-/// has ended, and the caller gets a reset.
+/// sender does not have the flow. If all agents have denied it, whatever their
+/// service, the upstream's process has ended, and the caller gets a reset.
 void handle_flow_owner(pass_balancer_state& state,
                        const flow_owner_message& message, instant now,
                        pass_actions& out);
--- a/src/libpass/balancer_test.cpp
+++ b/src/libpass/balancer_test.cpp
@@ -393,3 +393,89 @@
         CHECK(count_messages<place_message>(fresh) == 1);
     }
 }
+
+TEST_CASE("a flow is not reset by agents of a service that its rule got later")
+{
+    // review/1: the operator gave the rule another service, and the balancers
+    // restarted. The new service's agents denied flows that were open at the
+    // old one, whose agents were not asked.
+    for (std::uint64_t changes = 1; changes <= 5; ++changes)
+    {
+        CAPTURE(changes);
+        pass_balancer_state state = make_balancer();
+        state.members_complete_ = true;
+        for (std::uint64_t i = 1; i <= changes; ++i)
+        {
+            auto rules = std::make_shared<pass_rules>(*make_rules(3 + i));
+            rules->rules_.begin()->second.services_ = {
+                {i % 2 == 0 ? service_name("other") : photos, 1}};
+            update_rules(state, rules);
+        }
+        const host_address photo_agent(0x0a000009);
+        status_message status = make_status(photo_agent, "a");
+        status.service_ = changes % 2 == 0 ? service_name("other") : photos;
+        pass_actions out;
+        handle_status(state, status, start, out);
+        pass_actions first;
+        handle_caller_segment(state, make_request(1, 77), sample_bytes(), start,
+                              first);
+        CHECK(count_messages<locate_message>(first) == 1);
+        pass_actions denied;
+        handle_flow_owner(state,
+                          {make_flow(1), host_address(), false, photo_agent},
+                          start, denied);
+        CHECK(count(denied, pass_target::reset) == 0);
+        CHECK(count_messages<locate_message>(denied) == 3);
+        pass_actions found;
+        handle_flow_owner(state, {make_flow(1), agent_b, false, {}}, start,
+                          found);
+        handle_caller_segment(state, make_request(1, 77), sample_bytes(), start,
+                              found);
+        REQUIRE(found.datagrams_.size() == 1);
+        CHECK(found.datagrams_[0].host_ == agent_b);
+    }
+}
+
+TEST_CASE("a restarted agent without a report is asked for the owner of a flow")
+{
+    // review/4: the status of such an agent names no service, so it was taken
+    // for one of another service and not asked.
+    pass_balancer_state state = make_balancer();
+    state.members_complete_ = true;
+    status_message restarted = make_status(agent_a, "a");
+    restarted.service_ = service_name();
+    restarted.state_ = upstream_state::unknown;
+    restarted.accepting_ = false;
+    pass_actions out;
+    handle_status(state, restarted, start, out);
+    pass_actions search;
+    handle_caller_segment(state, make_request(1, 77), sample_bytes(), start,
+                          search);
+    CHECK(count_messages<locate_message>(search) == 3);
+    for (const host_address host : {agent_b, agent_c})
+    {
+        handle_flow_owner(state, {make_flow(1), host_address(), false, host},
+                          start, search);
+    }
+    CHECK(count(search, pass_target::reset) == 0);
+}
+
+TEST_CASE("a search without a result is repeated at the agents of all services")
+{
+    // The owner is out of the scope of the first search, and an agent in it
+    // does not respond.
+    pass_balancer_state state = make_balancer();
+    state.members_complete_ = true;
+    status_message other = make_status(agent_c, "b");
+    other.service_ = photos;
+    pass_actions out;
+    handle_status(state, other, start, out);
+    pass_actions first;
+    handle_caller_segment(state, make_request(1, 77), sample_bytes(), start,
+                          first);
+    CHECK(count_messages<locate_message>(first) == 2);
+    pass_actions second;
+    handle_caller_segment(state, make_request(1, 77), sample_bytes(),
+                          start + milliseconds(200), second);
+    CHECK(count_messages<locate_message>(second) == 3);
+}
--- a/src/libpassd/decision_log.cpp
+++ b/src/libpassd/decision_log.cpp
@@ -17,8 +17,26 @@
            std::to_string(d.opening_sequence_);
 }
 
+void write_search(const pass_decision& d, duration log_delay)
+{
+    log_event(log_level::info, d.event_,
+              {{"flow", flow_id(d)},
+               {"reason", d.reason_},
+               {"peer", to_string(d.host_)},
+               {"asked", d.search_->asked_},
+               {"denied", d.search_->denied_},
+               {"ruled_out", d.search_->ruled_out_},
+               {"rules", d.version_.value()},
+               {"ago_us", log_delay.count()}});
+}
+
 void write(const pass_decision& d, duration log_delay)
 {
+    if (d.search_)
+    {
+        write_search(d, log_delay);
+        return;
+    }
     const bool has_flow = d.flow_.caller_.port_ != 0;
     const bool has_host = d.host_ != host_address();
     log_event(log_level::info, d.event_,
