--- a/src/galena_pass_agent/pass_agent_daemon.cpp
+++ b/src/galena_pass_agent/pass_agent_daemon.cpp
@@ -107,7 +107,6 @@
           {
               pass_agent_settings s;
               s.host_ = settings.host_;
-              s.process_started_ = wall_clock_now();
               return s;
           }(),
           std::move(io), std::move(upstream_socket), log_, *metrics_),
--- a/src/galena_pass_balancer/balancer_daemon.cpp
+++ b/src/galena_pass_balancer/balancer_daemon.cpp
@@ -232,9 +232,9 @@
                                 balancers_ = commands.balancers_;
                                 follower_.set_balancers(balancers_.size());
                             }
-                            members_read_ |=
+                            commands.complete_ =
                                 registered && agents_read && peers.has_value();
-                            commands.complete_ = members_read_;
+                            members_read_ |= commands.complete_;
                             traffic_.commands().post(std::move(commands));
                         });
             })
--- a/src/galena_pass_balancer/balancer_traffic.cpp
+++ b/src/galena_pass_balancer/balancer_traffic.cpp
@@ -211,7 +211,6 @@
                     announce_rules(state_, actions_);
                 }
             }
-            state_.members_complete_ |= commands.complete_;
             state_.leaving_ |= commands.leaving_;
             for (const host_address host : commands.agents_)
             {
@@ -221,6 +220,10 @@
             {
                 add_listed_peer(state_, host, now_, actions_);
             }
+            if (commands.complete_)
+            {
+                note_members_read(state_, now_);
+            }
         }
         io_.enqueue(actions_);
     }
--- a/src/galena_pass_balancer/balancer_traffic.h
+++ b/src/galena_pass_balancer/balancer_traffic.h
@@ -25,7 +25,7 @@
     bool announce_ = false;
     std::vector<host_address> agents_;
     std::vector<host_address> balancers_;
-    /// All members in the store have been read, now or earlier.
+    /// `agents_` and `balancers_` are all members in the store.
     bool complete_ = false;
     bool leaving_ = false;
 };
--- a/src/include/galenafork/pass_actions.h
+++ b/src/include/galenafork/pass_actions.h
@@ -52,6 +52,8 @@
     std::uint32_t asked_ = 0;
     /// Agents that have denied the flow.
     std::uint32_t denied_ = 0;
+    /// Agents whose upstreams may have the flow, and that have not asked them.
+    std::uint32_t undecided_ = 0;
     /// Agents that need not be asked.
     std::uint32_t ruled_out_ = 0;
 };
--- a/src/include/galenafork/pass_agent.h
+++ b/src/include/galenafork/pass_agent.h
@@ -82,18 +82,6 @@
     duration moved_linger_ = std::chrono::seconds(10);
     /// An upstream whose last report is older than this gets no new flows.
     duration report_timeout_ = std::chrono::seconds(4);
-    /// Start of the agent's process, by the same clock as the upstream's start
-    /// time.
-    start_time_ms process_started_;
-    /// An upstream that started earlier than the agent by more than this may
-    /// have flows that the agent has not seen. On a new instance both start
-    /// within 0.3 s of each other; the rest allows for the delay of the first
-    /// report.
-    duration adoption_margin_ = std::chrono::milliseconds(1500);
-    /// An agent that started at most this long after its upstream has seen all
-    /// of the upstream's flows. On a new instance both start within 0.3 s of
-    /// each other.
-    duration same_start_margin_ = std::chrono::milliseconds(300);
     /// Uncertainty of the time of an upstream's restart: start times are in
     /// whole milliseconds, and reports arrive with a delay. A restart takes
     /// longer than this, so no activity of the earlier incarnation falls into
@@ -102,9 +90,9 @@
     /// Time for which a flow that is unknown to the upstream is not tried there
     /// again.
     duration unknown_flow_retention_ = std::chrono::seconds(5);
-    /// Time after the agent's start in which its upstream may still have flows
-    /// from before the start: the longest lifetime of a flow.
-    duration adoption_window_ = std::chrono::seconds(60);
+    /// Longest lifetime of a flow. An agent that has been running for longer
+    /// knows all flows of its upstream.
+    duration flow_lifetime_ = std::chrono::seconds(60);
     /// A balancer that sends no hello for this time, which covers several of
     /// its hello intervals, gets no more periodic statuses.
     duration subscription_timeout_ = std::chrono::seconds(4);
@@ -209,6 +197,8 @@
     /// When the agent resumed after its last pause.
     std::optional<instant> resumed_at_;
     bool shutting_down_ = false;
+    /// The agent was running when the upstream started.
+    bool saw_upstream_start_ = false;
     /// The upstream is suspected of being down, because it leaves opening
     /// segments unanswered.
     bool upstream_suspected_ = false;
@@ -300,17 +290,19 @@
 /// Handles a segment of a caller other than an opening segment. `sender` is a
 /// balancer, or an agent that forwards segments of a moved flow. A segment of
 /// an unknown flow is returned to `sender`, unless the upstream may have the
-/// flow from before the agent's start.
+/// flow from before the agent's start. The return is no denial: it only says
+/// that `sender` should not have sent the segment here.
 void handle_caller_segment(pass_agent_state& state, const segment_header& s,
                            byte_view bytes, host_address sender, instant now,
                            pass_actions& out);
 
 /// Handles a search for the owner of a flow. The owner sends the segment to its
 /// upstream, an agent that the flow moved away from forwards the segment, and
-/// both respond with the owner. An agent whose upstream may have the flow from
-/// before the agent's start adopts the flow and responds when the upstream has
-/// sent or returned a segment of it. An agent that can't have the flow responds
-/// with owner zero; other agents do not respond.
+/// both respond with the owner. An agent that has seen all flows of its
+/// upstream, or whose upstream has returned a segment of the flow, denies the
+/// flow. Any other agent is undecided and says so. Unless the search is
+/// tentative, it also asks its upstream: it adopts the flow and responds again
+/// when the upstream has sent or returned a segment of it.
 void handle_locate(pass_agent_state& state, const locate_message& message,
                    const segment_header& s, instant now, pass_actions& out);
 
--- a/src/include/galenafork/pass_balancer.h
+++ b/src/include/galenafork/pass_balancer.h
@@ -95,11 +95,22 @@
     duration flow_idle_timeout_ = std::chrono::seconds(20);
     /// Time for which a finished flow is kept after its last segment.
     duration flow_linger_ = std::chrono::seconds(4);
-    /// Minimum time between two searches for the owner of one flow. It is long
-    /// enough for the responses of the agents to arrive.
+    /// Minimum time between two rounds of questions in the search for the owner
+    /// of one flow. It is long enough for the responses of the agents to
+    /// arrive.
     duration search_interval_ = std::chrono::milliseconds(150);
-    /// Time for which a search accepts responses. Callers retransmit within
-    /// it, which starts the next search.
+    /// Time for which an agent counts as undecided without being asked again.
+    /// It may restart meanwhile, and a restarting agent may be the owner's.
+    duration undecided_validity_ = std::chrono::milliseconds(500);
+    /// Number of undecided agents that ask their upstreams at a time. An
+    /// upstream that gets three segments of a flow of another one disturbs its
+    /// caller, so this stays below.
+    std::size_t max_asking_upstream_ = 2;
+    /// Time within which a running upstream returns a segment that it does not
+    /// have.
+    duration upstream_response_time_ = std::chrono::milliseconds(40);
+    /// A search ends this long after its last question. Callers retransmit
+    /// within it.
     duration search_timeout_ = std::chrono::seconds(3);
     /// Maximum age of a pending opening segment: half of the duration of a
     /// caller's attempt. An older segment is refused, and the caller starts a
@@ -173,13 +184,20 @@
     all_agents,
 };
 
-/// A search for the owner of one flow. The flow counts as lost only after every
-/// agent that may have it has denied it.
+/// An agent whose upstream may have a flow from before the agent's start.
+struct undecided_agent
+{
+    host_address host_;
+    instant responded_at_{};
+};
+
+/// A search for the owner of one flow. Denials count until the search ends; a
+/// retransmission asks only the other agents again.
 struct owner_search
 {
-    instant started_at_{};
+    instant asked_at_{};
     search_scope scope_ = search_scope::expected_services;
-    /// The bytes of the segment that started the search.
+    /// The bytes of the caller's last segment.
     std::vector<std::uint8_t> packet_;
     /// The agent that returned the segment, or zero.
     host_address returned_by_;
@@ -187,6 +205,12 @@
     std::uint32_t caller_expected_sequence_ = 0;
     /// Agents that do not have the flow.
     std::vector<host_address> denied_by_;
+    std::vector<undecided_agent> undecided_;
+    /// Agents that have been told to ask their upstreams and have not confirmed
+    /// it. Such an agent may have ended since its first response.
+    std::vector<host_address> told_to_ask_;
+    /// Agents that have asked their upstreams, which have not responded.
+    std::vector<host_address> asking_upstream_;
 };
 
 /// An opening segment that waits for a usable agent or for the first rules.
@@ -219,8 +243,9 @@
     /// Opening segments refused because no rule has their address, since the
     /// metrics were last updated.
     std::uint64_t refused_no_rule_ = 0;
-    /// The registrations of all agents have been read.
-    bool members_complete_ = false;
+    /// When the registrations of all members were last read; unset before the
+    /// first time.
+    std::optional<instant> members_read_at_;
     /// The balancer's process is about to end.
     bool leaving_ = false;
     /// When the balancer last handled an event; unset before the first one.
@@ -268,6 +293,10 @@
 void add_listed_agent(pass_balancer_state& state, host_address agent,
                       instant now, pass_actions& out);
 
+/// Records that all members in the store have just been read, after the own
+/// entry was written.
+void note_members_read(pass_balancer_state& state, instant now);
+
 /// Records a balancer that the store or a peer lists, and sends it a hello if
 /// it is new.
 void add_listed_peer(pass_balancer_state& state, host_address peer, instant now,
@@ -293,13 +322,14 @@
                       const agent_record& agent);
 
 /// Handles an agent's message about a flow's owner. Owner zero means that the
-/// sender does not have the flow. If all agents have denied it, whatever their
-/// service, the upstream's process has ended, and the caller gets a reset.
+/// sender does not have the flow or is undecided. If all agents have denied it,
+/// whatever their service, the upstream's process has ended, and the caller
+/// gets a reset.
 void handle_flow_owner(pass_balancer_state& state,
                        const flow_owner_message& message, instant now,
                        pass_actions& out);
 
-/// Handles a segment that an agent returned because it does not have the flow:
+/// Handles a segment that an agent returned because it does not know the flow:
 /// sends the segment to the flow's owner if that is another agent by now, or
 /// starts a search for the owner.
 void handle_returned_segment(pass_balancer_state& state,
--- a/src/include/galenafork/pass_messages.h
+++ b/src/include/galenafork/pass_messages.h
@@ -58,12 +58,15 @@
 struct flow_owner_message
 {
     flow_key flow_;
-    /// The agent that has the flow; zero if the sender does not have it.
+    /// The agent that has the flow; zero if the sender does not have it or is
+    /// undecided.
     host_address owner_;
     /// The opening segment is queued at the owner.
     bool queued_ = false;
     /// Set only if `owner_` is zero.
     host_address sender_ = {};
+    /// The sender's upstream may have the flow from before the sender's start.
+    bool undecided_ = false;
 };
 
 /// A segment whose flow has no known owner. A balancer sends the message to
@@ -76,6 +79,8 @@
     std::vector<std::uint8_t> packet_;
     /// The searching balancer or the returning agent.
     host_address sender_;
+    /// Agents that are undecided say so and do not ask their upstreams.
+    bool tentative_ = false;
 };
 
 /// Status of an agent and its upstream. Balancers that have subscribed get it
--- a/src/libpass/agent_lifecycle.cpp
+++ b/src/libpass/agent_lifecycle.cpp
@@ -195,6 +195,10 @@
         end_flows(state,
                   report.started_monotonic_ - state.settings_.restart_margin_,
                   now, out);
+        // A report of the earlier incarnation can arrive late, at an agent that
+        // started after the new one.
+        state.saw_upstream_start_ =
+            report.started_monotonic_ >= state.started_at_;
         state.upstream_suspected_ = false;
         state.unanswered_openings_ = 0;
         state.service_time_ = state.settings_.initial_service_time_;
--- a/src/libpass/agent_pvt.h
+++ b/src/libpass/agent_pvt.h
@@ -18,6 +18,41 @@
     full,
 };
 
+/// More bytes than an upstream sends on one flow. An acknowledgement further
+/// from the upstream's first sequence number belongs to another upstream's
+/// handshake.
+inline constexpr std::uint32_t max_sequence_distance = 1U << 26U;
+
+/// Returns whether a caller's segment can belong to the handshake with this
+/// agent's upstream.
+bool acknowledges_upstream(const agent_flow& flow, const segment_header& s);
+
+/// Updates the state of an open or opening flow by a segment from its caller.
+void track_caller(pass_agent_state& state, agent_flow& flow,
+                  const segment_header& s, instant now);
+
+/// Returns the segment to the peer that sent it. A balancer then searches for
+/// the flow's owner. Does nothing if `sender` is zero.
+void return_to_sender(byte_view bytes, host_address sender,
+                      const pass_agent_state& state, pass_actions& out);
+
+/// Forwards a segment of a moved flow to the flow's new agent.
+void forward_to_new_agent(const pass_agent_state& state, agent_flow& flow,
+                          const segment_header& s, byte_view bytes, instant now,
+                          pass_actions& out);
+
+/// Returns whether each flow that the upstream can have has passed this agent:
+/// the agent was running when the upstream started, or it has been running for
+/// longer than any flow lives. Start times do not show this, because clocks may
+/// be set in between.
+bool saw_all_flows(const pass_agent_state& state, instant now);
+
+/// Adopts a flow that the upstream may have opened before this agent started:
+/// sends the segment to the upstream, which returns it if it does not have the
+/// flow.
+void adopt(pass_agent_state& state, const segment_header& s, byte_view bytes,
+           host_address sender, instant now, pass_actions& out);
+
 /// Offers, forwards, queues or refuses the opening segment of the flow `key`,
 /// which must be in `state.flows_`.
 void decide_opening(pass_agent_state& state, const flow_key& key, instant now,
--- /dev/null
+++ b/src/libpass/agent_search.cpp
@@ -0,0 +1,193 @@
+/// \file
+/// An agent's response to a search for the owner of a flow: what it knows of
+/// its upstream's flows, and when it has to ask the upstream.
+
+#include <libpass/agent_pvt.h>
+
+namespace galenafork
+{
+
+namespace
+{
+
+using pvt::acknowledges_upstream;
+using pvt::add_decision;
+using pvt::saw_all_flows;
+
+// What an agent knows about its upstream and a flow.
+enum class flow_knowledge
+{
+    /// The upstream has the flow, or had it until recently.
+    owned,
+    /// The upstream does not have the flow.
+    denied,
+    /// The upstream may have the flow from before the agent's start.
+    undecided,
+};
+
+// Returns whether the flow was adopted and the upstream has neither sent nor
+// returned a segment of it since.
+bool is_unconfirmed(const agent_flow& flow)
+{
+    return flow.adopted_ && flow.phase_ == pass_phase::open &&
+           flow.upstream_sent_at_ == instant();
+}
+
+// `flow` is the agent's state of the flow of `s`, or null.
+flow_knowledge knowledge_of(const pass_agent_state& state,
+                            const agent_flow* flow, const segment_header& s,
+                            instant now)
+{
+    const flow_knowledge unseen = saw_all_flows(state, now)
+                                      ? flow_knowledge::denied
+                                      : flow_knowledge::undecided;
+    if (flow == nullptr)
+    {
+        return unseen;
+    }
+    switch (flow->phase_)
+    {
+    case pass_phase::ended:
+        return flow_knowledge::owned;
+    case pass_phase::open:
+        return is_unconfirmed(*flow) ? flow_knowledge::undecided
+                                     : flow_knowledge::owned;
+    case pass_phase::opening:
+        return acknowledges_upstream(*flow, s) ? flow_knowledge::owned
+                                               : flow_knowledge::denied;
+    case pass_phase::unknown_to_upstream:
+        return flow_knowledge::denied;
+    case pass_phase::queued:
+    case pass_phase::refused:
+    case pass_phase::moved:
+        break;
+    }
+    // The upstream did not get the opening segment from this agent, but may
+    // have got an earlier transmission before the agent started.
+    return unseen;
+}
+
+// Sends the segment to the upstream, whose response shows whether it has the
+// flow. `searcher` gets the agent's response then.
+void ask_upstream(pass_agent_state& state, const segment_header& s,
+                  byte_view bytes, host_address searcher, instant now,
+                  pass_actions& out)
+{
+    const auto it = state.flows_.find(s.flow_);
+    if (it != state.flows_.end() && is_unconfirmed(it->second))
+    {
+        pvt::track_caller(state, it->second, s, now);
+        it->second.last_active_ = now;
+        out.send_to_upstream(bytes);
+    }
+    else
+    {
+        pvt::adopt(state, s, bytes, host_address(), now, out);
+    }
+    // On an adopted flow this is the peer that waits for the response.
+    state.flows_.at(s.flow_).place_.earlier_agent_ = searcher;
+}
+
+// Handles a segment that came back from the agent that the flow moved to: it is
+// not there either, or no longer.
+void handle_return_of_moved(pass_agent_state& state, agent_flow& flow,
+                            const segment_header& s, byte_view bytes,
+                            instant now, pass_actions& out)
+{
+    if (saw_all_flows(state, now))
+    {
+        pvt::set_phase(flow, pass_phase::unknown_to_upstream, now);
+        return;
+    }
+    const host_address balancer = flow.place_.balancer_;
+    pvt::adopt(state, s, bytes, balancer, now, out);
+}
+
+} // namespace
+
+namespace pvt
+{
+
+bool saw_all_flows(const pass_agent_state& state, instant now)
+{
+    return state.saw_upstream_start_ ||
+           now - state.started_at_ >= state.settings_.flow_lifetime_;
+}
+
+void adopt(pass_agent_state& state, const segment_header& s, byte_view bytes,
+           host_address sender, instant now, pass_actions& out)
+{
+    const auto existing = state.flows_.find(s.flow_);
+    if (existing != state.flows_.end())
+    {
+        set_occupies_slot(state, existing->second, false);
+        remove_from_queue(state, s.flow_);
+    }
+    agent_flow flow;
+    flow.adopted_ = true;
+    flow.place_.balancer_ = sender;
+    flow.attempt_started_at_ = now;
+    set_phase(flow, pass_phase::open, now);
+    agent_flow& adopted = state.flows_[s.flow_];
+    adopted = std::move(flow);
+    track_caller(state, adopted, s, now);
+    out.send_to_upstream(bytes);
+    add_decision(out, state, s.flow_, adopted, "adopted", "agent_restarted",
+                 now, true);
+}
+
+} // namespace pvt
+
+void handle_locate(pass_agent_state& state, const locate_message& message,
+                   const segment_header& s, instant now, pass_actions& out)
+{
+    const byte_view bytes{message.packet_.data(), message.packet_.size()};
+    const auto it = state.flows_.find(s.flow_);
+    agent_flow* flow = it == state.flows_.end() ? nullptr : &it->second;
+    if (flow != nullptr && flow->phase_ == pass_phase::moved)
+    {
+        if (flow->moved_to_ == message.sender_)
+        {
+            handle_return_of_moved(state, *flow, s, bytes, now, out);
+            return;
+        }
+        // The segment is forwarded as well, because the sender may not have the
+        // new owner among its agents yet.
+        pvt::forward_to_new_agent(state, *flow, s, bytes, now, out);
+        out.send_to_peer(message.sender_,
+                         flow_owner_message{s.flow_, flow->moved_to_, false});
+        return;
+    }
+    switch (knowledge_of(state, flow, s, now))
+    {
+    case flow_knowledge::owned:
+        if (flow->phase_ != pass_phase::ended)
+        {
+            pvt::track_caller(state, *flow, s, now);
+        }
+        flow->last_active_ = now;
+        out.send_to_upstream(bytes);
+        out.send_to_peer(
+            message.sender_,
+            flow_owner_message{s.flow_, state.settings_.host_, false});
+        add_decision(out, state, s.flow_, *flow, "located", "", now, true,
+                     message.sender_);
+        return;
+    case flow_knowledge::denied:
+        out.send_to_peer(message.sender_,
+                         flow_owner_message{s.flow_, host_address(), false,
+                                            state.settings_.host_});
+        return;
+    case flow_knowledge::undecided:
+        break;
+    }
+    if (!message.tentative_)
+    {
+        ask_upstream(state, s, bytes, message.sender_, now, out);
+    }
+    out.send_to_peer(message.sender_,
+                     flow_owner_message{s.flow_, host_address(), false,
+                                        state.settings_.host_, true});
+}
+
+} // namespace galenafork
--- a/src/libpass/agent_segments.cpp
+++ b/src/libpass/agent_segments.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// An agent's decisions about the segments of flows that it has and of flows
-/// that are unknown to it.
+/// An agent's decisions about the segments of flows from callers and from its
+/// upstream.
 
 #include <libpass/agent_pvt.h>
 
@@ -13,8 +13,11 @@
 {
 
 using pvt::add_decision;
+using pvt::max_sequence_distance;
+using pvt::return_to_sender;
 using pvt::set_occupies_slot;
 using pvt::set_phase;
+using pvt::track_caller;
 
 // Returns whether `a` comes after `b`. Sequence numbers wrap around, so the
 // shorter distance counts.
@@ -23,19 +26,6 @@
     return static_cast<std::int32_t>(a - b) > 0;
 }
 
-// More bytes than an upstream sends on one flow. An acknowledgement further
-// from the upstream's first sequence number belongs to another upstream's
-// handshake.
-constexpr std::uint32_t max_sequence_distance = 1U << 26U;
-
-// Returns whether a caller's segment can belong to the handshake with this
-// agent's upstream.
-bool acknowledges_upstream(const agent_flow& flow, const segment_header& s)
-{
-    return !flow.upstream_sequence_ ||
-           s.ack_number_ - *flow.upstream_sequence_ < max_sequence_distance;
-}
-
 void end_if_finished(pass_agent_state& state, agent_flow& flow, instant now)
 {
     if (flow.caller_finished_ && flow.upstream_finished_)
@@ -46,6 +36,17 @@
     }
 }
 
+} // namespace
+
+namespace pvt
+{
+
+bool acknowledges_upstream(const agent_flow& flow, const segment_header& s)
+{
+    return !flow.upstream_sequence_ ||
+           s.ack_number_ - *flow.upstream_sequence_ < max_sequence_distance;
+}
+
 void track_caller(pass_agent_state& state, agent_flow& flow,
                   const segment_header& s, instant now)
 {
@@ -80,8 +81,6 @@
     end_if_finished(state, flow, now);
 }
 
-// Returns the segment to the peer that sent it. A balancer then searches for
-// the flow's owner. Does nothing if `sender` is zero.
 void return_to_sender(byte_view bytes, host_address sender,
                       const pass_agent_state& state, pass_actions& out)
 {
@@ -91,7 +90,8 @@
     }
     out.send_to_peer(sender,
                      locate_message{{bytes.data_, bytes.data_ + bytes.size_},
-                                    state.settings_.host_});
+                                    state.settings_.host_,
+                                    true});
 }
 
 // An opening segment is forwarded to fewer agents than this. A later segment of
@@ -99,7 +99,6 @@
 // flow is outdated.
 constexpr std::uint8_t max_hops = 8;
 
-// Forwards a segment of a moved flow to the flow's new agent.
 void forward_to_new_agent(const pass_agent_state& state, agent_flow& flow,
                           const segment_header& s, byte_view bytes, instant now,
                           pass_actions& out)
@@ -115,52 +114,10 @@
                       static_cast<std::uint8_t>(s.hops_ + 1));
 }
 
-// Adopts a flow that the upstream may have opened before this agent started:
-// sends the segment to the upstream, which returns it if it does not have the
-// flow.
-void adopt(pass_agent_state& state, const segment_header& s, byte_view bytes,
-           host_address sender, instant now, pass_actions& out)
-{
-    agent_flow flow;
-    flow.adopted_ = true;
-    flow.place_.balancer_ = sender;
-    flow.attempt_started_at_ = now;
-    set_phase(flow, pass_phase::open, now);
-    agent_flow& adopted = state.flows_[s.flow_];
-    adopted = std::move(flow);
-    track_caller(state, adopted, s, now);
-    out.send_to_upstream(bytes);
-    add_decision(out, state, s.flow_, adopted, "adopted", "agent_restarted",
-                 now, true);
-}
+} // namespace pvt
 
-// Returns whether the upstream may have flows from before this agent's start.
-bool may_adopt(const pass_agent_state& state, instant now)
+namespace
 {
-    const upstream_report& upstream = state.upstream_;
-    const auto margin = std::chrono::duration_cast<std::chrono::milliseconds>(
-        state.settings_.adoption_margin_);
-    const bool upstream_older =
-        upstream.state_ == upstream_state::unknown ||
-        upstream.started_.value() + static_cast<std::uint64_t>(margin.count()) <
-            state.settings_.process_started_.value();
-    return upstream_older &&
-           now - state.started_at_ < state.settings_.adoption_window_ &&
-           upstream.state_ != upstream_state::gone;
-}
-
-// Returns whether the agent started with the upstream or before it, and so has
-// seen every flow of the upstream.
-bool saw_all_flows(const pass_agent_state& state)
-{
-    const upstream_report& upstream = state.upstream_;
-    const auto margin = std::chrono::duration_cast<std::chrono::milliseconds>(
-        state.settings_.same_start_margin_);
-    return upstream.state_ != upstream_state::unknown &&
-           state.settings_.process_started_.value() <=
-               upstream.started_.value() +
-                   static_cast<std::uint64_t>(margin.count());
-}
 
 void handle_returned_opening(pass_agent_state& state, const segment_header& s,
                              instant now, pass_actions& out)
@@ -290,9 +247,9 @@
     const auto it = state.flows_.find(s.flow_);
     if (it == state.flows_.end())
     {
-        if (may_adopt(state, now))
+        if (!pvt::saw_all_flows(state, now))
         {
-            adopt(state, s, bytes, sender, now, out);
+            pvt::adopt(state, s, bytes, sender, now, out);
             return;
         }
         return_to_sender(bytes, sender, state, out);
@@ -307,12 +264,13 @@
     flow.last_active_ = now;
     if (flow.phase_ == pass_phase::moved)
     {
-        forward_to_new_agent(state, flow, s, bytes, now, out);
+        pvt::forward_to_new_agent(state, flow, s, bytes, now, out);
         return;
     }
     if (flow.phase_ == pass_phase::queued ||
         flow.phase_ == pass_phase::refused ||
-        (flow.phase_ == pass_phase::opening && !acknowledges_upstream(flow, s)))
+        (flow.phase_ == pass_phase::opening &&
+         !pvt::acknowledges_upstream(flow, s)))
     {
         // The caller continues the handshake with another upstream.
         set_occupies_slot(state, flow, false);
@@ -348,66 +306,6 @@
     pvt::offer_queued(state, now, out);
 }
 
-void handle_locate(pass_agent_state& state, const locate_message& message,
-                   const segment_header& s, instant now, pass_actions& out)
-{
-    const byte_view bytes{message.packet_.data(), message.packet_.size()};
-    const auto it = state.flows_.find(s.flow_);
-    const bool is_owner = it != state.flows_.end() &&
-                          (it->second.phase_ == pass_phase::open ||
-                           it->second.phase_ == pass_phase::ended ||
-                           (it->second.phase_ == pass_phase::opening &&
-                            acknowledges_upstream(it->second, s)));
-    if (is_owner)
-    {
-        if (it->second.phase_ != pass_phase::ended)
-        {
-            track_caller(state, it->second, s, now);
-        }
-        it->second.last_active_ = now;
-        out.send_to_upstream(bytes);
-        out.send_to_peer(
-            message.sender_,
-            flow_owner_message{s.flow_, state.settings_.host_, false});
-        add_decision(out, state, s.flow_, it->second, "located", "", now, true,
-                     message.sender_);
-        return;
-    }
-    if (it != state.flows_.end() && it->second.phase_ == pass_phase::moved)
-    {
-        if (it->second.moved_to_ == message.sender_)
-        {
-            // The agent that the flow moved to sent this, so the flow is not
-            // there either.
-            set_phase(it->second, pass_phase::unknown_to_upstream, now);
-            return;
-        }
-        // The segment is forwarded as well, because the sender may not have the
-        // new owner among its agents yet.
-        forward_to_new_agent(state, it->second, s, bytes, now, out);
-        out.send_to_peer(
-            message.sender_,
-            flow_owner_message{s.flow_, it->second.moved_to_, false});
-        return;
-    }
-    if ((it == state.flows_.end() && saw_all_flows(state)) ||
-        (it != state.flows_.end() &&
-         it->second.phase_ == pass_phase::unknown_to_upstream))
-    {
-        out.send_to_peer(message.sender_,
-                         flow_owner_message{s.flow_, host_address(), false,
-                                            state.settings_.host_});
-        return;
-    }
-    if (it == state.flows_.end() && may_adopt(state, now))
-    {
-        // The response is sent when the upstream has sent a segment or returned
-        // this one; until then `earlier_agent_` is the searching peer.
-        adopt(state, s, bytes, host_address(), now, out);
-        state.flows_.at(s.flow_).place_.earlier_agent_ = message.sender_;
-    }
-}
-
 void handle_upstream_segment(pass_agent_state& state, const segment_header& s,
                              byte_view bytes, instant now, pass_actions& out)
 {
--- a/src/libpass/agent_test.cpp
+++ b/src/libpass/agent_test.cpp
@@ -348,7 +348,7 @@
     CHECK(count(on_retransmission, pass_target::reset) == 1);
 }
 
-TEST_CASE("an agent that is as old as its upstream returns unknown flows")
+TEST_CASE("an agent that saw its upstream start returns unknown flows")
 {
     pass_agent_state state = make_agent();
     pass_actions out;
@@ -360,8 +360,7 @@
 
 TEST_CASE("a restarted agent tries an unknown flow at its upstream only once")
 {
-    pass_agent_state state = make_agent();
-    state.settings_.process_started_ = start_time_ms(60000);
+    pass_agent_state state = make_restarted_agent();
     pass_actions out;
     const segment_header request = make_request(9, 1);
     handle_caller_segment(state, request, sample_bytes(), balancer_x, start,
@@ -587,3 +586,98 @@
     CHECK(count(on_restart, pass_target::caller) == 0);
     CHECK(count(on_restart, pass_target::reset) == 1);
 }
+
+TEST_CASE("an agent that did not see its upstream start does not deny a flow")
+{
+    // review/5: an agent that was killed soon after its upstream's start
+    // returned the segments of flows that the upstream had opened before. The
+    // balancer took this for a denial and reset the flows.
+    pass_agent_state state = make_restarted_agent();
+    const segment_header request = make_request(9, 1);
+    pass_actions tentative;
+    handle_locate(state, {sample_packet, balancer_x, true}, request, start,
+                  tentative);
+    CHECK(count(tentative, pass_target::upstream) == 0);
+    const auto* answer = find_message<flow_owner_message>(tentative);
+    REQUIRE(answer != nullptr);
+    CHECK(answer->undecided_);
+    CHECK(answer->sender_ == agent_a);
+    pass_actions asked;
+    handle_locate(state, {sample_packet, balancer_x, false}, request, start,
+                  asked);
+    CHECK(count(asked, pass_target::upstream) == 1);
+    pass_actions answered;
+    handle_upstream_segment(state, make_answer(9, 1), sample_bytes(), start,
+                            answered);
+    const auto* owner = find_message<flow_owner_message>(answered);
+    REQUIRE(owner != nullptr);
+    CHECK(owner->owner_ == agent_a);
+}
+
+TEST_CASE("a balancer's segment of an unknown flow goes to the upstream of a "
+          "restarted agent")
+{
+    pass_agent_state state = make_restarted_agent();
+    pass_actions out;
+    handle_caller_segment(state, make_request(9, 1), sample_bytes(), balancer_x,
+                          start, out);
+    CHECK(count(out, pass_target::upstream) == 1);
+    CHECK(find_message<locate_message>(out) == nullptr);
+}
+
+TEST_CASE("an agent denies unknown flows once it is older than any flow")
+{
+    for (const bool restarted : {false, true})
+    {
+        for (const duration age : {seconds(1), seconds(59), seconds(61)})
+        {
+            pass_agent_state state =
+                restarted ? make_restarted_agent() : make_agent();
+            pass_actions out;
+            handle_locate(state, {sample_packet, balancer_x, true},
+                          make_request(9, 1), start + age, out);
+            const auto* answer = find_message<flow_owner_message>(out);
+            REQUIRE(answer != nullptr);
+            CHECK(answer->undecided_ == (restarted && age < seconds(60)));
+            CHECK(answer->owner_ == host_address());
+        }
+    }
+}
+
+TEST_CASE("a late report of an earlier incarnation shows no start of the "
+          "upstream")
+{
+    // The agent started after the present incarnation.
+    pass_agent_settings settings;
+    settings.host_ = agent_a;
+    pass_agent_state state = new_pass_agent(settings, start + seconds(20));
+    pass_actions out;
+    apply_report(state, make_report(1000, 7), start + seconds(20), out);
+    apply_report(state, make_report(15000, 1), start + seconds(21), out);
+    handle_locate(state, {sample_packet, balancer_x, true}, make_request(9, 1),
+                  start + seconds(21), out);
+    CHECK(find_message<flow_owner_message>(out)->undecided_);
+    // The next one starts while the agent runs.
+    apply_report(state, make_report(30000, 1), start + seconds(30), out);
+    pass_actions denied;
+    handle_locate(state, {sample_packet, balancer_x, true}, make_request(9, 1),
+                  start + seconds(30), denied);
+    CHECK_FALSE(find_message<flow_owner_message>(denied)->undecided_);
+}
+
+TEST_CASE("a flow that came back from another agent is tried at the upstream "
+          "of a restarted agent")
+{
+    pass_agent_state state = make_restarted_agent();
+    for (std::uint16_t port = 1; port <= 3; ++port)
+    {
+        open_flow(state, port, start);
+    }
+    pass_actions out;
+    handle_place(state, make_place({agent_b}), make_opening(4), start, out);
+    pass_actions returned;
+    handle_locate(state, {sample_packet, agent_b, true}, make_request(4, 1),
+                  start, returned);
+    REQUIRE(returned.datagrams_.size() == 1);
+    CHECK(count(returned, pass_target::upstream) == 1);
+}
--- a/src/libpass/balancer.cpp
+++ b/src/libpass/balancer.cpp
@@ -95,7 +95,7 @@
         it = now - it->second.last_active_ > limit ? state.flows_.erase(it)
                                                    : std::next(it);
     }
-    pvt::expire_searches(state, now);
+    pvt::handle_search_tick(state, now, out);
     if (!state.pending_openings_.empty())
     {
         pvt::place_pending(state, now, out);
--- a/src/libpass/balancer_members.cpp
+++ b/src/libpass/balancer_members.cpp
@@ -226,6 +226,11 @@
     }
 }
 
+void note_members_read(pass_balancer_state& state, instant now)
+{
+    state.members_read_at_ = now;
+}
+
 void add_listed_peer(pass_balancer_state& state, host_address peer, instant now,
                      pass_actions& out)
 {
--- a/src/libpass/balancer_opening.cpp
+++ b/src/libpass/balancer_opening.cpp
@@ -113,6 +113,7 @@
     if (flow.opening_sequence_ != s.sequence_ ||
         flow.attempt_started_at_ == instant())
     {
+        state.searches_.erase(s.flow_);
         flow = balancer_flow();
         flow.opening_sequence_ = s.sequence_;
         flow.attempt_started_at_ = now - context.age_;
--- a/src/libpass/balancer_pvt.h
+++ b/src/libpass/balancer_pvt.h
@@ -45,14 +45,17 @@
 void handle_opening(pass_balancer_state& state, const segment_header& s,
                     byte_view bytes, instant now, pass_actions& out);
 
-/// Searches for the owner of the flow of `s` unless a search has just started.
+/// Starts a search for the owner of the flow of `s`, or asks the agents that
+/// have not responded to it again, unless they were asked just now.
 /// `returned_by` is the agent that returned the segment, or zero.
-void start_search(pass_balancer_state& state, const segment_header& s,
+void search_owner(pass_balancer_state& state, const segment_header& s,
                   byte_view bytes, host_address returned_by, instant now,
                   pass_actions& out);
 
-/// Removes searches that have timed out.
-void expire_searches(pass_balancer_state& state, instant now);
+/// Removes searches that have timed out, and has further agents ask their
+/// upstreams where those asked before do not respond.
+void handle_search_tick(pass_balancer_state& state, instant now,
+                        pass_actions& out);
 
 /// Returns the agents of `service` that opening segments may go to, usable or
 /// not: those with a subscription, or all if none of these is usable.
--- a/src/libpass/balancer_search.cpp
+++ b/src/libpass/balancer_search.cpp
@@ -36,13 +36,26 @@
     return now - agent.last_status_at_ > gone_timeout(state, agent);
 }
 
-// Agents that have not denied the flow.
+auto find_undecided(const owner_search& search, host_address host)
+{
+    return std::find_if(search.undecided_.begin(), search.undecided_.end(),
+                        [&](const undecided_agent& agent)
+                        { return agent.host_ == host; });
+}
+
+bool is_undecided(const owner_search& search, host_address host)
+{
+    return find_undecided(search, host) != search.undecided_.end();
+}
+
+// Agents that have not responded and may have the flow.
 struct remaining_agents
 {
-    /// Those in the scope of the search: they were asked and have not
-    /// responded.
+    /// Those in the scope of the search, which were asked.
     std::vector<host_address> in_scope_;
     std::vector<host_address> out_of_scope_;
+    /// Those of `in_scope_` that are probably running.
+    std::uint32_t awaited_ = 0;
     std::uint32_t ruled_out_ = 0;
 };
 
@@ -53,7 +66,9 @@
     remaining_agents result;
     for (const auto& [host, agent] : state.agents_)
     {
-        if (contains(search.denied_by_, host))
+        if (contains(search.denied_by_, host) || is_undecided(search, host) ||
+            contains(search.told_to_ask_, host) ||
+            contains(search.asking_upstream_, host))
         {
             continue;
         }
@@ -65,6 +80,9 @@
         const bool in_scope = search.scope_ == search_scope::all_agents ||
                               is_expected(state, agent, flow);
         (in_scope ? result.in_scope_ : result.out_of_scope_).push_back(host);
+        const bool running =
+            now - agent.last_status_at_ <= gone_timeout(state, agent);
+        result.awaited_ += in_scope && running ? 1 : 0;
     }
     return result;
 }
@@ -81,42 +99,75 @@
                       state, now);
     out.decisions_.back().search_ = search_counts{
         static_cast<std::uint32_t>(asked),
-        static_cast<std::uint32_t>(search.denied_by_.size()), ruled_out};
+        static_cast<std::uint32_t>(search.denied_by_.size()),
+        static_cast<std::uint32_t>(search.undecided_.size()), ruled_out};
 }
 
-// Sends the segment to `agents`. Of these only the owner and those that may
-// have to adopt the flow send it to their upstreams, so that other upstreams
-// get no segments of flows that they do not have.
+// Sends the segment to `agents`. In a tentative question only the owner passes
+// it to its upstream.
 void ask(const pass_balancer_state& state, const flow_key& flow,
-         const owner_search& search, const std::vector<host_address>& agents,
-         const char* reason, std::uint32_t ruled_out, instant now,
-         pass_actions& out)
+         owner_search& search, const std::vector<host_address>& agents,
+         bool tentative, const char* reason, std::uint32_t ruled_out,
+         instant now, pass_actions& out)
 {
-    out.send_to_peers(agents,
-                      locate_message{search.packet_, state.settings_.host_});
+    search.asked_at_ = now;
+    out.send_to_peers(agents, locate_message{search.packet_,
+                                             state.settings_.host_, tentative});
     add_search_decision(state, flow, search, "locating", reason, agents.size(),
                         ruled_out, now, out);
 }
 
-// Widens the search once all agents in its scope have denied the flow, and
-// resets the flow once every agent has. A reset lets callers with idempotent
-// requests retry at once instead of waiting for their deadline.
+// Has the next undecided agents ask their upstreams, those of the expected
+// services first, which were the first to respond. Few do so at a time: once
+// the owner's upstream has the segment, few others get it.
+void ask_upstreams(const pass_balancer_state& state, const flow_key& flow,
+                   owner_search& search, std::uint32_t ruled_out, instant now,
+                   pass_actions& out)
+{
+    const std::size_t count = std::min(search.undecided_.size(),
+                                       state.settings_.max_asking_upstream_);
+    const auto last =
+        search.undecided_.begin() + static_cast<std::ptrdiff_t>(count);
+    std::transform(search.undecided_.begin(), last,
+                   std::back_inserter(search.told_to_ask_),
+                   [](const undecided_agent& agent) { return agent.host_; });
+    search.undecided_.erase(search.undecided_.begin(), last);
+    ask(state, flow, search, search.told_to_ask_, false, "undecided_agents",
+        ruled_out, now, out);
+}
+
+// Takes the next step once all agents that were asked and are probably running
+// have responded: asks those of other services, then has the undecided ones ask
+// their upstreams, and resets the flow once every agent has denied it.
+// Upstreams get no segment before all running agents have responded, so that
+// those of other flows do not get segments while the owner's agent is
+// restarting. A reset lets callers with idempotent requests retry at once
+// instead of waiting for their deadline.
 void advance_search(pass_balancer_state& state, const flow_key& key,
                     owner_search& search, instant now, pass_actions& out)
 {
     const remaining_agents remaining = find_remaining(state, key, search, now);
-    if (!remaining.in_scope_.empty())
+    if (remaining.awaited_ > 0)
     {
         return;
     }
     if (!remaining.out_of_scope_.empty())
     {
         search.scope_ = search_scope::all_agents;
-        ask(state, key, search, remaining.out_of_scope_, "other_services",
+        ask(state, key, search, remaining.out_of_scope_, true, "other_services",
             remaining.ruled_out_, now, out);
         return;
     }
-    if (!state.members_complete_)
+    if (!search.told_to_ask_.empty() || !search.asking_upstream_.empty())
+    {
+        return;
+    }
+    if (!search.undecided_.empty())
+    {
+        ask_upstreams(state, key, search, remaining.ruled_out_, now, out);
+        return;
+    }
+    if (!remaining.in_scope_.empty() || !state.members_read_at_)
     {
         return;
     }
@@ -127,53 +178,132 @@
     state.searches_.erase(key);
 }
 
+// A response to an earlier question may arrive after a later one.
+void record_response(owner_search& search, const flow_owner_message& response,
+                     instant now)
+{
+    const host_address sender = response.sender_;
+    if (contains(search.denied_by_, sender))
+    {
+        return;
+    }
+    const auto undecided = find_undecided(search, sender);
+    if (!response.undecided_)
+    {
+        if (undecided != search.undecided_.end())
+        {
+            search.undecided_.erase(undecided);
+        }
+        pvt::remove_from(search.told_to_ask_, sender);
+        pvt::remove_from(search.asking_upstream_, sender);
+        search.denied_by_.push_back(sender);
+    }
+    else if (contains(search.told_to_ask_, sender))
+    {
+        pvt::remove_from(search.told_to_ask_, sender);
+        search.asking_upstream_.push_back(sender);
+    }
+    else if (undecided == search.undecided_.end() &&
+             !contains(search.asking_upstream_, sender))
+    {
+        search.undecided_.push_back({sender, now});
+    }
+}
+
+// Asks the agents that have not responded again. An agent that was told to ask
+// its upstream and did not confirm it may be the owner's, so that no others are
+// told before it responds.
+void repeat_search(pass_balancer_state& state, const flow_key& key,
+                   owner_search& search, instant now, pass_actions& out)
+{
+    // The owner may be out of the scope while an agent in it does not respond.
+    search.scope_ = search_scope::all_agents;
+    auto& undecided = search.undecided_;
+    undecided.erase(
+        std::remove_if(undecided.begin(), undecided.end(),
+                       [&](const undecided_agent& agent) {
+                           return now - agent.responded_at_ >
+                                  state.settings_.undecided_validity_;
+                       }),
+        undecided.end());
+    const remaining_agents remaining = find_remaining(state, key, search, now);
+    ask(state, key, search, remaining.in_scope_, true, "unknown_flow_again",
+        remaining.ruled_out_, now, out);
+    const bool all_confirmed = search.told_to_ask_.empty();
+    search.told_to_ask_.insert(search.told_to_ask_.end(),
+                               search.asking_upstream_.begin(),
+                               search.asking_upstream_.end());
+    search.asking_upstream_.clear();
+    if (remaining.awaited_ == 0 && all_confirmed)
+    {
+        ask_upstreams(state, key, search, remaining.ruled_out_, now, out);
+    }
+    else if (!search.told_to_ask_.empty())
+    {
+        ask(state, key, search, search.told_to_ask_, false, "undecided_agents",
+            remaining.ruled_out_, now, out);
+    }
+}
+
 } // namespace
 
 namespace pvt
 {
 
-void start_search(pass_balancer_state& state, const segment_header& s,
+void search_owner(pass_balancer_state& state, const segment_header& s,
                   byte_view bytes, host_address returned_by, instant now,
                   pass_actions& out)
 {
-    const auto earlier = state.searches_.find(s.flow_);
-    const bool is_repeated = earlier != state.searches_.end();
-    if (is_repeated &&
-        now - earlier->second.started_at_ < state.settings_.search_interval_)
+    const auto [it, is_new] = state.searches_.try_emplace(s.flow_);
+    owner_search& search = it->second;
+    if (!is_new && now - search.asked_at_ < state.settings_.search_interval_)
     {
         return;
     }
     balancer_flow& flow = state.flows_[s.flow_];
     flow.last_active_ = now;
     flow.owner_ = host_address();
-    owner_search search;
-    search.started_at_ = now;
-    // A search that found no owner is repeated at all agents: the owner may be
-    // out of the scope of the first one while an agent in it does not respond.
-    search.scope_ = is_repeated ? search_scope::all_agents
-                                : search_scope::expected_services;
     search.packet_.assign(bytes.data_, bytes.data_ + bytes.size_);
     search.returned_by_ = returned_by;
     search.caller_expected_sequence_ = s.ack_number_;
-    if (returned_by != host_address())
+    if (!is_new)
     {
-        search.denied_by_.push_back(returned_by);
+        repeat_search(state, s.flow_, search, now, out);
+        return;
     }
     const remaining_agents remaining =
         find_remaining(state, s.flow_, search, now);
-    ask(state, s.flow_, search, remaining.in_scope_,
-        is_repeated ? "unknown_flow_again" : "unknown_flow",
+    ask(state, s.flow_, search, remaining.in_scope_, true, "unknown_flow",
         remaining.ruled_out_, now, out);
-    state.searches_[s.flow_] = std::move(search);
+    if (remaining.awaited_ == 0)
+    {
+        advance_search(state, s.flow_, search, now, out);
+    }
 }
 
-void expire_searches(pass_balancer_state& state, instant now)
+void handle_search_tick(pass_balancer_state& state, instant now,
+                        pass_actions& out)
 {
     for (auto it = state.searches_.begin(); it != state.searches_.end();)
     {
-        it = now - it->second.started_at_ > state.settings_.search_timeout_
-                 ? state.searches_.erase(it)
-                 : std::next(it);
+        owner_search& search = it->second;
+        const auto since_asked = now - search.asked_at_;
+        if (since_asked > state.settings_.search_timeout_)
+        {
+            it = state.searches_.erase(it);
+            continue;
+        }
+        // An upstream that has ended returns no segment.
+        if (search.told_to_ask_.empty() && !search.asking_upstream_.empty() &&
+            !search.undecided_.empty() &&
+            since_asked > state.settings_.upstream_response_time_)
+        {
+            const remaining_agents remaining =
+                find_remaining(state, it->first, search, now);
+            ask_upstreams(state, it->first, search, remaining.ruled_out_, now,
+                          out);
+        }
+        ++it;
     }
 }
 
@@ -203,7 +333,7 @@
     {
         return;
     }
-    search->second.denied_by_.push_back(message.sender_);
+    record_response(search->second, message, now);
     advance_search(state, message.flow_, search->second, now, out);
 }
 
--- a/src/libpass/balancer_segments.cpp
+++ b/src/libpass/balancer_segments.cpp
@@ -17,7 +17,7 @@
     const auto it = state.flows_.find(s.flow_);
     if (it == state.flows_.end() || it->second.owner_ == host_address())
     {
-        pvt::start_search(state, s, bytes, {}, now, out);
+        pvt::search_owner(state, s, bytes, {}, now, out);
         return;
     }
     balancer_flow& flow = it->second;
@@ -41,7 +41,7 @@
         out.send_to_agent(it->second.owner_, bytes);
         return;
     }
-    pvt::start_search(state, s, bytes, message.sender_, now, out);
+    pvt::search_owner(state, s, bytes, message.sender_, now, out);
 }
 
 } // namespace galenafork
--- a/src/libpass/balancer_test.cpp
+++ b/src/libpass/balancer_test.cpp
@@ -185,7 +185,7 @@
     "a flow is reset once all agents have reported that they do not have it")
 {
     pass_balancer_state state = make_balancer();
-    state.members_complete_ = true;
+    note_members_read(state, start);
     pass_actions out;
     handle_caller_segment(state, make_request(1, 77), sample_bytes(), start,
                           out);
@@ -205,7 +205,7 @@
     "a flow is not reset while an agent that may have it has not responded")
 {
     pass_balancer_state state = make_balancer();
-    state.members_complete_ = true;
+    note_members_read(state, start);
     const host_address starting(0x0a000009);
     pass_actions probe;
     add_listed_agent(state, starting, start, probe);
@@ -403,7 +403,7 @@
     {
         CAPTURE(changes);
         pass_balancer_state state = make_balancer();
-        state.members_complete_ = true;
+        note_members_read(state, start);
         for (std::uint64_t i = 1; i <= changes; ++i)
         {
             auto rules = std::make_shared<pass_rules>(*make_rules(3 + i));
@@ -441,7 +441,7 @@
     // review/4: the status of such an agent names no service, so it was taken
     // for one of another service and not asked.
     pass_balancer_state state = make_balancer();
-    state.members_complete_ = true;
+    note_members_read(state, start);
     status_message restarted = make_status(agent_a, "a");
     restarted.service_ = service_name();
     restarted.state_ = upstream_state::unknown;
@@ -465,7 +465,7 @@
     // The owner is out of the scope of the first search, and an agent in it
     // does not respond.
     pass_balancer_state state = make_balancer();
-    state.members_complete_ = true;
+    note_members_read(state, start);
     status_message other = make_status(agent_c, "b");
     other.service_ = photos;
     pass_actions out;
@@ -479,3 +479,90 @@
                           start + milliseconds(200), second);
     CHECK(count_messages<locate_message>(second) == 3);
 }
+
+TEST_CASE("a returned segment is no denial")
+{
+    pass_balancer_state state = make_balancer();
+    note_members_read(state, start);
+    pass_actions out;
+    handle_caller_segment(state, make_opening(1), sample_bytes(), start, out);
+    pass_actions returned;
+    handle_returned_segment(state, {sample_packet, agent_a, true},
+                            make_request(1, 77), start, returned);
+    CHECK(count_messages<locate_message>(returned) == 3);
+    for (const host_address host : {agent_b, agent_c})
+    {
+        handle_flow_owner(state, {make_flow(1), host_address(), false, host},
+                          start, returned);
+    }
+    CHECK(count(returned, pass_target::reset) == 0);
+    handle_flow_owner(state, {make_flow(1), host_address(), false, agent_a},
+                      start, returned);
+    CHECK(count(returned, pass_target::reset) == 1);
+}
+
+TEST_CASE("undecided agents ask their upstreams once all have responded, two "
+          "at a time")
+{
+    pass_balancer_state state = make_balancer();
+    note_members_read(state, start);
+    pass_actions out;
+    handle_caller_segment(state, make_request(1, 77), sample_bytes(), start,
+                          out);
+    CHECK(find_message<locate_message>(out)->tentative_);
+    pass_actions responses;
+    for (const host_address host : {agent_a, agent_b})
+    {
+        handle_flow_owner(state,
+                          {make_flow(1), host_address(), false, host, true},
+                          start, responses);
+    }
+    CHECK(responses.datagrams_.empty());
+    handle_flow_owner(state,
+                      {make_flow(1), host_address(), false, agent_c, true},
+                      start, responses);
+    REQUIRE(responses.datagrams_.size() == 2);
+    CHECK_FALSE(find_message<locate_message>(responses)->tentative_);
+
+    SUBCASE("all deny")
+    {
+        pass_actions denials;
+        for (const host_address host : {agent_a, agent_b, agent_c})
+        {
+            handle_flow_owner(state,
+                              {make_flow(1), host_address(), false, host},
+                              start, denials);
+        }
+        CHECK(count_messages<locate_message>(denials) == 1);
+        CHECK(count(denials, pass_target::reset) == 1);
+    }
+    SUBCASE("an upstream does not respond")
+    {
+        pass_actions confirmed;
+        for (const host_address host : {agent_a, agent_b})
+        {
+            handle_flow_owner(state,
+                              {make_flow(1), host_address(), false, host, true},
+                              start, confirmed);
+        }
+        CHECK(confirmed.datagrams_.empty());
+        handle_tick(state, start + milliseconds(100), confirmed);
+        REQUIRE(confirmed.datagrams_.size() == 1);
+        CHECK(confirmed.datagrams_[0].host_ == agent_c);
+        handle_flow_owner(state, {make_flow(1), host_address(), false, agent_c},
+                          start + milliseconds(101), confirmed);
+        CHECK(count(confirmed, pass_target::reset) == 0);
+    }
+    SUBCASE("an agent ended after its first response")
+    {
+        // It may be the owner's, so the others wait for it.
+        pass_actions waiting;
+        handle_flow_owner(state, {make_flow(1), host_address(), false, agent_b},
+                          start, waiting);
+        handle_tick(state, start + milliseconds(100), waiting);
+        handle_caller_segment(state, make_request(1, 77), sample_bytes(),
+                              start + milliseconds(200), waiting);
+        REQUIRE(waiting.datagrams_.size() == 1);
+        CHECK(waiting.datagrams_[0].host_ == agent_a);
+    }
+}
--- a/src/libpass/members_test.cpp
+++ b/src/libpass/members_test.cpp
@@ -291,7 +291,7 @@
     control_fleet fleet(300);
     fleet.run(seconds(12));
     pass_balancer_state& state = fleet.balancer(0);
-    state.members_complete_ = true;
+    note_members_read(state, fleet.now());
     pass_actions out;
     handle_caller_segment(state, make_request(1, 77), sample_bytes(),
                           fleet.now(), out);
--- a/src/libpass/pass.capnp
+++ b/src/libpass/pass.capnp
@@ -43,11 +43,15 @@
   owner @1 :UInt32;
   held @2 :Bool;
   sender @3 :UInt32;
+  # The sender if it is undecided; `sender` is then zero. Balancers of earlier
+  # versions take any message with an owner of zero for a denial by `sender`.
+  undecidedSender @4 :UInt32;
 }
 
 struct Locate {
   packet @0 :Data;
   balancer @1 :UInt32;
+  tentative @2 :Bool;  # False in messages of earlier versions.
 }
 
 struct Status {
--- a/src/libpass/pass.capnp.h
+++ b/src/libpass/pass.capnp.h
@@ -600,6 +600,8 @@
 
   inline  ::uint32_t getSender() const;
 
+  inline  ::uint32_t getUndecidedSender() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -644,6 +646,9 @@
   inline  ::uint32_t getSender();
   inline void setSender( ::uint32_t value);
 
+  inline  ::uint32_t getUndecidedSender();
+  inline void setUndecidedSender( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -693,6 +698,8 @@
 
   inline  ::uint32_t getBalancer() const;
 
+  inline bool getTentative() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -731,6 +738,9 @@
   inline  ::uint32_t getBalancer();
   inline void setBalancer( ::uint32_t value);
 
+  inline bool getTentative();
+  inline void setTentative(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1936,6 +1946,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Moved::Reader::getUndecidedSender() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Moved::Builder::getUndecidedSender() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Moved::Builder::setUndecidedSender( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Locate::Reader::hasPacket() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1984,6 +2008,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Locate::Reader::getTentative() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool Locate::Builder::getTentative() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void Locate::Builder::setTentative(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Status::Reader::getHost() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libpass/pass_messages.cpp
+++ b/src/libpass/pass_messages.cpp
@@ -104,29 +104,40 @@
     flow.setServicePort(m.flow_.service_address_.port_);
     out.setOwner(m.owner_.value());
     out.setHeld(m.queued_);
-    out.setSender(m.sender_.value());
+    if (m.undecided_)
+    {
+        out.setUndecidedSender(m.sender_.value());
+    }
+    else
+    {
+        out.setSender(m.sender_.value());
+    }
 }
 
 flow_owner_message read(schema::Moved::Reader in)
 {
     const auto flow = in.getFlow();
+    const bool undecided = in.getUndecidedSender() != 0;
     return {
         {at_port(host_address(flow.getCallerHost()), flow.getCallerPort()),
          at_port(host_address(flow.getServiceHost()), flow.getServicePort())},
         host_address(in.getOwner()),
         in.getHeld(),
-        host_address(in.getSender())};
+        host_address(undecided ? in.getUndecidedSender() : in.getSender()),
+        undecided};
 }
 
 void write(schema::Locate::Builder out, const locate_message& m)
 {
     out.setPacket(to_data(m.packet_));
     out.setBalancer(m.sender_.value());
+    out.setTentative(m.tentative_);
 }
 
 locate_message read(schema::Locate::Reader in)
 {
-    return {to_bytes(in.getPacket()), host_address(in.getBalancer())};
+    return {to_bytes(in.getPacket()), host_address(in.getBalancer()),
+            in.getTentative()};
 }
 
 void write(schema::Status::Builder out, const status_message& m)
--- a/src/libpass/pass_messages_test.cpp
+++ b/src/libpass/pass_messages_test.cpp
@@ -52,6 +52,19 @@
     CHECK(owner.owner_ == agent_b);
     CHECK(owner.queued_);
     CHECK(owner.sender_ == agent_a);
+    CHECK_FALSE(owner.undecided_);
+    const auto undecided =
+        std::get<flow_owner_message>(round_trip(flow_owner_message{
+            make_flow(9), host_address(), false, agent_a, true}));
+    CHECK(undecided.sender_ == agent_a);
+    CHECK(undecided.undecided_);
+    for (const bool tentative : {false, true})
+    {
+        const auto search = std::get<locate_message>(
+            round_trip(locate_message{sample_packet, balancer_x, tentative}));
+        CHECK(search.sender_ == balancer_x);
+        CHECK(search.tentative_ == tentative);
+    }
 
     status_message status = make_status(agent_a, "a", 5);
     status.started_ = start_time_ms(1234567890123);
--- a/src/libpass/samples.h
+++ b/src/libpass/samples.h
@@ -109,15 +109,24 @@
 }
 
 /// Returns an agent whose upstream has two slots and has reported that it is
-/// ready.
+/// ready. The agent was running when its upstream started.
 inline pass_agent_state make_agent(host_address host = agent_a)
 {
     pass_agent_settings settings;
     settings.host_ = host;
-    settings.process_started_ = start_time_ms(1000);
     pass_agent_state state = new_pass_agent(settings, start);
     pass_actions out;
     apply_report(state, make_report(), start, out);
+    state.saw_upstream_start_ = true;
+    return state;
+}
+
+/// Returns an agent that does not know whether its upstream, which is ready,
+/// has flows from before the agent's start.
+inline pass_agent_state make_restarted_agent()
+{
+    pass_agent_state state = make_agent();
+    state.saw_upstream_start_ = false;
     return state;
 }
 
--- a/src/libpassd/decision_log.cpp
+++ b/src/libpassd/decision_log.cpp
@@ -25,6 +25,7 @@
                {"peer", to_string(d.host_)},
                {"asked", d.search_->asked_},
                {"denied", d.search_->denied_},
+               {"undecided", d.search_->undecided_},
                {"ruled_out", d.search_->ruled_out_},
                {"rules", d.version_.value()},
                {"ago_us", log_delay.count()}});
