A restart of the upstream resets only flows that it had

A reset now needs a segment that the upstream has sent on the flow, or the opening segment that it got from this agent. An adopted flow without one counts as unknown to the upstream after its restart.

--- a/src/libpass/agent_lifecycle.cpp
+++ b/src/libpass/agent_lifecycle.cpp
@@ -46,6 +46,15 @@
     return std::max(flow.offered_at_, flow.upstream_sent_at_) >= restarted_at;
 }
 
+// Returns whether the upstream is known to have had the flow or to have got its
+// opening segment. An adopted flow of which it has sent nothing may be at
+// another upstream.
+bool was_at_upstream(const agent_flow& flow)
+{
+    return flow.phase_ == pass_phase::opening ||
+           flow.upstream_sent_at_ != instant();
+}
+
 // Ends the flows of the incarnation before the restart. Their callers get
 // resets, so that those with idempotent requests can retry at once.
 void end_flows(pass_agent_state& state, instant restarted_at, instant now,
@@ -60,6 +69,11 @@
             continue;
         }
         set_occupies_slot(state, flow, false);
+        if (!was_at_upstream(flow))
+        {
+            set_phase(flow, pass_phase::unknown_to_upstream, now);
+            continue;
+        }
         out.send_reset(key, flow.caller_expected_sequence_);
         add_decision(out, state, key, flow, "reset", "upstream_ended", now,
                      true);
--- a/src/libpass/agent_test.cpp
+++ b/src/libpass/agent_test.cpp
@@ -681,3 +681,24 @@
     REQUIRE(returned.datagrams_.size() == 1);
     CHECK(count(returned, pass_target::upstream) == 1);
 }
+
+TEST_CASE("a restart of the upstream resets no flow that it may never have had")
+{
+    // The agent was asked for the owner of the flow while its upstream was
+    // down, so that the upstream did not return the segment.
+    pass_agent_state state = make_restarted_agent();
+    pass_actions out;
+    handle_locate(state, {sample_packet, balancer_x, false}, make_request(9, 1),
+                  start, out);
+    CHECK(count(out, pass_target::upstream) == 1);
+    pass_actions restarted;
+    apply_report(state, make_report(3000), start + seconds(3), restarted);
+    CHECK(count(restarted, pass_target::reset) == 0);
+    // The new incarnation can't have it.
+    pass_actions denied;
+    handle_locate(state, {sample_packet, balancer_x, true}, make_request(9, 1),
+                  start + seconds(3), denied);
+    const auto* answer = find_message<flow_owner_message>(denied);
+    REQUIRE(answer != nullptr);
+    CHECK_FALSE(answer->undecided_);
+}
