Silence of an agent does not count as a denial of a flow

A balancer stopped waiting for an agent's denial after 8 s without a status, and reset a flow once all others had denied it. The upstream beside a silent agent may live: the agent can be down for longer, or cut off from this balancer only.

Silence now rules an agent out only if its upstream had deregistered before, or if it lasts for longer than a flow lives: all of the upstream's flows pass the agent, so none can be younger. After the 8 s searches still go on without the agent, to find flows that are elsewhere, but do not end in a reset.

--- a/src/include/galenafork/pass_balancer.h
+++ b/src/include/galenafork/pass_balancer.h
@@ -106,9 +106,9 @@
     /// upstream that gets three segments of a flow of another one disturbs its
     /// caller, so this stays below.
     std::size_t max_asking_upstream_ = 2;
-    /// Time within which a running upstream returns a segment that it does not
-    /// have.
-    duration upstream_response_time_ = std::chrono::milliseconds(40);
+    /// Time after which an upstream that has neither returned a segment nor
+    /// answered it has probably ended. Most requests take less.
+    duration upstream_response_time_ = std::chrono::milliseconds(100);
     /// A search ends this long after its last question. Callers retransmit
     /// within it.
     duration search_timeout_ = std::chrono::seconds(3);
@@ -122,10 +122,12 @@
     /// fewer requests per slot than this, so that the first agent to come back
     /// does not get all of them.
     double max_load_for_pending_ = 2.0;
-    /// An agent that has sent no status for this time counts as gone together
-    /// with its upstream. The time is far longer than any restart takes. For an
+    /// An agent that has sent no status for this time is probably down for
+    /// longer than a restart takes, and searches do not wait for it. For an
     /// agent that is only probed, several probes must have had no response.
     duration agent_gone_timeout_ = std::chrono::seconds(8);
+    /// Longest lifetime of a flow.
+    duration flow_lifetime_ = std::chrono::seconds(60);
     subscription_settings subscriptions_;
     /// A balancer that handled nothing for longer than this was paused: routers
     /// have sent its callers' retransmissions to other balancers since.
@@ -317,7 +319,7 @@
 /// Time between two calls of `send_hellos`.
 inline constexpr duration hello_round_interval = std::chrono::milliseconds(500);
 
-/// Returns the time after which an agent that sends no status counts as gone.
+/// Returns the time after which an agent that sends no status is probably down.
 duration gone_timeout(const pass_balancer_state& state,
                       const agent_record& agent);
 
--- a/src/libpass/balancer_search.cpp
+++ b/src/libpass/balancer_search.cpp
@@ -28,12 +28,24 @@
                        { return weight.service_ == agent.status_.service_; });
 }
 
-// Returns whether the agent need not be asked, because its upstream can't have
-// any flow.
+bool is_probably_running(const pass_balancer_state& state,
+                         const agent_record& agent, instant now)
+{
+    return now - agent.last_status_at_ <= gone_timeout(state, agent);
+}
+
+// Returns whether the agent's upstream can't have the flow although the agent
+// does not respond. Silence alone does not show this: the upstream may live and
+// the agent come back. The upstream must have deregistered before, or the
+// agent, through which all of its flows pass, must have been silent for longer
+// than a flow lives.
 bool is_ruled_out(const pass_balancer_state& state, const agent_record& agent,
                   instant now)
 {
-    return now - agent.last_status_at_ > gone_timeout(state, agent);
+    const bool deregistered =
+        agent.has_status_ && agent.status_.state_ == upstream_state::gone;
+    return (deregistered && !is_probably_running(state, agent, now)) ||
+           now - agent.last_status_at_ > state.settings_.flow_lifetime_;
 }
 
 auto find_undecided(const owner_search& search, host_address host)
@@ -80,9 +92,8 @@
         const bool in_scope = search.scope_ == search_scope::all_agents ||
                               is_expected(state, agent, flow);
         (in_scope ? result.in_scope_ : result.out_of_scope_).push_back(host);
-        const bool running =
-            now - agent.last_status_at_ <= gone_timeout(state, agent);
-        result.awaited_ += in_scope && running ? 1 : 0;
+        const bool awaited = in_scope && is_probably_running(state, agent, now);
+        result.awaited_ += awaited ? 1 : 0;
     }
     return result;
 }
