Agents do not forward an opening segment to themselves or in a circle

A restarted agent without a report, or with an upstream of another service after a rule change, forwarded the segment to the next candidate, itself, for each message that it then got; the process used a whole core. It also answered searches with itself as the new owner, which replaced the true one at the balancer, so that the open flow no longer answered.

Balancers leave the receiver out, agents skip themselves, and a retransmission that agents have forwarded eight times is dropped, as two agents can each have forwarded a transmission to the other.

Tests: "an agent does not forward an opening segment to itself", "two agents do not forward a retransmission to each other for ever", "a retransmission does not list its receiver as a candidate".

--- a/src/include/galenafork/pass_messages.h
+++ b/src/include/galenafork/pass_messages.h
@@ -51,6 +51,9 @@
     /// The agent that an earlier transmission was sent to, if that agent timed
     /// out and the balancer chose another one; zero otherwise.
     host_address earlier_agent_;
+    /// Number of agents that have forwarded this transmission to where they had
+    /// forwarded an earlier one.
+    std::uint8_t forwards_ = 0;
 };
 
 /// The owner of a flow, sent by an agent to a balancer because the flow is not
--- a/src/libpass/agent_opening.cpp
+++ b/src/libpass/agent_opening.cpp
@@ -121,6 +121,10 @@
                                instant now, pass_actions& out)
 {
     auto& candidates = flow.place_.candidates_;
+    // Balancers of earlier versions list the receiver as well.
+    candidates.erase(std::remove(candidates.begin(), candidates.end(),
+                                 state.settings_.host_),
+                     candidates.end());
     if (candidates.empty())
     {
         return false;
@@ -378,6 +382,31 @@
 
 } // namespace pvt
 
+namespace
+{
+
+// Forwards a retransmission to the agent that got an earlier transmission. Two
+// agents can each have forwarded a transmission to the other, so the number of
+// forwards is limited.
+void forward_retransmission(const pass_agent_state& state,
+                            const agent_flow& flow,
+                            const place_message& message,
+                            const segment_header& opening, instant now,
+                            pass_actions& out)
+{
+    if (message.forwards_ >= pvt::max_hops)
+    {
+        pvt::add_decision(out, state, opening.flow_, flow, "dropped",
+                          "too_many_hops", now, true, flow.moved_to_);
+        return;
+    }
+    place_message forwarded = message;
+    ++forwarded.forwards_;
+    out.send_to_peer(flow.moved_to_, std::move(forwarded));
+}
+
+} // namespace
+
 void handle_place(pass_agent_state& state, const place_message& message,
                   const segment_header& opening, instant now, pass_actions& out)
 {
@@ -429,7 +458,7 @@
         case pass_phase::moved:
             if (message.visits_.empty() && !message.candidates_exhausted_)
             {
-                out.send_to_peer(flow.moved_to_, message);
+                forward_retransmission(state, flow, message, opening, now, out);
                 return;
             }
             // The segment has returned, because no other agent had a free slot.
--- a/src/libpass/agent_pvt.h
+++ b/src/libpass/agent_pvt.h
@@ -23,6 +23,10 @@
 /// handshake.
 inline constexpr std::uint32_t max_sequence_distance = 1U << 26U;
 
+/// A segment that agents have forwarded this many times is in a loop between
+/// agents whose state of the flow is outdated.
+inline constexpr std::uint8_t max_hops = 8;
+
 /// Returns whether a caller's segment can belong to the handshake with this
 /// agent's upstream.
 bool acknowledges_upstream(const agent_flow& flow, const segment_header& s);
--- a/src/libpass/agent_segments.cpp
+++ b/src/libpass/agent_segments.cpp
@@ -94,11 +94,6 @@
                                     true});
 }
 
-// An opening segment is forwarded to fewer agents than this. A later segment of
-// the flow with this many hops is in a loop between agents whose state of the
-// flow is outdated.
-constexpr std::uint8_t max_hops = 8;
-
 void forward_to_new_agent(const pass_agent_state& state, agent_flow& flow,
                           const segment_header& s, byte_view bytes, instant now,
                           pass_actions& out)
--- a/src/libpass/agent_test.cpp
+++ b/src/libpass/agent_test.cpp
@@ -1,5 +1,6 @@
 #include "samples.h"
 
+#include <array>
 #include <doctest/doctest.h>
 
 using namespace galenafork;
@@ -702,3 +703,50 @@
     REQUIRE(answer != nullptr);
     CHECK_FALSE(answer->undecided_);
 }
+
+TEST_CASE("an agent does not forward an opening segment to itself")
+{
+    // A restarted agent without a report got a retransmission that listed it
+    // among the candidates. It forwarded the segment to itself without end.
+    pass_agent_settings settings;
+    settings.host_ = agent_a;
+    pass_agent_state state = new_pass_agent(settings, start);
+    pass_actions out;
+    handle_place(state, make_place({agent_a, agent_b}), make_opening(1), start,
+                 out);
+    REQUIRE(out.datagrams_.size() == 1);
+    CHECK(out.datagrams_[0].host_ == agent_b);
+    pass_actions alone;
+    handle_place(state, make_place({agent_a}), make_opening(2), start, alone);
+    CHECK(count(alone, pass_target::peer) == 0);
+}
+
+TEST_CASE("two agents do not forward a retransmission to each other for ever")
+{
+    // Each has forwarded a transmission of the segment to the other.
+    std::array<pass_agent_state, 2> agents;
+    pass_actions out;
+    for (std::size_t i = 0; i < agents.size(); ++i)
+    {
+        pass_agent_settings settings;
+        settings.host_ = i == 0 ? agent_a : agent_b;
+        agents.at(i) = new_pass_agent(settings, start);
+        handle_place(agents.at(i), make_place({i == 0 ? agent_b : agent_a}),
+                     make_opening(1), start, out);
+    }
+    place_message message = make_place();
+    unsigned forwards = 0;
+    for (std::size_t i = 0; forwards < 100; i = 1 - i)
+    {
+        pass_actions step;
+        handle_place(agents.at(i), message, make_opening(1), start, step);
+        const auto* next = find_message<place_message>(step);
+        if (next == nullptr)
+        {
+            break;
+        }
+        message = *next;
+        ++forwards;
+    }
+    CHECK(forwards < 20);
+}
--- a/src/libpass/balancer_opening.cpp
+++ b/src/libpass/balancer_opening.cpp
@@ -276,6 +276,7 @@
             retransmission.latency_target_ = rule->latency_target_;
             retransmission.candidates_ =
                 candidates_for(state, retransmission.service_, now);
+            remove_from(retransmission.candidates_, owner);
             existing->second.last_active_ = now;
             add_decision(out, "retransmission_sent", "", s, owner, false, state,
                          now);
--- a/src/libpass/balancer_test.cpp
+++ b/src/libpass/balancer_test.cpp
@@ -607,3 +607,21 @@
     CHECK(resets_after(seconds(1), upstream_state::gone) == 0);
     CHECK(resets_after(seconds(20), upstream_state::gone) == 1);
 }
+
+TEST_CASE("a retransmission does not list its receiver as a candidate")
+{
+    pass_balancer_state state = make_balancer();
+    pass_actions out;
+    handle_caller_segment(state, make_opening(1), sample_bytes(), start, out);
+    segment_header retransmission = make_opening(1);
+    retransmission.ack_number_ = 1;
+    pass_actions again;
+    handle_caller_segment(state, retransmission, sample_bytes(),
+                          start + milliseconds(200), again);
+    const auto* place = find_message<place_message>(again);
+    REQUIRE(place != nullptr);
+    for (const host_address host : place->candidates_)
+    {
+        CHECK(host != again.datagrams_[0].host_);
+    }
+}
--- a/src/libpass/pass.capnp
+++ b/src/libpass/pass.capnp
@@ -36,6 +36,7 @@
   ageMicros @9 :UInt32;
   targetMicros @10 :UInt32;
   earlier @11 :UInt32;
+  forwards @12 :UInt8;
 }
 
 struct Moved {
--- a/src/libpass/pass.capnp.h
+++ b/src/libpass/pass.capnp.h
@@ -467,6 +467,8 @@
 
   inline  ::uint32_t getEarlier() const;
 
+  inline  ::uint8_t getForwards() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -548,6 +550,9 @@
   inline  ::uint32_t getEarlier();
   inline void setEarlier( ::uint32_t value);
 
+  inline  ::uint8_t getForwards();
+  inline void setForwards( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1865,6 +1870,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t Place::Reader::getForwards() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Place::Builder::getForwards() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void Place::Builder::setForwards( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Moved::Reader::hasFlow() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpass/pass_messages.cpp
+++ b/src/libpass/pass_messages.cpp
@@ -68,6 +68,7 @@
     out.setAgeMicros(to_micros(m.age_));
     out.setTargetMicros(to_micros(m.latency_target_));
     out.setEarlier(m.earlier_agent_.value());
+    out.setForwards(m.forwards_);
 }
 
 place_message read(schema::Place::Reader in)
@@ -92,6 +93,7 @@
     m.age_ = duration(in.getAgeMicros());
     m.latency_target_ = duration(in.getTargetMicros());
     m.earlier_agent_ = host_address(in.getEarlier());
+    m.forwards_ = in.getForwards();
     return m;
 }
 
--- a/src/libpass/pass_messages_test.cpp
+++ b/src/libpass/pass_messages_test.cpp
@@ -27,6 +27,7 @@
     m.candidates_exhausted_ = true;
     m.age_ = duration(12345);
     m.earlier_agent_ = agent_c;
+    m.forwards_ = 3;
     const auto read = std::get<place_message>(round_trip(m));
     CHECK(read.packet_ == m.packet_);
     CHECK(read.service_ == m.service_);
@@ -42,6 +43,7 @@
     CHECK(read.age_ == m.age_);
     CHECK(read.latency_target_ == m.latency_target_);
     CHECK(read.earlier_agent_ == agent_c);
+    CHECK(read.forwards_ == m.forwards_);
 }
 
 TEST_CASE("decoded owner, status and hello messages equal the encoded ones")
