--- a/src/libpassd/daemon_setup.cpp
+++ b/src/libpassd/daemon_setup.cpp
@@ -82,6 +82,18 @@
         .dump();
 }
 
+namespace
+{
+
+// Returns whether datagrams to the address reach one instance.
+bool is_unicast(host_address host)
+{
+    constexpr std::uint32_t first_multicast = 0xe0000000;
+    return host != host_address() && host.value() < first_multicast;
+}
+
+} // namespace
+
 std::vector<host_address> hosts_of(const std::vector<platform_object>& entries)
 {
     std::vector<host_address> hosts;
@@ -92,7 +104,8 @@
                               value[host_field].is_string();
         const auto address = parse_endpoint(
             (has_host ? value[host_field].get<std::string>() : "") + ":1");
-        if (!address || !address->address_.is_v4())
+        if (!address || !address->address_.is_v4() ||
+            !is_unicast(host_of(*address)))
         {
             log_event(
                 log_level::warning, "entry_unreadable",
--- a/src/libpassd/daemon_setup.h
+++ b/src/libpassd/daemon_setup.h
@@ -51,7 +51,7 @@
 std::string entry_value(const platform_adapter::instance_settings& settings);
 
 /// Returns the hosts of the entries of a collection. An entry without a valid
-/// IPv4 address as its host is logged and skipped.
+/// IPv4 address of one instance as its host is logged and skipped.
 std::vector<host_address> hosts_of(const std::vector<platform_object>& entries);
 
 /// Reads the command line and the settings file. Without arguments the path of
