Agents reject reports of another service or with a start in the future

The report could be parsed and named the upstream's address, but a service that nobody has; the agent took it for the next incarnation, whose start is later, ended the flows, and ignored the upstream's own reports as outdated.

A report must now be of the service that the settings name for the upstream, and its start may be at most a minute in the future; a larger number would hide all of the upstream's own reports. Not decided here: another writer's report that gets both right cannot be told from the upstream's.

--- a/src/galena_pass_agent/pass_agent_daemon.cpp
+++ b/src/galena_pass_agent/pass_agent_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <galenafork/log.h>
 #include <libpassd/daemon_setup.h>
+#include <libpassd/report_check.h>
 #include <platform/store_dialect.h>
 
 namespace galenafork
@@ -175,22 +176,20 @@
                                          const std::string& body)
 {
     reports_.add();
-    auto report = platform_adapter::parse_report(instance, body);
-    if (report && report->address_ != settings_.upstream_)
-    {
-        report = tl::unexpected(error{error_code::bad_message,
-                                      "the report is of another upstream: " +
-                                          to_string(report->address_)});
-    }
+    const start_time_ms now = wall_clock_now();
+    auto report =
+        platform_adapter::parse_report(instance, body)
+            .and_then([&](const upstream_report& parsed)
+                      { return check_report(parsed, settings_, now); });
     if (!report)
     {
         bad_reports_.add();
-        log_event(log_level::warning, "report_unreadable",
+        log_event(log_level::warning, "report_rejected",
                   {{"instance", instance.value()},
                    {"reason", report.error().message_}});
         return {status_bad_request, ""};
     }
-    const std::uint64_t now_ms = wall_clock_now().value();
+    const std::uint64_t now_ms = now.value();
     const std::uint64_t started_ms = report->started_.value();
     report->started_monotonic_ =
         read_monotonic_clock() -
