Agents keep idle flows for as long as a flow can live

A flow that the agent has forgotten is no flow that the upstream does not have. Agents now keep a flow for the longest lifetime of a flow, after which its loss is allowed in any case, so they need not know the configured timeout. A flow that is idle for more than 20 s still does not delay the end of the agent's process.

--- a/src/galena_pass_agent/agent_traffic.cpp
+++ b/src/galena_pass_agent/agent_traffic.cpp
@@ -239,7 +239,7 @@
 
     void publish_status()
     {
-        owner_.status_.idle_ = is_idle(state_);
+        owner_.status_.idle_ = is_idle(state_, now_);
         owner_.status_.accepting_ = accepts_new_flows(state_, now_);
         owner_.status_.in_flight_ = state_.in_flight_;
         owner_.status_.queued_ =
--- a/src/include/galenafork/pass_agent.h
+++ b/src/include/galenafork/pass_agent.h
@@ -73,8 +73,9 @@
     duration initial_service_time_ = std::chrono::milliseconds(30);
     /// Expected time from a caller's opening segment to its request.
     duration round_trip_ = std::chrono::milliseconds(8);
-    /// Flows that are idle for longer are removed.
-    duration flow_idle_timeout_ = std::chrono::seconds(20);
+    /// A flow that is idle for longer does not delay the end of the agent's
+    /// process. The agent's successor adopts it.
+    duration drain_idle_timeout_ = std::chrono::seconds(20);
     /// Time for which ended and refused flows are kept for late segments.
     duration flow_linger_ = std::chrono::seconds(3);
     /// Time for which moved flows are kept, to forward the segments that still
@@ -90,8 +91,9 @@
     /// Time for which a flow that is unknown to the upstream is not tried there
     /// again.
     duration unknown_flow_retention_ = std::chrono::seconds(5);
-    /// Longest lifetime of a flow. An agent that has been running for longer
-    /// knows all flows of its upstream.
+    /// Longest lifetime of a flow. Flows that are idle for longer are removed.
+    /// An agent that has been running for longer knows all flows of its
+    /// upstream.
     duration flow_lifetime_ = std::chrono::seconds(60);
     /// A balancer that sends no hello for this time, which covers several of
     /// its hello intervals, gets no more periodic statuses.
@@ -274,9 +276,9 @@
 /// queued segments are sent to other agents or refused.
 void begin_shutdown(pass_agent_state& state, instant now, pass_actions& out);
 
-/// Returns whether no flow is queued, opening or open, so that the agent's
-/// process may end.
-bool is_idle(const pass_agent_state& state);
+/// Returns whether no flow is queued, opening or open and recently active, so
+/// that the agent's process may end.
+bool is_idle(const pass_agent_state& state, instant now);
 
 /// Handles an opening segment: offers it to the upstream, forwards it to
 /// another agent, queues or refuses it. A retransmission of a segment that the
--- a/src/libpass/agent_lifecycle.cpp
+++ b/src/libpass/agent_lifecycle.cpp
@@ -109,7 +109,7 @@
     case pass_phase::open:
         break;
     }
-    return settings.flow_idle_timeout_;
+    return settings.flow_lifetime_;
 }
 
 bool is_expired(const pass_agent_state& state, const agent_flow& flow,
@@ -265,16 +265,19 @@
     pvt::reroute_queued(state, now, out);
 }
 
-bool is_idle(const pass_agent_state& state)
+bool is_idle(const pass_agent_state& state, instant now)
 {
-    return std::none_of(state.flows_.begin(), state.flows_.end(),
-                        [](const auto& entry)
-                        {
-                            const pass_phase phase = entry.second.phase_;
-                            return phase == pass_phase::opening ||
-                                   phase == pass_phase::open ||
-                                   phase == pass_phase::queued;
-                        });
+    return std::none_of(
+        state.flows_.begin(), state.flows_.end(),
+        [&](const auto& entry)
+        {
+            const agent_flow& flow = entry.second;
+            const bool in_use = flow.phase_ == pass_phase::opening ||
+                                flow.phase_ == pass_phase::open;
+            return flow.phase_ == pass_phase::queued ||
+                   (in_use && now - flow.last_active_ <=
+                                  state.settings_.drain_idle_timeout_);
+        });
 }
 
 void handle_tick(pass_agent_state& state, instant now, pass_actions& out)
