A late answer to an opening segment keeps its flow

An upstream answers an opening segment after more than 80 ms, when the agent has given it up: with no candidate left the agent kept the flow as ended, forgot it after 3 s without a segment and denied it from then on, so that the next segment led to a reset. With a candidate the agent kept the flow as moved there; if the caller accepted the late answer, its segments went to the wrong agent, and their return counted as a proof that the upstream did not have the flow.

A late answer now makes an ended opening an opening again, and a caller's segment that acknowledges it takes a moved flow back.

Tests: "a flow whose opening segment was answered late stays", "a flow whose late answer the caller accepts is not at the next agent"; both failed before.

--- a/src/libpass/agent_pvt.h
+++ b/src/libpass/agent_pvt.h
@@ -31,6 +31,12 @@
 /// agent's upstream.
 bool acknowledges_upstream(const agent_flow& flow, const segment_header& s);
 
+/// Handles a caller's segment that acknowledges an answer which the upstream
+/// sent after its opening segment had been forwarded to another agent: the
+/// caller has accepted this answer, and the flow is opening here again. Returns
+/// whether it is.
+bool accept_late_answer(agent_flow& flow, const segment_header& s, instant now);
+
 /// Updates the state of an open or opening flow by a segment from its caller.
 void track_caller(pass_agent_state& state, agent_flow& flow,
                   const segment_header& s, instant now);
--- a/src/libpass/agent_search.cpp
+++ b/src/libpass/agent_search.cpp
@@ -144,7 +144,8 @@
     const byte_view bytes{message.packet_.data(), message.packet_.size()};
     const auto it = state.flows_.find(s.flow_);
     agent_flow* flow = it == state.flows_.end() ? nullptr : &it->second;
-    if (flow != nullptr && flow->phase_ == pass_phase::moved)
+    if (flow != nullptr && flow->phase_ == pass_phase::moved &&
+        !pvt::accept_late_answer(*flow, s, now))
     {
         if (flow->moved_to_ == message.sender_)
         {
--- a/src/libpass/agent_segments.cpp
+++ b/src/libpass/agent_segments.cpp
@@ -47,6 +47,18 @@
            s.ack_number_ - *flow.upstream_sequence_ < max_sequence_distance;
 }
 
+bool accept_late_answer(agent_flow& flow, const segment_header& s, instant now)
+{
+    const bool accepted = flow.phase_ == pass_phase::moved &&
+                          flow.upstream_sequence_ &&
+                          acknowledges_upstream(flow, s);
+    if (accepted)
+    {
+        set_phase(flow, pass_phase::opening, now);
+    }
+    return accepted;
+}
+
 void track_caller(pass_agent_state& state, agent_flow& flow,
                   const segment_header& s, instant now)
 {
@@ -208,6 +220,11 @@
     flow.upstream_sent_at_ = now;
     if (s.opens_)
     {
+        if (flow.phase_ == pass_phase::ended && !flow.upstream_sequence_)
+        {
+            // The answer is late, but the caller may accept it.
+            set_phase(flow, pass_phase::opening, now);
+        }
         flow.upstream_sequence_ = s.sequence_;
         return;
     }
@@ -257,7 +274,8 @@
         return;
     }
     flow.last_active_ = now;
-    if (flow.phase_ == pass_phase::moved)
+    if (flow.phase_ == pass_phase::moved &&
+        !pvt::accept_late_answer(flow, s, now))
     {
         pvt::forward_to_new_agent(state, flow, s, bytes, now, out);
         return;
--- a/src/libpass/agent_test.cpp
+++ b/src/libpass/agent_test.cpp
@@ -765,3 +765,77 @@
     }
     CHECK(forwards < 20);
 }
+
+TEST_CASE("a flow whose opening segment was answered late stays")
+{
+    // Seen without a case in the review: a service with one upstream that
+    // answered after more than the opening timeout. The agent kept the flow as
+    // ended, forgot it after 3 s without a segment, and denied it.
+    for (const duration late : {milliseconds(90), milliseconds(170)})
+    {
+        for (const duration pause : {seconds(2), seconds(7), seconds(40)})
+        {
+            pass_agent_state state = make_agent();
+            pass_actions out;
+            handle_place(state, make_place(), make_opening(1), start, out);
+            handle_tick(state, start + milliseconds(85), out);
+            handle_upstream_segment(state, make_opening_answer(1, 9000),
+                                    sample_bytes(), start + late, out);
+            handle_caller_segment(state, make_request(1, 9000), sample_bytes(),
+                                  balancer_x, start + late, out);
+            handle_tick(state, start + late + pause, out);
+            pass_actions again;
+            handle_caller_segment(state, make_request(1, 9000), sample_bytes(),
+                                  balancer_x, start + late + pause, again);
+            CHECK(count(again, pass_target::upstream) == 1);
+            CHECK(find_message<locate_message>(again) == nullptr);
+        }
+    }
+}
+
+TEST_CASE(
+    "a flow whose late answer the caller accepts is not at the next agent")
+{
+    // The opening segment went on to another agent, whose upstream answered as
+    // well. The caller accepted the first answer.
+    for (const bool searched : {false, true})
+    {
+        pass_agent_state state = make_agent();
+        pass_actions out;
+        handle_place(state, make_place({agent_b}), make_opening(1), start, out);
+        handle_tick(state, start + milliseconds(85), out);
+        REQUIRE(state.flows_.at(make_flow(1)).phase_ == pass_phase::moved);
+        handle_upstream_segment(state, make_opening_answer(1, 9000),
+                                sample_bytes(), start + milliseconds(90), out);
+        pass_actions accepted;
+        if (searched)
+        {
+            handle_locate(state, {sample_packet, balancer_x, true},
+                          make_request(1, 9000), start + milliseconds(95),
+                          accepted);
+            const auto* owner = find_message<flow_owner_message>(accepted);
+            REQUIRE(owner != nullptr);
+            CHECK(owner->owner_ == agent_a);
+        }
+        else
+        {
+            handle_caller_segment(state, make_request(1, 9000), sample_bytes(),
+                                  balancer_x, start + milliseconds(95),
+                                  accepted);
+        }
+        CHECK(count(accepted, pass_target::upstream) == 1);
+        CHECK(count(accepted, pass_target::agent) == 0);
+    }
+    // Another upstream's answer was accepted.
+    pass_agent_state state = make_agent();
+    pass_actions out;
+    handle_place(state, make_place({agent_b}), make_opening(1), start, out);
+    handle_tick(state, start + milliseconds(85), out);
+    handle_upstream_segment(state, make_opening_answer(1, 9000), sample_bytes(),
+                            start + milliseconds(90), out);
+    pass_actions forwarded;
+    handle_caller_segment(state, make_request(1, 0x90000000), sample_bytes(),
+                          balancer_x, start + milliseconds(95), forwarded);
+    CHECK(count(forwarded, pass_target::agent) == 1);
+    CHECK(count(forwarded, pass_target::upstream) == 0);
+}
