An agent's entry is removed only if its own upstream has left

Seen without a case in the review (from reading): a DELETE of any instance id set a flag that was never cleared, so a later planned stop of the agent removed its entry although its upstream lived. Balancers that started before it was written again did not know the agent.

The daemon now uses the decision's state, which takes a deregistration only for the instance of the last report, and a later report of the upstream undoes it. Not tested on its own: the daemon has no unit test; handle_deregistration has.

--- a/src/galena_pass_agent/agent_traffic.cpp
+++ b/src/galena_pass_agent/agent_traffic.cpp
@@ -244,6 +244,8 @@
         owner_.status_.in_flight_ = state_.in_flight_;
         owner_.status_.queued_ =
             static_cast<std::uint32_t>(state_.queue_.size());
+        owner_.status_.upstream_gone_ =
+            state_.upstream_.state_ == upstream_state::gone;
         flows_.set(static_cast<std::int64_t>(state_.flows_.size()));
         service_time_.set(state_.service_time_.count());
     }
--- a/src/galena_pass_agent/agent_traffic.h
+++ b/src/galena_pass_agent/agent_traffic.h
@@ -33,6 +33,8 @@
     std::atomic<bool> accepting_{false};
     std::atomic<std::uint32_t> in_flight_{0};
     std::atomic<std::uint32_t> queued_{0};
+    /// The upstream has deregistered and has not reported since.
+    std::atomic<bool> upstream_gone_{false};
 };
 
 /// Forwards segments between balancers, callers and the upstream. Owns the
--- a/src/galena_pass_agent/pass_agent_daemon.cpp
+++ b/src/galena_pass_agent/pass_agent_daemon.cpp
@@ -223,7 +223,6 @@
     {
         return reject_command("deregistration_refused", instance);
     }
-    upstream_deregistered_ = true;
     return {status_ok, "{}"};
 }
 
@@ -288,7 +287,7 @@
     agent_commands commands;
     commands.shut_down_ = true;
     traffic_.commands().post(std::move(commands));
-    if (upstream_deregistered_ && registered_)
+    if (traffic_.status().upstream_gone_ && registered_)
     {
         // The removal runs in the background, because the store may not respond
         // and the wait below ends before the grace period does.
--- a/src/galena_pass_agent/pass_agent_daemon.h
+++ b/src/galena_pass_agent/pass_agent_daemon.h
@@ -61,7 +61,6 @@
     store_registration registration_;
     std::thread thread_;
     bool registered_ = false;
-    bool upstream_deregistered_ = false;
     /// The removal of the entry has not ended yet.
     bool removing_entry_ = false;
     bool balancers_read_ = false;
