An old list of agents does not prove that a flow is lost

A balancer that had once read the registrations reset flows after a search at all agents that it knew, however long ago that read was. While the store does not answer it, other balancers may use agents that have registered since; their absence from its list is no denial. The last read may now be 15 s old at most; without it a search ends in silence.

Test: "a flow is not reset by an old list of agents"; it fails without the limit.

--- a/src/include/galenafork/pass_balancer.h
+++ b/src/include/galenafork/pass_balancer.h
@@ -126,6 +126,10 @@
     /// longer than a restart takes, and searches do not wait for it. For an
     /// agent that is only probed, several probes must have had no response.
     duration agent_gone_timeout_ = std::chrono::seconds(8);
+    /// A search ends in a reset only if the registrations were read at most
+    /// this long ago, which covers several reads. Other balancers may use
+    /// agents that have registered since.
+    duration max_member_list_age_ = std::chrono::seconds(15);
     /// Longest lifetime of a flow.
     duration flow_lifetime_ = std::chrono::seconds(60);
     subscription_settings subscriptions_;
--- a/src/libpass/balancer_search.cpp
+++ b/src/libpass/balancer_search.cpp
@@ -48,6 +48,12 @@
            now - agent.last_status_at_ > state.settings_.flow_lifetime_;
 }
 
+bool knows_all_agents(const pass_balancer_state& state, instant now)
+{
+    return state.members_read_at_ && now - *state.members_read_at_ <=
+                                         state.settings_.max_member_list_age_;
+}
+
 auto find_undecided(const owner_search& search, host_address host)
 {
     return std::find_if(search.undecided_.begin(), search.undecided_.end(),
@@ -178,7 +184,7 @@
         ask_upstreams(state, key, search, remaining.ruled_out_, now, out);
         return;
     }
-    if (!remaining.in_scope_.empty() || !state.members_read_at_)
+    if (!remaining.in_scope_.empty() || !knows_all_agents(state, now))
     {
         return;
     }
--- a/src/libpass/balancer_test.cpp
+++ b/src/libpass/balancer_test.cpp
@@ -625,3 +625,27 @@
         CHECK(host != again.datagrams_[0].host_);
     }
 }
+
+TEST_CASE("a flow is not reset by an old list of agents")
+{
+    // Agents that have registered since may have the flow.
+    for (const duration age : {seconds(5), seconds(16)})
+    {
+        pass_balancer_state state = make_balancer();
+        note_members_read(state, start);
+        const instant now = start + age;
+        pass_actions out;
+        for (const host_address host : {agent_a, agent_b, agent_c})
+        {
+            handle_status(state, make_status(host, "a"), now, out);
+        }
+        handle_caller_segment(state, make_request(1, 77), sample_bytes(), now,
+                              out);
+        for (const host_address host : {agent_a, agent_b, agent_c})
+        {
+            handle_flow_owner(
+                state, {make_flow(1), host_address(), false, host}, now, out);
+        }
+        CHECK(count(out, pass_target::reset) == (age < seconds(15) ? 1 : 0));
+    }
+}
