An outdated record of a moved flow does not replace the flow's owner

In a search the owner responds, and so does each agent that once forwarded the opening segment, naming the agent that got it. The balancer took the last response, so that the flow's segments could go to an agent that does not have it until the next search. A response that names another agent now counts only if no owner is known or the owner itself sends it. Such messages name their sender, as denials did already.

Test: "an agent that a flow moved away from does not replace its owner"; it fails without the check.

--- a/src/include/galenafork/pass_messages.h
+++ b/src/include/galenafork/pass_messages.h
@@ -66,7 +66,7 @@
     host_address owner_;
     /// The opening segment is queued at the owner.
     bool queued_ = false;
-    /// Set only if `owner_` is zero.
+    /// Zero in messages of earlier versions with an owner.
     host_address sender_ = {};
     /// The sender's upstream may have the flow from before the sender's start.
     bool undecided_ = false;
--- a/src/libpass/agent_search.cpp
+++ b/src/libpass/agent_search.cpp
@@ -156,7 +156,8 @@
         // new owner among its agents yet.
         pvt::forward_to_new_agent(state, *flow, s, bytes, now, out);
         out.send_to_peer(message.sender_,
-                         flow_owner_message{s.flow_, flow->moved_to_, false});
+                         flow_owner_message{s.flow_, flow->moved_to_, false,
+                                            state.settings_.host_});
         return;
     }
     switch (knowledge_of(state, flow, s, now))
--- a/src/libpass/agent_segments.cpp
+++ b/src/libpass/agent_segments.cpp
@@ -296,8 +296,8 @@
             flow.moved_to_ = earlier;
             set_phase(flow, pass_phase::moved, now);
             out.send_to_agent(earlier, bytes);
-            out.send_to_peer(sender,
-                             flow_owner_message{s.flow_, earlier, false});
+            out.send_to_peer(sender, flow_owner_message{s.flow_, earlier, false,
+                                                        state.settings_.host_});
         }
         else
         {
--- a/src/libpass/balancer_search.cpp
+++ b/src/libpass/balancer_search.cpp
@@ -338,6 +338,14 @@
     balancer_flow& flow = it->second;
     if (message.owner_ != host_address())
     {
+        const bool direct = message.sender_ == host_address() ||
+                            message.sender_ == message.owner_;
+        if (!direct && flow.owner_ != host_address() &&
+            flow.owner_ != message.sender_)
+        {
+            // The owner has responded itself; the sender's record is outdated.
+            return;
+        }
         flow.owner_ = message.owner_;
         flow.queued_ = message.queued_;
         flow.last_active_ = now;
--- a/src/libpass/balancer_test.cpp
+++ b/src/libpass/balancer_test.cpp
@@ -649,3 +649,23 @@
         CHECK(count(out, pass_target::reset) == (age < seconds(15) ? 1 : 0));
     }
 }
+
+TEST_CASE("an agent that a flow moved away from does not replace its owner")
+{
+    pass_balancer_state state = make_balancer();
+    pass_actions out;
+    handle_caller_segment(state, make_request(1, 77), sample_bytes(), start,
+                          out);
+    handle_flow_owner(state, {make_flow(1), agent_a, false, agent_a}, start,
+                      out);
+    // An outdated record of an agent that was asked as well.
+    handle_flow_owner(state, {make_flow(1), agent_c, false, agent_b}, start,
+                      out);
+    CHECK(state.flows_.at(make_flow(1)).owner_ == agent_a);
+    handle_flow_owner(state, {make_flow(1), agent_c, false, agent_a}, start,
+                      out);
+    CHECK(state.flows_.at(make_flow(1)).owner_ == agent_c);
+    // Messages of agents of earlier versions do not name their sender.
+    handle_flow_owner(state, {make_flow(1), agent_b, false, {}}, start, out);
+    CHECK(state.flows_.at(make_flow(1)).owner_ == agent_b);
+}
