Test bed: cases side by side get different ports

The test bed chose ports that were free at that moment from the range of outgoing connections; another case or a connection could take one before the program bound it.

An allocator now locks blocks of ports below that range until its process ends.

--- a/testsuite/lib/processes.py
+++ b/testsuite/lib/processes.py
@@ -1,12 +1,15 @@
 """Starts, awaits and stops the processes of a test run, and checks them over
 HTTP. Only processes that the run started are signalled."""
 
+import fcntl
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
+import tempfile
 import time
 import urllib.error
 import urllib.request
@@ -15,6 +18,9 @@
 STOP_TIMEOUT_SECONDS = 5
 POLL_INTERVAL_SECONDS = 0.05
 HTTP_TIMEOUT_SECONDS = 3
+FIRST_PORT = 12000
+BLOCK_PORTS = 100
+PORT_BLOCKS = 200
 
 
 class StepFailed(Exception):
@@ -22,26 +28,49 @@
 
 
 class PortAllocator:
-    """Allocates loopback ports that are free for UDP and TCP, each one once."""
+    """Allocates loopback ports that are free for UDP and TCP, each one once.
+
+    The programs of a case bind their ports later. So that no other case gets
+    them meanwhile, an allocator locks blocks of ports until its process ends.
+    All blocks are below the range that the kernel takes ports of outgoing
+    connections from.
+    """
 
     def __init__(self):
-        self._used = set()
+        self._locks = []
+        self._ports = []
 
     def allocate(self):
         """Returns the `IP:PORT` of a port that is free now."""
         while True:
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-                udp.bind((LOOPBACK, 0))
-                port = udp.getsockname()[1]
-                if port not in self._used and self._is_free_for_tcp(port):
-                    self._used.add(port)
-                    return f"{LOOPBACK}:{port}"
+            if not self._ports:
+                self._ports = self._lock_block()
+            port = self._ports.pop()
+            if self._is_free(port, socket.SOCK_DGRAM) and \
+                    self._is_free(port, socket.SOCK_STREAM):
+                return f"{LOOPBACK}:{port}"
+
+    def _lock_block(self):
+        """Returns the ports of a block that no other allocator has."""
+        folder = pathlib.Path(tempfile.gettempdir()) / "galenafork-ports"
+        folder.mkdir(exist_ok=True)
+        for block in random.sample(range(PORT_BLOCKS), PORT_BLOCKS):
+            lock = open(folder / str(block), "w")
+            try:
+                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except BlockingIOError:
+                lock.close()
+                continue
+            self._locks.append(lock)
+            first = FIRST_PORT + block * BLOCK_PORTS
+            return list(range(first, first + BLOCK_PORTS))
+        raise StepFailed("all blocks of ports are in use")
 
     @staticmethod
-    def _is_free_for_tcp(port):
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
+    def _is_free(port, kind):
+        with socket.socket(socket.AF_INET, kind) as probe:
             try:
-                tcp.bind((LOOPBACK, port))
+                probe.bind((LOOPBACK, port))
                 return True
             except OSError:
                 return False
