The longest lifetime of a flow comes from the settings

Denials by age and the retention of flows used 60 s, the value of all deployments in force. Instances now use bounds.flow_max_s of their settings file, and 60 s if it is missing.

--- a/src/galena_pass_agent/pass_agent_daemon.cpp
+++ b/src/galena_pass_agent/pass_agent_daemon.cpp
@@ -108,6 +108,7 @@
           {
               pass_agent_settings s;
               s.host_ = settings.host_;
+              s.flow_lifetime_ = settings.flow_lifetime_;
               return s;
           }(),
           std::move(io), std::move(upstream_socket), log_, *metrics_),
--- a/src/galena_pass_balancer/balancer_daemon.cpp
+++ b/src/galena_pass_balancer/balancer_daemon.cpp
@@ -82,6 +82,7 @@
               pass_balancer_settings s;
               s.host_ = settings.host_;
               s.data_centre_ = settings.data_centre_;
+              s.flow_lifetime_ = settings.flow_lifetime_;
               return s;
           }(),
           static_cast<std::uint32_t>(random_bits()), std::move(io), log_,
