--- a/src/libpass/balancer_opening.cpp
+++ b/src/libpass/balancer_opening.cpp
@@ -213,6 +213,28 @@
         out);
 }
 
+// Returns the message with a retransmission for `receiver`, the agent that got
+// the first transmission.
+place_message make_retransmission(pass_balancer_state& state,
+                                  const segment_header& s,
+                                  const opening_context& context,
+                                  host_address receiver, instant now)
+{
+    place_message message;
+    message.packet_.assign(context.bytes_.data_,
+                           context.bytes_.data_ + context.bytes_.size_);
+    message.service_ = service_for(context.rule_, s.flow_);
+    message.version_ = state.rules_->version_;
+    message.balancer_ = state.settings_.host_;
+    message.priority_ = context.rule_.priority_;
+    message.idempotent_ = context.rule_.idempotent_;
+    message.age_ = context.age_;
+    message.latency_target_ = context.rule_.latency_target_;
+    message.candidates_ = candidates_for(state, message.service_, now);
+    remove_from(message.candidates_, receiver);
+    return message;
+}
+
 } // namespace
 
 void handle_opening(pass_balancer_state& state, const segment_header& s,
@@ -264,23 +286,11 @@
         }
         else
         {
-            place_message retransmission;
-            retransmission.packet_.assign(bytes.data_,
-                                          bytes.data_ + bytes.size_);
-            retransmission.service_ = service_for(*rule, s.flow_);
-            retransmission.version_ = state.rules_->version_;
-            retransmission.balancer_ = state.settings_.host_;
-            retransmission.priority_ = rule->priority_;
-            retransmission.idempotent_ = rule->idempotent_;
-            retransmission.age_ = context.age_;
-            retransmission.latency_target_ = rule->latency_target_;
-            retransmission.candidates_ =
-                candidates_for(state, retransmission.service_, now);
-            remove_from(retransmission.candidates_, owner);
             existing->second.last_active_ = now;
             add_decision(out, "retransmission_sent", "", s, owner, false, state,
                          now);
-            out.send_to_peer(owner, std::move(retransmission));
+            out.send_to_peer(
+                owner, make_retransmission(state, s, context, owner, now));
             return;
         }
     }
--- a/src/libpass/flow_replay_test.cpp
+++ b/src/libpass/flow_replay_test.cpp
@@ -1003,25 +1003,28 @@
                            : default_count;
 }
 
+void check_none(const std::vector<std::string>& faults)
+{
+    for (const std::string& line : faults)
+    {
+        FAIL_CHECK(line);
+    }
+}
+
 // Replays the settings with several seeds and checks that each flow stays at
 // its upstream while that lives.
 void check_replays(flow_replay_settings settings)
 {
-    for (std::uint32_t seed = 1; seed <= seed_count(); ++seed)
+    const std::uint32_t seeds = seed_count();
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed)
     {
         settings.seed_ = seed;
         CAPTURE(seed);
         const flow_replay_result result = replay_flows(settings);
         CHECK(result.opened_ > 20);
         CHECK(result.answered_ > 200);
-        for (const std::string& line : result.wrong_resets_)
-        {
-            FAIL_CHECK(line);
-        }
-        for (const std::string& line : result.misdirected_)
-        {
-            FAIL_CHECK(line);
-        }
+        check_none(result.wrong_resets_);
+        check_none(result.misdirected_);
         CHECK(result.stuck_ == 0);
     }
 }
