Owner search: responses are counted instead of compared with all agents

Each response compared all agents with all lists of the search, which grows with the cube of the number of agents: some two million steps for a search among 136 on an instance that may have 0.04 of a core (counted from the code, not measured). The comparison now runs once per step of the search. If the other services' agents are all down, undecided ones ask their upstreams at once.

--- a/src/include/galenafork/pass_balancer.h
+++ b/src/include/galenafork/pass_balancer.h
@@ -209,6 +209,10 @@
     host_address returned_by_;
     /// Next sequence number that the caller expects.
     std::uint32_t caller_expected_sequence_ = 0;
+    /// Number of agents whose first response the search waits for. Responses
+    /// are counted, so that the lists below are compared with all agents only
+    /// when the last one arrives.
+    std::uint32_t awaited_ = 0;
     /// Agents that do not have the flow.
     std::vector<host_address> denied_by_;
     std::vector<undecided_agent> undecided_;
--- a/src/libpass/balancer_search.cpp
+++ b/src/libpass/balancer_search.cpp
@@ -163,17 +163,27 @@
 void advance_search(pass_balancer_state& state, const flow_key& key,
                     owner_search& search, instant now, pass_actions& out)
 {
-    const remaining_agents remaining = find_remaining(state, key, search, now);
-    if (remaining.awaited_ > 0)
+    if (search.awaited_ > 0)
+    {
+        return;
+    }
+    remaining_agents remaining = find_remaining(state, key, search, now);
+    search.awaited_ = remaining.awaited_;
+    if (search.awaited_ > 0)
     {
         return;
     }
     if (!remaining.out_of_scope_.empty())
     {
         search.scope_ = search_scope::all_agents;
-        ask(state, key, search, remaining.out_of_scope_, true, "other_services",
+        remaining = find_remaining(state, key, search, now);
+        search.awaited_ = remaining.awaited_;
+        ask(state, key, search, remaining.in_scope_, true, "other_services",
             remaining.ruled_out_, now, out);
-        return;
+        if (search.awaited_ > 0)
+        {
+            return;
+        }
     }
     if (!search.told_to_ask_.empty() || !search.asking_upstream_.empty())
     {
@@ -205,6 +215,13 @@
         return;
     }
     const auto undecided = find_undecided(search, sender);
+    const bool is_first = undecided == search.undecided_.end() &&
+                          !contains(search.told_to_ask_, sender) &&
+                          !contains(search.asking_upstream_, sender);
+    if (is_first && search.awaited_ > 0)
+    {
+        --search.awaited_;
+    }
     if (!response.undecided_)
     {
         if (undecided != search.undecided_.end())
@@ -220,8 +237,7 @@
         pvt::remove_from(search.told_to_ask_, sender);
         search.asking_upstream_.push_back(sender);
     }
-    else if (undecided == search.undecided_.end() &&
-             !contains(search.asking_upstream_, sender))
+    else if (is_first)
     {
         search.undecided_.push_back({sender, now});
     }
@@ -244,6 +260,7 @@
                        }),
         undecided.end());
     const remaining_agents remaining = find_remaining(state, key, search, now);
+    search.awaited_ = remaining.awaited_;
     ask(state, key, search, remaining.in_scope_, true, "unknown_flow_again",
         remaining.ruled_out_, now, out);
     const bool all_confirmed = search.told_to_ask_.empty();
@@ -290,12 +307,10 @@
     }
     const remaining_agents remaining =
         find_remaining(state, s.flow_, search, now);
+    search.awaited_ = remaining.awaited_;
     ask(state, s.flow_, search, remaining.in_scope_, true, "unknown_flow",
         remaining.ruled_out_, now, out);
-    if (remaining.awaited_ == 0)
-    {
-        advance_search(state, s.flow_, search, now, out);
-    }
+    advance_search(state, s.flow_, search, now, out);
 }
 
 void handle_search_tick(pass_balancer_state& state, instant now,
