Passthrough messages: fields for relayed searches, evacuations, cold limits and expected load

Cause: several parts of docs/hard-load.md need new fields in the same messages. Change: schema, structs, codec and their test; versions of the store get a header of their own, so that libpass does not include kj. Nothing sets the fields yet.

--- a/src/include/galenafork/pass_messages.h
+++ b/src/include/galenafork/pass_messages.h
@@ -54,6 +54,9 @@
     /// Number of agents that have forwarded this transmission to where they had
     /// forwarded an earlier one.
     std::uint8_t forwards_ = 0;
+    /// Requests a second that a cold upstream of the service can take; zero for
+    /// no limit.
+    double cold_rate_ = 0;
 };
 
 /// The owner of a flow, sent by an agent to a balancer because the flow is not
@@ -84,6 +87,22 @@
     host_address sender_;
     /// Agents that are undecided say so and do not ask their upstreams.
     bool tentative_ = false;
+    /// Other agents that the receiver, the relay, asks on behalf of the sender.
+    std::vector<host_address> group_ = {};
+    /// The relay, which collects denials. Zero if the sender gets them itself.
+    host_address relay_ = {};
+};
+
+/// A relay's summary of the responses of its group, itself included. The owner
+/// of the flow responds to the searching balancer itself.
+struct search_result_message
+{
+    flow_key flow_;
+    host_address sender_;
+    /// Agents that do not have the flow.
+    std::vector<host_address> denied_;
+    /// Agents whose upstreams may have the flow.
+    std::vector<host_address> undecided_;
 };
 
 /// Status of an agent and its upstream. Balancers that have subscribed get it
@@ -107,6 +126,9 @@
     duration cold_remaining_{0};
     /// Smoothed service time of a request at the upstream; zero if unknown.
     duration service_time_{0};
+    /// Load that the idle open flows are expected to bring, in units of the
+    /// upstream's slots.
+    double expected_load_ = 0;
 };
 
 /// Announces that a balancer is running: to agents, which then send it their
@@ -124,11 +146,14 @@
     /// The agent is to respond with one status. Without this flag the balancer
     /// subscribes to periodic statuses.
     bool probe_ = false;
+    /// The evacuations that the sender knows; `no_object_version` if it knows
+    /// none.
+    evacuation_state evacuations_ = {};
 };
 
 using pass_message =
     std::variant<place_message, flow_owner_message, locate_message,
-                 status_message, hello_message>;
+                 status_message, hello_message, search_result_message>;
 
 /// Returns the datagram for `message`.
 std::vector<std::uint8_t> encode(const pass_message& message);
--- a/src/include/galenafork/pass_types.h
+++ b/src/include/galenafork/pass_types.h
@@ -10,6 +10,7 @@
 #include <galenafork/endpoint.h>
 #include <galenafork/flow.h>
 #include <galenafork/ids.h>
+#include <galenafork/object_version.h>
 #include <galenafork/time.h>
 
 #include <cstdint>
@@ -99,12 +100,26 @@
     std::map<endpoint, pass_rule> rules_;
     /// Flows that are idle for longer may be removed.
     duration idle_timeout_{0};
+    /// Requests a second that a cold upstream of a service can take. Services
+    /// without a limit have no entry.
+    std::map<service_name, double> cold_rates_;
 };
 
 /// Returns the service that `rule` selects for `flow`; every balancer selects
 /// the same one.
 const service_name& service_for(const pass_rule& rule, const flow_key& flow);
 
+/// Data centres whose upstreams get no new flows until the operator takes the
+/// evacuation back.
+struct evacuation_state
+{
+    /// Era and version of the store when the list was read. A later pair
+    /// replaces an earlier one.
+    store_era era_;
+    object_version revision_ = no_object_version;
+    std::vector<data_centre> data_centres_;
+};
+
 /// State of an upstream.
 enum class upstream_state : std::uint8_t
 {
--- a/src/include/galenafork/platform.h
+++ b/src/include/galenafork/platform.h
@@ -7,6 +7,7 @@
 
 #include <galenafork/error.h>
 #include <galenafork/ids.h>
+#include <galenafork/object_version.h>
 #include <galenafork/time.h>
 
 #include <cstdint>
@@ -19,12 +20,6 @@
 namespace galenafork
 {
 
-/// Version of an object in the platform; increases with each write.
-using object_version = strong_type<struct object_version_tag, std::uint64_t>;
-
-/// The version of an object that does not exist.
-inline constexpr object_version no_object_version{0};
-
 /// An object as read from the platform.
 struct platform_object
 {
@@ -126,6 +121,8 @@
     object_version version_;
     /// True if there are more objects after the last one of this page.
     bool has_more_ = false;
+    /// The store's era at the time of the read.
+    store_era era_;
 };
 
 /// One change in a collection.
--- a/src/libpass/pass.capnp
+++ b/src/libpass/pass.capnp
@@ -37,6 +37,7 @@
   targetMicros @10 :UInt32;
   earlier @11 :UInt32;
   forwards @12 :UInt8;
+  coldPerSecondMillis @13 :UInt32;  # Thousandths of a request a second; zero for no limit.
 }
 
 struct Moved {
@@ -53,6 +54,15 @@
   packet @0 :Data;
   balancer @1 :UInt32;
   tentative @2 :Bool;  # False in messages of earlier versions.
+  group @3 :List(UInt32);  # Agents that the receiver asks on behalf of the sender.
+  relay @4 :UInt32;  # Gets denials instead of the sender; zero for none.
+}
+
+struct SearchResult {
+  flow @0 :Flow;
+  sender @1 :UInt32;
+  denied @2 :List(UInt32);
+  undecided @3 :List(UInt32);
 }
 
 struct Status {
@@ -68,6 +78,7 @@
   held @9 :UInt16;
   coldMicros @10 :UInt32;
   serviceMicros @11 :UInt32;
+  expectedLoadMillis @12 :UInt32;  # Thousandths of the upstream's slots.
 }
 
 struct Hello {
@@ -77,6 +88,9 @@
   leaving @3 :Bool;
   statusMillis @4 :UInt16;  # Zero in messages of earlier versions.
   probe @5 :Bool;
+  evacuationEra @6 :UInt64;
+  evacuationRevision @7 :UInt64;  # Zero if the sender has no list.
+  evacuated @8 :List(Text);
 }
 
 struct Message {
@@ -86,6 +100,7 @@
     locate @2 :Locate;
     status @3 :Status;
     hello @4 :Hello;
+    searchResult @5 :SearchResult;
   }
 }
 
--- a/src/libpass/pass.capnp.h
+++ b/src/libpass/pass.capnp.h
@@ -24,6 +24,7 @@
 CAPNP_DECLARE_SCHEMA(f0bd14747c0f6fa4);
 CAPNP_DECLARE_SCHEMA(d88e16a3dd3c78d2);
 CAPNP_DECLARE_SCHEMA(bd3aed71d4274357);
+CAPNP_DECLARE_SCHEMA(c6f1d65a1b285aef);
 CAPNP_DECLARE_SCHEMA(fa8265fb847d5e84);
 CAPNP_DECLARE_SCHEMA(b230522b5c380c18);
 CAPNP_DECLARE_SCHEMA(dd3857e4a47d657a);
@@ -108,7 +109,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd3aed71d4274357, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(bd3aed71d4274357, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SearchResult {
+  SearchResult() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c6f1d65a1b285aef, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -138,7 +154,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b230522b5c380c18, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b230522b5c380c18, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -157,6 +173,7 @@
     LOCATE,
     STATUS,
     HELLO,
+    SEARCH_RESULT,
   };
 
   struct _capnpPrivate {
@@ -469,6 +486,8 @@
 
   inline  ::uint8_t getForwards() const;
 
+  inline  ::uint32_t getColdPerSecondMillis() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -553,6 +572,9 @@
   inline  ::uint8_t getForwards();
   inline void setForwards( ::uint8_t value);
 
+  inline  ::uint32_t getColdPerSecondMillis();
+  inline void setColdPerSecondMillis( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -705,6 +727,11 @@
 
   inline bool getTentative() const;
 
+  inline bool hasGroup() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getGroup() const;
+
+  inline  ::uint32_t getRelay() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -746,6 +773,17 @@
   inline bool getTentative();
   inline void setTentative(bool value);
 
+  inline bool hasGroup();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getGroup();
+  inline void setGroup( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setGroup(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownGroup();
+
+  inline  ::uint32_t getRelay();
+  inline void setRelay( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -772,6 +810,115 @@
 };
 #endif  // !CAPNP_LITE
 
+class SearchResult::Reader {
+public:
+  typedef SearchResult Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFlow() const;
+  inline  ::galenafork::pvt::pass_schema::Flow::Reader getFlow() const;
+
+  inline  ::uint32_t getSender() const;
+
+  inline bool hasDenied() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getDenied() const;
+
+  inline bool hasUndecided() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getUndecided() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SearchResult::Builder {
+public:
+  typedef SearchResult Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFlow();
+  inline  ::galenafork::pvt::pass_schema::Flow::Builder getFlow();
+  inline void setFlow( ::galenafork::pvt::pass_schema::Flow::Reader value);
+  inline  ::galenafork::pvt::pass_schema::Flow::Builder initFlow();
+  inline void adoptFlow(::capnp::Orphan< ::galenafork::pvt::pass_schema::Flow>&& value);
+  inline ::capnp::Orphan< ::galenafork::pvt::pass_schema::Flow> disownFlow();
+
+  inline  ::uint32_t getSender();
+  inline void setSender( ::uint32_t value);
+
+  inline bool hasDenied();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getDenied();
+  inline void setDenied( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setDenied(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initDenied(unsigned int size);
+  inline void adoptDenied(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownDenied();
+
+  inline bool hasUndecided();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getUndecided();
+  inline void setUndecided( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setUndecided(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initUndecided(unsigned int size);
+  inline void adoptUndecided(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownUndecided();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SearchResult::Pipeline {
+public:
+  typedef SearchResult Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::galenafork::pvt::pass_schema::Flow::Pipeline getFlow();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Status::Reader {
 public:
   typedef Status Reads;
@@ -816,6 +963,8 @@
 
   inline  ::uint32_t getServiceMicros() const;
 
+  inline  ::uint32_t getExpectedLoadMillis() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -892,6 +1041,9 @@
   inline  ::uint32_t getServiceMicros();
   inline void setServiceMicros( ::uint32_t value);
 
+  inline  ::uint32_t getExpectedLoadMillis();
+  inline void setExpectedLoadMillis( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -947,6 +1099,13 @@
 
   inline bool getProbe() const;
 
+  inline  ::uint64_t getEvacuationEra() const;
+
+  inline  ::uint64_t getEvacuationRevision() const;
+
+  inline bool hasEvacuated() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEvacuated() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -993,6 +1152,20 @@
   inline bool getProbe();
   inline void setProbe(bool value);
 
+  inline  ::uint64_t getEvacuationEra();
+  inline void setEvacuationEra( ::uint64_t value);
+
+  inline  ::uint64_t getEvacuationRevision();
+  inline void setEvacuationRevision( ::uint64_t value);
+
+  inline bool hasEvacuated();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEvacuated();
+  inline void setEvacuated( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEvacuated(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEvacuated(unsigned int size);
+  inline void adoptEvacuated(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEvacuated();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1057,6 +1230,10 @@
   inline bool hasHello() const;
   inline  ::galenafork::pvt::pass_schema::Hello::Reader getHello() const;
 
+  inline bool isSearchResult() const;
+  inline bool hasSearchResult() const;
+  inline  ::galenafork::pvt::pass_schema::SearchResult::Reader getSearchResult() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1126,6 +1303,14 @@
   inline void adoptHello(::capnp::Orphan< ::galenafork::pvt::pass_schema::Hello>&& value);
   inline ::capnp::Orphan< ::galenafork::pvt::pass_schema::Hello> disownHello();
 
+  inline bool isSearchResult();
+  inline bool hasSearchResult();
+  inline  ::galenafork::pvt::pass_schema::SearchResult::Builder getSearchResult();
+  inline void setSearchResult( ::galenafork::pvt::pass_schema::SearchResult::Reader value);
+  inline  ::galenafork::pvt::pass_schema::SearchResult::Builder initSearchResult();
+  inline void adoptSearchResult(::capnp::Orphan< ::galenafork::pvt::pass_schema::SearchResult>&& value);
+  inline ::capnp::Orphan< ::galenafork::pvt::pass_schema::SearchResult> disownSearchResult();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1884,6 +2069,20 @@
       ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Place::Reader::getColdPerSecondMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Place::Builder::getColdPerSecondMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Place::Builder::setColdPerSecondMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Moved::Reader::hasFlow() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2041,6 +2240,187 @@
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Locate::Reader::hasGroup() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Locate::Builder::hasGroup() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Locate::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Locate::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Locate::Builder::setGroup( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Locate::Builder::setGroup(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Locate::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Locate::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Locate::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Locate::Reader::getRelay() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Locate::Builder::getRelay() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Locate::Builder::setRelay( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SearchResult::Reader::hasFlow() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SearchResult::Builder::hasFlow() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::galenafork::pvt::pass_schema::Flow::Reader SearchResult::Reader::getFlow() const {
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::pass_schema::Flow>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::galenafork::pvt::pass_schema::Flow::Builder SearchResult::Builder::getFlow() {
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::pass_schema::Flow>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::galenafork::pvt::pass_schema::Flow::Pipeline SearchResult::Pipeline::getFlow() {
+  return  ::galenafork::pvt::pass_schema::Flow::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void SearchResult::Builder::setFlow( ::galenafork::pvt::pass_schema::Flow::Reader value) {
+  ::capnp::_::PointerHelpers< ::galenafork::pvt::pass_schema::Flow>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::galenafork::pvt::pass_schema::Flow::Builder SearchResult::Builder::initFlow() {
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::pass_schema::Flow>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SearchResult::Builder::adoptFlow(
+    ::capnp::Orphan< ::galenafork::pvt::pass_schema::Flow>&& value) {
+  ::capnp::_::PointerHelpers< ::galenafork::pvt::pass_schema::Flow>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::galenafork::pvt::pass_schema::Flow> SearchResult::Builder::disownFlow() {
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::pass_schema::Flow>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t SearchResult::Reader::getSender() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SearchResult::Builder::getSender() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SearchResult::Builder::setSender( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SearchResult::Reader::hasDenied() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SearchResult::Builder::hasDenied() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader SearchResult::Reader::getDenied() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder SearchResult::Builder::getDenied() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SearchResult::Builder::setDenied( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void SearchResult::Builder::setDenied(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder SearchResult::Builder::initDenied(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SearchResult::Builder::adoptDenied(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> SearchResult::Builder::disownDenied() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool SearchResult::Reader::hasUndecided() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SearchResult::Builder::hasUndecided() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader SearchResult::Reader::getUndecided() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder SearchResult::Builder::getUndecided() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SearchResult::Builder::setUndecided( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void SearchResult::Builder::setUndecided(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder SearchResult::Builder::initUndecided(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void SearchResult::Builder::adoptUndecided(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> SearchResult::Builder::disownUndecided() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t Status::Reader::getHost() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2269,6 +2649,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Status::Reader::getExpectedLoadMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Status::Builder::getExpectedLoadMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setExpectedLoadMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Hello::Reader::getHost() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2353,6 +2747,72 @@
       ::capnp::bounded<49>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Hello::Reader::getEvacuationEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hello::Builder::getEvacuationEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setEvacuationEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Hello::Reader::getEvacuationRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hello::Builder::getEvacuationRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setEvacuationRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Hello::Reader::hasEvacuated() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasEvacuated() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Hello::Reader::getEvacuated() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Hello::Builder::getEvacuated() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setEvacuated( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Hello::Builder::setEvacuated(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Hello::Builder::initEvacuated(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptEvacuated(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Hello::Builder::disownEvacuated() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::galenafork::pvt::pass_schema::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2632,6 +3092,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isSearchResult() const {
+  return which() == Message::SEARCH_RESULT;
+}
+inline bool Message::Builder::isSearchResult() {
+  return which() == Message::SEARCH_RESULT;
+}
+inline bool Message::Reader::hasSearchResult() const {
+  if (which() != Message::SEARCH_RESULT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasSearchResult() {
+  if (which() != Message::SEARCH_RESULT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::galenafork::pvt::pass_schema::SearchResult::Reader Message::Reader::getSearchResult() const {
+  KJ_IREQUIRE((which() == Message::SEARCH_RESULT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::pass_schema::SearchResult>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::galenafork::pvt::pass_schema::SearchResult::Builder Message::Builder::getSearchResult() {
+  KJ_IREQUIRE((which() == Message::SEARCH_RESULT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::pass_schema::SearchResult>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setSearchResult( ::galenafork::pvt::pass_schema::SearchResult::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SEARCH_RESULT);
+  ::capnp::_::PointerHelpers< ::galenafork::pvt::pass_schema::SearchResult>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::galenafork::pvt::pass_schema::SearchResult::Builder Message::Builder::initSearchResult() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SEARCH_RESULT);
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::pass_schema::SearchResult>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptSearchResult(
+    ::capnp::Orphan< ::galenafork::pvt::pass_schema::SearchResult>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SEARCH_RESULT);
+  ::capnp::_::PointerHelpers< ::galenafork::pvt::pass_schema::SearchResult>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::galenafork::pvt::pass_schema::SearchResult> Message::Builder::disownSearchResult() {
+  KJ_IREQUIRE((which() == Message::SEARCH_RESULT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::galenafork::pvt::pass_schema::SearchResult>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Knowledge::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/libpass/pass_messages.cpp
+++ b/src/libpass/pass_messages.cpp
@@ -16,8 +16,15 @@
 
 namespace schema = pvt::pass_schema;
 
-// Backlogs are sent in thousandths of a request per slot.
-constexpr double backlog_unit = 1000.0;
+// Backlogs, loads and rates are sent in thousandths.
+constexpr double thousandths = 1000.0;
+
+std::uint32_t to_thousandths(double value)
+{
+    constexpr double max_value = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(
+        std::clamp(value * thousandths, 0.0, max_value));
+}
 
 std::uint32_t to_micros(duration d)
 {
@@ -43,24 +50,53 @@
     return {data.begin(), data.end()};
 }
 
+void write(schema::Flow::Builder out, const flow_key& flow)
+{
+    out.setCallerHost(host_of(flow.caller_).value());
+    out.setCallerPort(flow.caller_.port_);
+    out.setServiceHost(host_of(flow.service_address_).value());
+    out.setServicePort(flow.service_address_.port_);
+}
+
+flow_key read(schema::Flow::Reader in)
+{
+    return {at_port(host_address(in.getCallerHost()), in.getCallerPort()),
+            at_port(host_address(in.getServiceHost()), in.getServicePort())};
+}
+
+void write(capnp::List<std::uint32_t>::Builder out,
+           const std::vector<host_address>& hosts)
+{
+    for (unsigned i = 0; i < out.size(); ++i)
+    {
+        out.set(i, hosts[i].value());
+    }
+}
+
+std::vector<host_address> read(capnp::List<std::uint32_t>::Reader in)
+{
+    std::vector<host_address> hosts;
+    hosts.reserve(in.size());
+    for (const std::uint32_t host : in)
+    {
+        hosts.emplace_back(host);
+    }
+    return hosts;
+}
+
 void write(schema::Place::Builder out, const place_message& m)
 {
     out.setPacket(to_data(m.packet_));
     out.setService(m.service_.value().c_str());
     out.setVersion(m.version_.value());
     out.setBalancer(m.balancer_.value());
-    auto candidates =
-        out.initCandidates(static_cast<unsigned>(m.candidates_.size()));
-    for (unsigned i = 0; i < candidates.size(); ++i)
-    {
-        candidates.set(i, m.candidates_[i].value());
-    }
+    write(out.initCandidates(static_cast<unsigned>(m.candidates_.size())),
+          m.candidates_);
     auto visits = out.initVisits(static_cast<unsigned>(m.visits_.size()));
     for (unsigned i = 0; i < visits.size(); ++i)
     {
         visits[i].setHost(m.visits_[i].host_.value());
-        visits[i].setBacklog(to_count(
-            static_cast<std::uint32_t>(m.visits_[i].backlog_ * backlog_unit)));
+        visits[i].setBacklog(to_count(to_thousandths(m.visits_[i].backlog_)));
     }
     out.setPriority(m.priority_);
     out.setIdempotent(m.idempotent_);
@@ -69,6 +105,7 @@
     out.setTargetMicros(to_micros(m.latency_target_));
     out.setEarlier(m.earlier_agent_.value());
     out.setForwards(m.forwards_);
+    out.setColdPerSecondMillis(to_thousandths(m.cold_rate_));
 }
 
 place_message read(schema::Place::Reader in)
@@ -78,14 +115,11 @@
     m.service_ = service_name(in.getService().cStr());
     m.version_ = pass_rules_version(in.getVersion());
     m.balancer_ = host_address(in.getBalancer());
-    for (const std::uint32_t host : in.getCandidates())
-    {
-        m.candidates_.emplace_back(host);
-    }
+    m.candidates_ = read(in.getCandidates());
     for (const auto visit : in.getVisits())
     {
         m.visits_.push_back(
-            {host_address(visit.getHost()), visit.getBacklog() / backlog_unit});
+            {host_address(visit.getHost()), visit.getBacklog() / thousandths});
     }
     m.priority_ = in.getPriority();
     m.idempotent_ = in.getIdempotent();
@@ -94,16 +128,13 @@
     m.latency_target_ = duration(in.getTargetMicros());
     m.earlier_agent_ = host_address(in.getEarlier());
     m.forwards_ = in.getForwards();
+    m.cold_rate_ = in.getColdPerSecondMillis() / thousandths;
     return m;
 }
 
 void write(schema::Moved::Builder out, const flow_owner_message& m)
 {
-    auto flow = out.initFlow();
-    flow.setCallerHost(host_of(m.flow_.caller_).value());
-    flow.setCallerPort(m.flow_.caller_.port_);
-    flow.setServiceHost(host_of(m.flow_.service_address_).value());
-    flow.setServicePort(m.flow_.service_address_.port_);
+    write(out.initFlow(), m.flow_);
     out.setOwner(m.owner_.value());
     out.setHeld(m.queued_);
     if (m.undecided_)
@@ -118,15 +149,10 @@
 
 flow_owner_message read(schema::Moved::Reader in)
 {
-    const auto flow = in.getFlow();
     const bool undecided = in.getUndecidedSender() != 0;
-    return {
-        {at_port(host_address(flow.getCallerHost()), flow.getCallerPort()),
-         at_port(host_address(flow.getServiceHost()), flow.getServicePort())},
-        host_address(in.getOwner()),
-        in.getHeld(),
-        host_address(undecided ? in.getUndecidedSender() : in.getSender()),
-        undecided};
+    return {read(in.getFlow()), host_address(in.getOwner()), in.getHeld(),
+            host_address(undecided ? in.getUndecidedSender() : in.getSender()),
+            undecided};
 }
 
 void write(schema::Locate::Builder out, const locate_message& m)
@@ -134,12 +160,30 @@
     out.setPacket(to_data(m.packet_));
     out.setBalancer(m.sender_.value());
     out.setTentative(m.tentative_);
+    write(out.initGroup(static_cast<unsigned>(m.group_.size())), m.group_);
+    out.setRelay(m.relay_.value());
 }
 
 locate_message read(schema::Locate::Reader in)
 {
     return {to_bytes(in.getPacket()), host_address(in.getBalancer()),
-            in.getTentative()};
+            in.getTentative(), read(in.getGroup()),
+            host_address(in.getRelay())};
+}
+
+void write(schema::SearchResult::Builder out, const search_result_message& m)
+{
+    write(out.initFlow(), m.flow_);
+    out.setSender(m.sender_.value());
+    write(out.initDenied(static_cast<unsigned>(m.denied_.size())), m.denied_);
+    write(out.initUndecided(static_cast<unsigned>(m.undecided_.size())),
+          m.undecided_);
+}
+
+search_result_message read(schema::SearchResult::Reader in)
+{
+    return {read(in.getFlow()), host_address(in.getSender()),
+            read(in.getDenied()), read(in.getUndecided())};
 }
 
 void write(schema::Status::Builder out, const status_message& m)
@@ -156,6 +200,7 @@
     out.setHeld(to_count(m.queued_));
     out.setColdMicros(to_micros(m.cold_remaining_));
     out.setServiceMicros(to_micros(m.service_time_));
+    out.setExpectedLoadMillis(to_thousandths(m.expected_load_));
 }
 
 status_message read(schema::Status::Reader in)
@@ -175,6 +220,7 @@
     m.queued_ = in.getHeld();
     m.cold_remaining_ = duration(in.getColdMicros());
     m.service_time_ = duration(in.getServiceMicros());
+    m.expected_load_ = in.getExpectedLoadMillis() / thousandths;
     return m;
 }
 
@@ -187,6 +233,15 @@
     out.setStatusMillis(to_count(
         static_cast<std::uint32_t>(m.status_interval_.count() / 1000)));
     out.setProbe(m.probe_);
+    const evacuation_state& evacuations = m.evacuations_;
+    out.setEvacuationEra(evacuations.era_.value());
+    out.setEvacuationRevision(evacuations.revision_.value());
+    auto names = out.initEvacuated(
+        static_cast<unsigned>(evacuations.data_centres_.size()));
+    for (unsigned i = 0; i < names.size(); ++i)
+    {
+        names.set(i, evacuations.data_centres_[i].value().c_str());
+    }
 }
 
 hello_message read(schema::Hello::Reader in)
@@ -198,6 +253,12 @@
     m.leaving_ = in.getLeaving();
     m.status_interval_ = std::chrono::milliseconds(in.getStatusMillis());
     m.probe_ = in.getProbe();
+    m.evacuations_.era_ = store_era(in.getEvacuationEra());
+    m.evacuations_.revision_ = object_version(in.getEvacuationRevision());
+    for (const auto name : in.getEvacuated())
+    {
+        m.evacuations_.data_centres_.emplace_back(name.cStr());
+    }
     return m;
 }
 
@@ -226,6 +287,10 @@
     {
         write(out_.initHello(), m);
     }
+    void operator()(const search_result_message& m)
+    {
+        write(out_.initSearchResult(), m);
+    }
 };
 
 pass_message read_message(schema::Message::Reader in)
@@ -242,6 +307,8 @@
         return read(in.getStatus());
     case schema::Message::HELLO:
         return read(in.getHello());
+    case schema::Message::SEARCH_RESULT:
+        return read(in.getSearchResult());
     }
     throw std::invalid_argument("unknown kind of message");
 }
--- a/src/libpass/pass_messages_test.cpp
+++ b/src/libpass/pass_messages_test.cpp
@@ -28,6 +28,7 @@
     m.age_ = duration(12345);
     m.earlier_agent_ = agent_c;
     m.forwards_ = 3;
+    m.cold_rate_ = 12.5;
     const auto read = std::get<place_message>(round_trip(m));
     CHECK(read.packet_ == m.packet_);
     CHECK(read.service_ == m.service_);
@@ -44,6 +45,7 @@
     CHECK(read.latency_target_ == m.latency_target_);
     CHECK(read.earlier_agent_ == agent_c);
     CHECK(read.forwards_ == m.forwards_);
+    CHECK(read.cold_rate_ == doctest::Approx(12.5));
 }
 
 TEST_CASE("decoded owner, status and hello messages equal the encoded ones")
@@ -63,14 +65,27 @@
     for (const bool tentative : {false, true})
     {
         const auto search = std::get<locate_message>(
-            round_trip(locate_message{sample_packet, balancer_x, tentative}));
+            round_trip(locate_message{sample_packet,
+                                      balancer_x,
+                                      tentative,
+                                      {agent_b, agent_c},
+                                      agent_a}));
         CHECK(search.sender_ == balancer_x);
         CHECK(search.tentative_ == tentative);
+        CHECK(search.group_ == std::vector{agent_b, agent_c});
+        CHECK(search.relay_ == agent_a);
     }
+    const auto result = std::get<search_result_message>(round_trip(
+        search_result_message{make_flow(9), agent_a, {agent_a}, {agent_b}}));
+    CHECK(result.flow_ == make_flow(9));
+    CHECK(result.sender_ == agent_a);
+    CHECK(result.denied_ == std::vector{agent_a});
+    CHECK(result.undecided_ == std::vector{agent_b});
 
     status_message status = make_status(agent_a, "a", 5);
     status.started_ = start_time_ms(1234567890123);
     status.cold_remaining_ = std::chrono::seconds(2);
+    status.expected_load_ = 0.75;
     const auto read = std::get<status_message>(round_trip(status));
     CHECK(read.host_ == agent_a);
     CHECK(read.service_ == orders);
@@ -79,12 +94,18 @@
     CHECK(read.state_ == upstream_state::ready);
     CHECK(read.in_flight_ == 5);
     CHECK(read.cold_remaining_ == status.cold_remaining_);
+    CHECK(read.expected_load_ == doctest::Approx(0.75));
 
-    const auto hello = std::get<hello_message>(
-        round_trip(hello_message{balancer_x, pass_rules_version(8), 40, true}));
+    hello_message sent{balancer_x, pass_rules_version(8), 40, true};
+    sent.evacuations_ = {
+        store_era(2), object_version(77), {data_centre("a"), data_centre("b")}};
+    const auto hello = std::get<hello_message>(round_trip(sent));
     CHECK(hello.version_ == pass_rules_version(8));
     CHECK(hello.agents_ == 40);
     CHECK(hello.leaving_);
+    CHECK(hello.evacuations_.era_ == store_era(2));
+    CHECK(hello.evacuations_.revision_ == object_version(77));
+    CHECK(hello.evacuations_.data_centres_ == sent.evacuations_.data_centres_);
 }
 
 TEST_CASE("malformed datagrams are decoded without a read outside their buffer")
