Owner search: relays, rounds of its own, growing batches

Cause: a search asked all agents of the fleet directly, 200 messages for each flow. After a loss of power 4,000 searches filled links of 10 Mbit/s, responses and statuses were lost, and rounds started only with callers' retransmissions. Change: a balancer asks one agent of each data centre, which asks the others and responds once; its own data centre comes first; rounds start by a timer; batches of undecided agents that ask their upstreams grow from 2 to 8, 32; the owner gets the segment once more if others got it; a listed agent that was never heard of is waited for 2 s instead of 8.

--- a/src/galena_pass_agent/agent_traffic.cpp
+++ b/src/galena_pass_agent/agent_traffic.cpp
@@ -182,6 +182,11 @@
         {
             handle_hello(state_, *hello, now_, actions_);
         }
+        else if (const auto* response =
+                     std::get_if<flow_owner_message>(&*message))
+        {
+            handle_flow_owner(state_, *response, actions_);
+        }
         // Enqueued before `message` goes out of scope: actions may refer to its
         // bytes.
         io_.enqueue(actions_);
--- a/src/galena_pass_balancer/balancer_traffic.cpp
+++ b/src/galena_pass_balancer/balancer_traffic.cpp
@@ -165,6 +165,11 @@
         {
             handle_flow_owner(state_, *flow_owner, now_, actions_);
         }
+        else if (const auto* result =
+                     std::get_if<search_result_message>(&*message))
+        {
+            handle_search_result(state_, *result, now_, actions_);
+        }
         else if (const auto* returned = std::get_if<locate_message>(&*message))
         {
             handle_returned(*returned);
--- a/src/include/galenafork/pass_agent.h
+++ b/src/include/galenafork/pass_agent.h
@@ -88,6 +88,8 @@
     /// longer than this, so no activity of the earlier incarnation falls into
     /// the margin.
     duration restart_margin_ = std::chrono::milliseconds(100);
+    /// Time for which a relay waits for the responses of its group.
+    duration relay_timeout_ = std::chrono::milliseconds(60);
     /// Time for which a flow that is unknown to the upstream is not tried there
     /// again.
     duration unknown_flow_retention_ = std::chrono::seconds(5);
@@ -145,15 +147,38 @@
     unknown_to_upstream,
 };
 
+/// Peers that wait for an agent's response about a flow, until its upstream has
+/// sent or returned a segment of it.
+struct awaited_response
+{
+    /// The searching balancer, which is told if this agent has the flow.
+    host_address searcher_;
+    /// Who is told if it does not: the relay of the question or the searcher.
+    host_address denial_receiver_;
+};
+
+/// A question that this agent asks its group on behalf of a balancer.
+struct relayed_search
+{
+    host_address searcher_;
+    instant expires_at_{};
+    /// Agents that have not responded.
+    std::vector<host_address> awaited_;
+    std::vector<host_address> denied_;
+    std::vector<host_address> undecided_;
+};
+
 /// State of one flow at an agent.
 struct agent_flow
 {
     pass_phase phase_ = pass_phase::queued;
     /// The opening segment with its context. An adopted flow has no opening
-    /// segment and uses two fields only: `balancer_` is the peer that last
-    /// forwarded a segment of the flow, and `earlier_agent_` is the peer that
-    /// still waits for the response to its `locate_message`, or zero.
+    /// segment and uses only `balancer_`, the peer that last forwarded a
+    /// segment of the flow.
     place_message place_;
+    /// Set on an adopted flow until the upstream has sent or returned a
+    /// segment.
+    std::optional<awaited_response> awaited_;
     /// When the caller's attempt to open the flow started, as estimated by the
     /// balancer, on this agent's clock; on an adopted flow the time of the
     /// adoption.
@@ -207,6 +232,8 @@
     std::uint32_t unanswered_openings_ = 0;
     instant upstream_cold_until_{};
     std::unordered_map<flow_key, agent_flow> flows_;
+    /// Questions that wait for responses of this agent's group.
+    std::unordered_map<flow_key, relayed_search> relayed_searches_;
     /// Flows whose opening segments are queued.
     std::vector<flow_key> queue_;
     /// When a segment was last added to an empty queue.
@@ -304,10 +331,17 @@
 /// upstream, or whose upstream has returned a segment of the flow, denies the
 /// flow. Any other agent is undecided and says so. Unless the search is
 /// tentative, it also asks its upstream: it adopts the flow and responds again
-/// when the upstream has sent or returned a segment of it.
+/// when the upstream has sent or returned a segment of it. If the question
+/// names a group, the agent asks the group as well and responds for all of it;
+/// only the owner responds to the searching balancer itself.
 void handle_locate(pass_agent_state& state, const locate_message& message,
                    const segment_header& s, instant now, pass_actions& out);
 
+/// Handles a response of a member of the group that this agent asks on behalf
+/// of a balancer. Ignored if there is no such search.
+void handle_flow_owner(pass_agent_state& state,
+                       const flow_owner_message& message, pass_actions& out);
+
 /// Handles a segment from the upstream: one for the caller, or a caller's
 /// segment that the upstream returned (`bounced_`). Data of an earlier flow
 /// with the same addresses and ports is dropped.
--- a/src/include/galenafork/pass_balancer.h
+++ b/src/include/galenafork/pass_balancer.h
@@ -96,21 +96,40 @@
     /// Time for which a finished flow is kept after its last segment.
     duration flow_linger_ = std::chrono::seconds(4);
     /// Minimum time between two rounds of questions in the search for the owner
-    /// of one flow. It is long enough for the responses of the agents to
-    /// arrive.
+    /// of one flow. It is long enough for the responses of the agents and of
+    /// relays to arrive.
     duration search_interval_ = std::chrono::milliseconds(150);
+    /// Maximum time between two rounds that a search starts by itself, until
+    /// `search_timeout_` after the caller's last segment. A lost message, or an
+    /// agent that was down, would otherwise cost the caller a retransmission,
+    /// and few fit into its deadline. The intervals double from
+    /// `search_interval_` while no agent responds.
+    duration max_round_interval_ = std::chrono::milliseconds(600);
+    /// An agent that has sent no status since it was first listed is waited for
+    /// by searches for this time, in which a restart ends. Its entry may have
+    /// been left behind by an instance that is gone.
+    duration unheard_agent_timeout_ = std::chrono::seconds(2);
+    /// Agents of one data centre are asked through a relay if there are at
+    /// least this many. Without relays a search in a fleet of 46 agents takes
+    /// 200 messages; after a loss of power, searches for 4,000 flows filled the
+    /// links of balancers (10 Mbit/s) for ten seconds.
+    std::size_t min_relay_group_ = 4;
+    /// In a service with more agents than this, those of the own data centre
+    /// are asked before the others, as nearly all flows are there.
+    std::size_t max_single_stage_ = 8;
     /// Time for which an agent counts as undecided without being asked again.
     /// It may restart meanwhile, and a restarting agent may be the owner's.
     duration undecided_validity_ = std::chrono::milliseconds(500);
-    /// Number of undecided agents that ask their upstreams at a time. An
-    /// upstream that gets three segments of a flow of another one disturbs its
-    /// caller, so this stays below.
-    std::size_t max_asking_upstream_ = 2;
+    /// Number of undecided agents that ask their upstreams in the first batch;
+    /// each further batch has four times as many. An upstream that gets three
+    /// segments of a flow of another one disturbs its caller, so the first
+    /// batch, which mostly finds the owner, stays below.
+    std::size_t first_asking_batch_ = 2;
     /// Time after which an upstream that has neither returned a segment nor
     /// answered it has probably ended. Most requests take less.
     duration upstream_response_time_ = std::chrono::milliseconds(100);
-    /// A search ends this long after its last question. Callers retransmit
-    /// within it.
+    /// A search ends this long after the caller's last segment. Callers
+    /// retransmit within it.
     duration search_timeout_ = std::chrono::seconds(3);
     /// Maximum age of a pending opening segment: half of the duration of a
     /// caller's attempt. An older segment is refused, and the caller starts a
@@ -183,6 +202,8 @@
 /// Agents that a search for the owner of a flow has asked so far.
 enum class search_scope : std::uint8_t
 {
+    /// Those of `expected_services` in the balancer's data centre.
+    near_agents,
     /// Those whose service the active rule selects, and those whose service is
     /// unknown. The owner is nearly always one of them.
     expected_services,
@@ -221,6 +242,18 @@
     std::vector<host_address> told_to_ask_;
     /// Agents that have asked their upstreams, which have not responded.
     std::vector<host_address> asking_upstream_;
+    /// Number of agents that have been told to ask their upstreams so far.
+    std::size_t asked_upstreams_ = 0;
+    /// Size of the last batch of such agents.
+    std::size_t last_batch_ = 0;
+    /// When the caller's last segment arrived.
+    instant caller_sent_at_{};
+    /// Rounds that the search has started by itself since an agent last
+    /// responded.
+    unsigned unanswered_rounds_ = 0;
+    /// The owner, once it is found. The search then only waits for the next
+    /// tick, which sends the owner the segment once more.
+    host_address owner_;
 };
 
 /// An opening segment that waits for a usable agent or for the first rules.
@@ -246,6 +279,9 @@
     std::unordered_map<flow_key, balancer_flow> flows_;
     /// Searches for the owners of flows of `flows_`.
     std::unordered_map<flow_key, owner_search> searches_;
+    /// Segments that the last tick sent to owners once more; the actions refer
+    /// to their bytes.
+    std::vector<std::vector<std::uint8_t>> confirmed_packets_;
     std::vector<pending_opening> pending_openings_;
     /// Flows of `pending_openings_`.
     std::unordered_set<flow_key> pending_flows_;
@@ -339,6 +375,12 @@
                        const flow_owner_message& message, instant now,
                        pass_actions& out);
 
+/// Handles a relay's summary of the responses of its group, like the responses
+/// themselves.
+void handle_search_result(pass_balancer_state& state,
+                          const search_result_message& message, instant now,
+                          pass_actions& out);
+
 /// Handles a segment that an agent returned because it does not know the flow:
 /// sends the segment to the flow's owner if that is another agent by now, or
 /// starts a search for the owner.
--- a/src/libpass/agent_lifecycle.cpp
+++ b/src/libpass/agent_lifecycle.cpp
@@ -299,6 +299,7 @@
         ++it;
     }
     check_queue(state, now, out);
+    pvt::end_expired_relays(state, now, out);
     if (!state.queue_.empty() && !accepts_new_flows(state, now))
     {
         pvt::reroute_queued(state, now, out);
--- a/src/libpass/agent_pvt.h
+++ b/src/libpass/agent_pvt.h
@@ -63,6 +63,20 @@
 void adopt(pass_agent_state& state, const segment_header& s, byte_view bytes,
            host_address sender, instant now, pass_actions& out);
 
+/// Tells `receiver`, a searching balancer, a relay or this agent itself, that
+/// this agent does not have the flow, or that it is undecided.
+void respond_to_search(pass_agent_state& state, const flow_key& flow,
+                       host_address receiver, bool undecided,
+                       pass_actions& out);
+
+/// Tells the searching balancer that this agent has the flow.
+void respond_as_owner(pass_agent_state& state, const flow_key& flow,
+                      const awaited_response& question, pass_actions& out);
+
+/// Sends the summaries of the relayed questions whose time is over.
+void end_expired_relays(pass_agent_state& state, instant now,
+                        pass_actions& out);
+
 /// Offers, forwards, queues or refuses the opening segment of the flow `key`,
 /// which must be in `state.flows_`.
 void decide_opening(pass_agent_state& state, const flow_key& key, instant now,
--- a/src/libpass/agent_search.cpp
+++ b/src/libpass/agent_search.cpp
@@ -4,6 +4,9 @@
 
 #include <libpass/agent_pvt.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace galenafork
 {
 
@@ -68,10 +71,10 @@
 }
 
 // Sends the segment to the upstream, whose response shows whether it has the
-// flow. `searcher` gets the agent's response then.
+// flow. The peers of `question` get the agent's response then.
 void ask_upstream(pass_agent_state& state, const segment_header& s,
-                  byte_view bytes, host_address searcher, instant now,
-                  pass_actions& out)
+                  byte_view bytes, const awaited_response& question,
+                  instant now, pass_actions& out)
 {
     const auto it = state.flows_.find(s.flow_);
     if (it != state.flows_.end() && is_unconfirmed(it->second))
@@ -84,8 +87,7 @@
     {
         pvt::adopt(state, s, bytes, host_address(), now, out);
     }
-    // On an adopted flow this is the peer that waits for the response.
-    state.flows_.at(s.flow_).place_.earlier_agent_ = searcher;
+    state.flows_.at(s.flow_).awaited_ = question;
 }
 
 // Handles a segment that came back from the agent that the flow moved to: it is
@@ -138,10 +140,139 @@
 
 } // namespace pvt
 
+namespace
+{
+
+// Sends the summary of a relayed question to the balancer that asked it.
+void finish_relay(const pass_agent_state& state, const flow_key& flow,
+                  relayed_search& search, pass_actions& out)
+{
+    out.send_to_peer(search.searcher_,
+                     search_result_message{flow, state.settings_.host_,
+                                           std::move(search.denied_),
+                                           std::move(search.undecided_)});
+}
+
+// Records the response of `member`, which may be this agent itself. Once all
+// have responded, the balancer gets the summary.
+void record_response(pass_agent_state& state, const flow_key& flow,
+                     host_address member, bool undecided, pass_actions& out)
+{
+    const auto it = state.relayed_searches_.find(flow);
+    if (it == state.relayed_searches_.end())
+    {
+        return;
+    }
+    relayed_search& search = it->second;
+    auto& awaited = search.awaited_;
+    const auto position = std::find(awaited.begin(), awaited.end(), member);
+    if (position == awaited.end())
+    {
+        return;
+    }
+    awaited.erase(position);
+    (undecided ? search.undecided_ : search.denied_).push_back(member);
+    if (awaited.empty())
+    {
+        finish_relay(state, flow, search, out);
+        state.relayed_searches_.erase(it);
+    }
+}
+
+// Asks the group on behalf of the balancer.
+void relay_question(pass_agent_state& state, const locate_message& message,
+                    const flow_key& flow, instant now, pass_actions& out)
+{
+    relayed_search& search = state.relayed_searches_[flow];
+    search = {message.sender_,
+              now + state.settings_.relay_timeout_,
+              message.group_,
+              {},
+              {}};
+    search.awaited_.push_back(state.settings_.host_);
+    locate_message question = message;
+    question.group_.clear();
+    question.relay_ = state.settings_.host_;
+    out.send_to_peers(message.group_, std::move(question));
+}
+
+} // namespace
+
+namespace pvt
+{
+
+void respond_to_search(pass_agent_state& state, const flow_key& flow,
+                       host_address receiver, bool undecided, pass_actions& out)
+{
+    if (receiver == state.settings_.host_)
+    {
+        record_response(state, flow, receiver, undecided, out);
+        return;
+    }
+    out.send_to_peer(receiver,
+                     flow_owner_message{flow, host_address(), false,
+                                        state.settings_.host_, undecided});
+}
+
+void respond_as_owner(pass_agent_state& state, const flow_key& flow,
+                      const awaited_response& question, pass_actions& out)
+{
+    const flow_owner_message owner{flow, state.settings_.host_, false};
+    out.send_to_peer(question.searcher_, owner);
+    if (question.denial_receiver_ == state.settings_.host_)
+    {
+        state.relayed_searches_.erase(flow);
+    }
+    else if (question.denial_receiver_ != question.searcher_)
+    {
+        out.send_to_peer(question.denial_receiver_, owner);
+    }
+}
+
+void end_expired_relays(pass_agent_state& state, instant now, pass_actions& out)
+{
+    for (auto it = state.relayed_searches_.begin();
+         it != state.relayed_searches_.end();)
+    {
+        if (now < it->second.expires_at_)
+        {
+            ++it;
+            continue;
+        }
+        finish_relay(state, it->first, it->second, out);
+        it = state.relayed_searches_.erase(it);
+    }
+}
+
+} // namespace pvt
+
+void handle_flow_owner(pass_agent_state& state,
+                       const flow_owner_message& message, pass_actions& out)
+{
+    if (message.owner_ != host_address())
+    {
+        // The owner has told the balancer itself.
+        state.relayed_searches_.erase(message.flow_);
+        return;
+    }
+    record_response(state, message.flow_, message.sender_, message.undecided_,
+                    out);
+}
+
 void handle_locate(pass_agent_state& state, const locate_message& message,
                    const segment_header& s, instant now, pass_actions& out)
 {
     const byte_view bytes{message.packet_.data(), message.packet_.size()};
+    awaited_response question{message.sender_, message.sender_};
+    if (!message.group_.empty())
+    {
+        relay_question(state, message, s.flow_, now, out);
+        question.denial_receiver_ = state.settings_.host_;
+    }
+    else if (message.relay_ != host_address())
+    {
+        question.denial_receiver_ = message.relay_;
+    }
     const auto it = state.flows_.find(s.flow_);
     agent_flow* flow = it == state.flows_.end() ? nullptr : &it->second;
     if (flow != nullptr && flow->phase_ == pass_phase::moved &&
@@ -169,27 +300,29 @@
         }
         flow->last_active_ = now;
         out.send_to_upstream(bytes);
-        out.send_to_peer(
-            message.sender_,
-            flow_owner_message{s.flow_, state.settings_.host_, false});
+        pvt::respond_as_owner(state, s.flow_, question, out);
         add_decision(out, state, s.flow_, *flow, "located", "", now, true,
                      message.sender_);
         return;
     case flow_knowledge::denied:
-        out.send_to_peer(message.sender_,
-                         flow_owner_message{s.flow_, host_address(), false,
-                                            state.settings_.host_});
+        pvt::respond_to_search(state, s.flow_, question.denial_receiver_, false,
+                               out);
         return;
     case flow_knowledge::undecided:
         break;
     }
     if (!message.tentative_)
     {
-        ask_upstream(state, s, bytes, message.sender_, now, out);
+        ask_upstream(state, s, bytes, question, now, out);
+    }
+    // A relay waits for the upstream's response. A balancer that asks directly
+    // learns that the upstream is being asked.
+    const bool relayed = question.denial_receiver_ != message.sender_;
+    if (message.tentative_ || !relayed)
+    {
+        pvt::respond_to_search(state, s.flow_, question.denial_receiver_, true,
+                               out);
     }
-    out.send_to_peer(message.sender_,
-                     flow_owner_message{s.flow_, host_address(), false,
-                                        state.settings_.host_, true});
 }
 
 } // namespace galenafork
--- a/src/libpass/agent_segments.cpp
+++ b/src/libpass/agent_segments.cpp
@@ -175,13 +175,11 @@
     add_decision(out, state, s.flow_, flow, "handed_back",
                  "unknown_to_upstream", now, true, balancer);
     set_phase(flow, pass_phase::unknown_to_upstream, now);
-    if (flow.adopted_ && flow.place_.earlier_agent_ != host_address())
+    if (flow.awaited_)
     {
-        // On an adopted flow `earlier_agent_` is the peer that searches for the
-        // flow's owner.
-        out.send_to_peer(flow.place_.earlier_agent_,
-                         flow_owner_message{s.flow_, host_address(), false,
-                                            state.settings_.host_});
+        const host_address receiver = flow.awaited_->denial_receiver_;
+        flow.awaited_.reset();
+        pvt::respond_to_search(state, s.flow_, receiver, false, out);
         return;
     }
     return_to_sender(bytes, balancer, state, out);
@@ -344,15 +342,12 @@
                          "earlier_flow_of_same_address", now, true);
             return;
         }
-        if (flow.adopted_ && flow.place_.earlier_agent_ != host_address())
+        if (flow.awaited_)
         {
-            // The upstream has the flow, so the searching peer, which on an
-            // adopted flow is `earlier_agent_`, gets its response.
-            out.send_to_peer(
-                flow.place_.earlier_agent_,
-                flow_owner_message{s.flow_, state.settings_.host_, false});
-            flow.place_.balancer_ = flow.place_.earlier_agent_;
-            flow.place_.earlier_agent_ = host_address();
+            // The upstream has the flow.
+            pvt::respond_as_owner(state, s.flow_, *flow.awaited_, out);
+            flow.place_.balancer_ = flow.awaited_->searcher_;
+            flow.awaited_.reset();
         }
         track_upstream(state, flow, s, now);
     }
--- a/src/libpass/agent_test.cpp
+++ b/src/libpass/agent_test.cpp
@@ -839,3 +839,82 @@
     CHECK(count(forwarded, pass_target::agent) == 1);
     CHECK(count(forwarded, pass_target::upstream) == 0);
 }
+
+TEST_CASE("a relay asks its group and responds once for all")
+{
+    pass_agent_state state = make_agent();
+    state.saw_upstream_start_ = true;
+    pass_actions out;
+    handle_locate(state, {sample_packet, balancer_x, true, {agent_b, agent_c}},
+                  make_request(9, 77), start, out);
+    REQUIRE(out.datagrams_.size() == 2);
+    const auto* question = find_message<locate_message>(out);
+    CHECK(question->group_.empty());
+    CHECK(question->relay_ == agent_a);
+    CHECK(question->sender_ == balancer_x);
+
+    pass_actions responses;
+    handle_flow_owner(state, {make_flow(9), host_address(), false, agent_b},
+                      responses);
+    CHECK(responses.datagrams_.empty());
+    SUBCASE("all have responded")
+    {
+        handle_flow_owner(state,
+                          {make_flow(9), host_address(), false, agent_c, true},
+                          responses);
+    }
+    SUBCASE("a member does not respond")
+    {
+        handle_tick(state, start + milliseconds(100), responses);
+    }
+    REQUIRE(responses.datagrams_.size() == 1);
+    CHECK(responses.datagrams_[0].host_ == balancer_x);
+    const auto* result = find_message<search_result_message>(responses);
+    CHECK(result->denied_ == std::vector{agent_a, agent_b});
+    CHECK(result->undecided_.size() <= 1);
+    CHECK(state.relayed_searches_.empty());
+}
+
+TEST_CASE("a member of a group denies to the relay and owns to the balancer")
+{
+    pass_agent_state state = make_agent();
+    state.saw_upstream_start_ = false;
+    pass_actions undecided;
+    const locate_message question{sample_packet, balancer_x, true, {}, agent_b};
+    handle_locate(state, question, make_request(9, 77), start, undecided);
+    REQUIRE(undecided.datagrams_.size() == 1);
+    CHECK(undecided.datagrams_[0].host_ == agent_b);
+
+    locate_message second = question;
+    second.tentative_ = false;
+    pass_actions asked;
+    handle_locate(state, second, make_request(9, 77), start, asked);
+    CHECK(count(asked, pass_target::upstream) == 1);
+    CHECK(find_message<flow_owner_message>(asked) == nullptr);
+
+    SUBCASE("the upstream returns the segment")
+    {
+        segment_header returned = make_request(9, 77);
+        returned.bounced_ = true;
+        pass_actions out;
+        handle_upstream_segment(state, returned, sample_bytes(), start, out);
+        REQUIRE(out.datagrams_.size() == 1);
+        CHECK(out.datagrams_[0].host_ == agent_b);
+    }
+    SUBCASE("the upstream answers")
+    {
+        segment_header answer = make_request(9, 77);
+        answer.sequence_ = 77;
+        pass_actions out;
+        handle_upstream_segment(state, answer, sample_bytes(), start, out);
+        std::vector<host_address> told;
+        for (const pass_datagram& d : out.datagrams_)
+        {
+            if (d.target_ == pass_target::peer)
+            {
+                told.push_back(d.host_);
+            }
+        }
+        CHECK(told == std::vector{balancer_x, agent_b});
+    }
+}
--- a/src/libpass/balancer_search.cpp
+++ b/src/libpass/balancer_search.cpp
@@ -5,6 +5,9 @@
 #include <libpass/balancer_pvt.h>
 
 #include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
 
 namespace galenafork
 {
@@ -31,7 +34,17 @@
 bool is_probably_running(const pass_balancer_state& state,
                          const agent_record& agent, instant now)
 {
-    return now - agent.last_status_at_ <= gone_timeout(state, agent);
+    // Before the first status, `last_status_at_` is when it was first listed.
+    const duration timeout = agent.has_status_
+                                 ? gone_timeout(state, agent)
+                                 : state.settings_.unheard_agent_timeout_;
+    return now - agent.last_status_at_ <= timeout;
+}
+
+bool is_near(const pass_balancer_state& state, const agent_record& agent)
+{
+    return agent.has_status_ &&
+           agent.status_.data_centre_ == state.settings_.data_centre_;
 }
 
 // Returns whether the agent's upstream can't have the flow although the agent
@@ -77,6 +90,21 @@
     std::uint32_t ruled_out_ = 0;
 };
 
+bool is_in_scope(const pass_balancer_state& state, const flow_key& flow,
+                 search_scope scope, const agent_record& agent)
+{
+    switch (scope)
+    {
+    case search_scope::near_agents:
+        return is_near(state, agent) && is_expected(state, agent, flow);
+    case search_scope::expected_services:
+        return is_expected(state, agent, flow);
+    case search_scope::all_agents:
+        break;
+    }
+    return true;
+}
+
 remaining_agents find_remaining(const pass_balancer_state& state,
                                 const flow_key& flow,
                                 const owner_search& search, instant now)
@@ -95,8 +123,7 @@
             ++result.ruled_out_;
             continue;
         }
-        const bool in_scope = search.scope_ == search_scope::all_agents ||
-                              is_expected(state, agent, flow);
+        const bool in_scope = is_in_scope(state, flow, search.scope_, agent);
         (in_scope ? result.in_scope_ : result.out_of_scope_).push_back(host);
         const bool awaited = in_scope && is_probably_running(state, agent, now);
         result.awaited_ += awaited ? 1 : 0;
@@ -120,29 +147,121 @@
         static_cast<std::uint32_t>(search.undecided_.size()), ruled_out};
 }
 
+// Returns a number by which the agents of a flow are ordered. It differs from
+// flow to flow, so that no agent is the relay of all searches.
+std::size_t rank_of(const flow_key& flow, host_address host, unsigned round)
+{
+    constexpr std::uint64_t multiplier = 0x9e3779b97f4a7c15ULL;
+    const std::uint64_t seed =
+        std::hash<flow_key>()(flow) + host.value() + round * 7919ULL;
+    const std::uint64_t mixed = (seed ^ (seed >> 31U)) * multiplier;
+    return mixed ^ (mixed >> 29U);
+}
+
+// Returns the agent of `group` that is to ask the others, or none if no agent
+// has sent a status lately.
+std::optional<host_address> choose_relay(const pass_balancer_state& state,
+                                         const flow_key& flow, unsigned round,
+                                         const std::vector<host_address>& group,
+                                         instant now)
+{
+    std::optional<host_address> best;
+    for (const host_address host : group)
+    {
+        const agent_record& agent = state.agents_.at(host);
+        const bool recent =
+            agent.has_status_ &&
+            now - agent.last_status_at_ <
+                pvt::probe_interval(state) + state.settings_.agent_timeout_;
+        if (recent &&
+            (!best || rank_of(flow, host, round) < rank_of(flow, *best, round)))
+        {
+            best = host;
+        }
+    }
+    return best;
+}
+
+// Sends a question to the agents of one data centre: through a relay if there
+// are many of them.
+void ask_group(const pass_balancer_state& state, const flow_key& flow,
+               const owner_search& search,
+               const std::vector<host_address>& group, bool tentative,
+               instant now, pass_actions& out)
+{
+    locate_message question{search.packet_, state.settings_.host_, tentative};
+    const auto relay =
+        group.size() < state.settings_.min_relay_group_
+            ? std::nullopt
+            : choose_relay(state, flow, search.unanswered_rounds_, group, now);
+    if (!relay)
+    {
+        out.send_to_peers(group, std::move(question));
+        return;
+    }
+    question.group_ = group;
+    pvt::remove_from(question.group_, *relay);
+    out.send_to_peer(*relay, std::move(question));
+}
+
 // Sends the segment to `agents`. In a tentative question only the owner passes
-// it to its upstream.
+// it to its upstream. From the third round on, the last few agents are asked
+// directly.
 void ask(const pass_balancer_state& state, const flow_key& flow,
          owner_search& search, const std::vector<host_address>& agents,
          bool tentative, const char* reason, std::uint32_t ruled_out,
          instant now, pass_actions& out)
 {
     search.asked_at_ = now;
-    out.send_to_peers(agents, locate_message{search.packet_,
+    constexpr unsigned max_relayed_rounds = 2;
+    const bool directly = search.unanswered_rounds_ >= max_relayed_rounds &&
+                          agents.size() <= state.settings_.max_single_stage_;
+    std::map<data_centre, std::vector<host_address>> groups;
+    std::vector<host_address> direct;
+    for (const host_address host : agents)
+    {
+        const auto agent = state.agents_.find(host);
+        if (agent != state.agents_.end() && agent->second.has_status_ &&
+            !directly)
+        {
+            groups[agent->second.status_.data_centre_].push_back(host);
+        }
+        else
+        {
+            direct.push_back(host);
+        }
+    }
+    for (const auto& entry : groups)
+    {
+        ask_group(state, flow, search, entry.second, tentative, now, out);
+    }
+    out.send_to_peers(direct, locate_message{search.packet_,
                                              state.settings_.host_, tentative});
     add_search_decision(state, flow, search, "locating", reason, agents.size(),
                         ruled_out, now, out);
 }
 
-// Has the next undecided agents ask their upstreams, those of the expected
-// services first, which were the first to respond. Few do so at a time: once
-// the owner's upstream has the segment, few others get it.
+// Has the next undecided agents ask their upstreams, those of the own data
+// centre first. The batches grow: the owner is mostly in the first ones, and
+// where no upstream has the flow, as after a loss of power, the caller does not
+// wait for one batch per pair of agents.
 void ask_upstreams(const pass_balancer_state& state, const flow_key& flow,
                    owner_search& search, std::uint32_t ruled_out, instant now,
                    pass_actions& out)
 {
-    const std::size_t count = std::min(search.undecided_.size(),
-                                       state.settings_.max_asking_upstream_);
+    std::stable_partition(search.undecided_.begin(), search.undecided_.end(),
+                          [&](const undecided_agent& agent)
+                          {
+                              const auto it = state.agents_.find(agent.host_);
+                              return it != state.agents_.end() &&
+                                     is_near(state, it->second);
+                          });
+    constexpr std::size_t growth = 4;
+    const std::size_t batch = std::max(state.settings_.first_asking_batch_,
+                                       growth * search.last_batch_);
+    search.last_batch_ = batch;
+    const std::size_t count = std::min(search.undecided_.size(), batch);
+    search.asked_upstreams_ += count;
     const auto last =
         search.undecided_.begin() + static_cast<std::ptrdiff_t>(count);
     std::transform(search.undecided_.begin(), last,
@@ -173,12 +292,15 @@
     {
         return;
     }
-    if (!remaining.out_of_scope_.empty())
+    while (!remaining.out_of_scope_.empty())
     {
-        search.scope_ = search_scope::all_agents;
+        const bool was_near = search.scope_ == search_scope::near_agents;
+        search.scope_ = was_near ? search_scope::expected_services
+                                 : search_scope::all_agents;
         remaining = find_remaining(state, key, search, now);
         search.awaited_ = remaining.awaited_;
-        ask(state, key, search, remaining.in_scope_, true, "other_services",
+        ask(state, key, search, remaining.in_scope_, true,
+            was_near ? "other_data_centres" : "other_services",
             remaining.ruled_out_, now, out);
         if (search.awaited_ > 0)
         {
@@ -206,10 +328,9 @@
 }
 
 // A response to an earlier question may arrive after a later one.
-void record_response(owner_search& search, const flow_owner_message& response,
-                     instant now)
+void record_response(owner_search& search, host_address sender,
+                     bool is_undecided_response, instant now)
 {
-    const host_address sender = response.sender_;
     if (contains(search.denied_by_, sender))
     {
         return;
@@ -218,11 +339,12 @@
     const bool is_first = undecided == search.undecided_.end() &&
                           !contains(search.told_to_ask_, sender) &&
                           !contains(search.asking_upstream_, sender);
+    search.unanswered_rounds_ = 0;
     if (is_first && search.awaited_ > 0)
     {
         --search.awaited_;
     }
-    if (!response.undecided_)
+    if (!is_undecided_response)
     {
         if (undecided != search.undecided_.end())
         {
@@ -279,6 +401,73 @@
     }
 }
 
+// Returns the agents that a search asks first.
+search_scope first_scope(const pass_balancer_state& state, const flow_key& flow)
+{
+    std::size_t near = 0;
+    std::size_t expected = 0;
+    for (const auto& entry : state.agents_)
+    {
+        if (is_expected(state, entry.second, flow))
+        {
+            ++expected;
+            near += is_near(state, entry.second) ? 1 : 0;
+        }
+    }
+    return near > 0 && expected > state.settings_.max_single_stage_
+               ? search_scope::near_agents
+               : search_scope::expected_services;
+}
+
+// Returns whether the search starts a round by itself, because some agents have
+// not responded or the agents were not known yet.
+bool is_round_due(const pass_balancer_state& state, const owner_search& search,
+                  instant now)
+{
+    const bool unanswered = search.awaited_ > 0 ||
+                            !search.told_to_ask_.empty() ||
+                            !knows_all_agents(state, now);
+    constexpr unsigned max_doublings = 2;
+    const duration interval =
+        std::min(state.settings_.search_interval_ *
+                     (1U << std::min(search.unanswered_rounds_, max_doublings)),
+                 state.settings_.max_round_interval_);
+    return unanswered && now - search.asked_at_ >= interval;
+}
+
+// Ends the search. If upstreams of other flows got the segment, the owner gets
+// it again with the next tick, after all of them: callers may pause after it,
+// and a flow whose last segments all went to others would count as misdirected.
+void finish_search(pass_balancer_state& state, const flow_key& flow,
+                   host_address owner)
+{
+    constexpr std::size_t max_strangers = 2;
+    const auto search = state.searches_.find(flow);
+    if (search == state.searches_.end())
+    {
+        return;
+    }
+    if (search->second.asked_upstreams_ > max_strangers)
+    {
+        search->second.owner_ = owner;
+        return;
+    }
+    state.searches_.erase(search);
+}
+
+// Sends the segment of a finished search to its owner once more.
+void confirm_owner(pass_balancer_state& state, owner_search& search,
+                   pass_actions& out)
+{
+    if (search.owner_ == host_address())
+    {
+        return;
+    }
+    state.confirmed_packets_.push_back(std::move(search.packet_));
+    const std::vector<std::uint8_t>& packet = state.confirmed_packets_.back();
+    out.send_to_agent(search.owner_, {packet.data(), packet.size()});
+}
+
 } // namespace
 
 namespace pvt
@@ -294,17 +483,25 @@
     {
         return;
     }
+    if (search.owner_ != host_address())
+    {
+        // The agent that had confirmed the flow does not have it any more.
+        search = owner_search();
+    }
+    const bool is_first_round = search.asked_at_ == instant();
     balancer_flow& flow = state.flows_[s.flow_];
     flow.last_active_ = now;
     flow.owner_ = host_address();
     search.packet_.assign(bytes.data_, bytes.data_ + bytes.size_);
+    search.caller_sent_at_ = now;
     search.returned_by_ = returned_by;
     search.caller_expected_sequence_ = s.ack_number_;
-    if (!is_new)
+    if (!is_first_round)
     {
         repeat_search(state, s.flow_, search, now, out);
         return;
     }
+    search.scope_ = first_scope(state, s.flow_);
     const remaining_agents remaining =
         find_remaining(state, s.flow_, search, now);
     search.awaited_ = remaining.awaited_;
@@ -316,15 +513,23 @@
 void handle_search_tick(pass_balancer_state& state, instant now,
                         pass_actions& out)
 {
+    state.confirmed_packets_.clear();
     for (auto it = state.searches_.begin(); it != state.searches_.end();)
     {
         owner_search& search = it->second;
         const auto since_asked = now - search.asked_at_;
-        if (since_asked > state.settings_.search_timeout_)
+        if (now - search.caller_sent_at_ > state.settings_.search_timeout_ ||
+            search.owner_ != host_address())
         {
+            confirm_owner(state, search, out);
             it = state.searches_.erase(it);
             continue;
         }
+        if (is_round_due(state, search, now))
+        {
+            ++search.unanswered_rounds_;
+            repeat_search(state, it->first, search, now, out);
+        }
         // An upstream that has ended returns no segment.
         if (search.told_to_ask_.empty() && !search.asking_upstream_.empty() &&
             !search.undecided_.empty() &&
@@ -364,7 +569,7 @@
         flow.owner_ = message.owner_;
         flow.queued_ = message.queued_;
         flow.last_active_ = now;
-        state.searches_.erase(message.flow_);
+        finish_search(state, message.flow_, message.owner_);
         return;
     }
     const auto search = state.searches_.find(message.flow_);
@@ -373,7 +578,29 @@
     {
         return;
     }
-    record_response(search->second, message, now);
+    record_response(search->second, message.sender_, message.undecided_, now);
+    advance_search(state, message.flow_, search->second, now, out);
+}
+
+void handle_search_result(pass_balancer_state& state,
+                          const search_result_message& message, instant now,
+                          pass_actions& out)
+{
+    const auto flow = state.flows_.find(message.flow_);
+    const auto search = state.searches_.find(message.flow_);
+    if (flow == state.flows_.end() || search == state.searches_.end() ||
+        flow->second.owner_ != host_address() || flow->second.finished_)
+    {
+        return;
+    }
+    for (const host_address host : message.denied_)
+    {
+        record_response(search->second, host, false, now);
+    }
+    for (const host_address host : message.undecided_)
+    {
+        record_response(search->second, host, true, now);
+    }
     advance_search(state, message.flow_, search->second, now, out);
 }
 
--- a/src/libpass/balancer_test.cpp
+++ b/src/libpass/balancer_test.cpp
@@ -669,3 +669,115 @@
     handle_flow_owner(state, {make_flow(1), agent_b, false, {}}, start, out);
     CHECK(state.flows_.at(make_flow(1)).owner_ == agent_b);
 }
+
+namespace
+{
+
+// Adds `count` agents of data centre "a" and as many of "b".
+void add_agents(pass_balancer_state& state, std::uint32_t count)
+{
+    pass_actions out;
+    for (std::uint32_t i = 0; i < count; ++i)
+    {
+        handle_status(state, make_status(host_address(0x0a000100 + i), "a"),
+                      start, out);
+        handle_status(state, make_status(host_address(0x0a000200 + i), "b"),
+                      start, out);
+    }
+}
+
+std::vector<host_address> agents_in(const pass_balancer_state& state,
+                                    const std::string& name)
+{
+    std::vector<host_address> hosts;
+    for (const auto& [host, agent] : state.agents_)
+    {
+        if (agent.status_.data_centre_ == data_centre(name))
+        {
+            hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
+} // namespace
+
+TEST_CASE("a search asks each data centre by one message, its own first")
+{
+    pass_balancer_state state = make_balancer();
+    add_agents(state, 12);
+    note_members_read(state, start);
+    pass_actions near;
+    handle_caller_segment(state, make_request(1, 77), sample_bytes(), start,
+                          near);
+    REQUIRE(near.datagrams_.size() == 1);
+    const auto* question = find_message<locate_message>(near);
+    CHECK(state.agents_.at(near.datagrams_[0].host_).status_.data_centre_ ==
+          data_centre("a"));
+    CHECK(question->group_.size() + 1 == agents_in(state, "a").size());
+
+    pass_actions far;
+    handle_search_result(
+        state,
+        {make_flow(1), near.datagrams_[0].host_, agents_in(state, "a"), {}},
+        start + milliseconds(2), far);
+    REQUIRE(far.datagrams_.size() == 1);
+    CHECK(state.agents_.at(far.datagrams_[0].host_).status_.data_centre_ ==
+          data_centre("b"));
+
+    pass_actions done;
+    handle_search_result(
+        state,
+        {make_flow(1), far.datagrams_[0].host_, agents_in(state, "b"), {}},
+        start + milliseconds(4), done);
+    CHECK(count(done, pass_target::reset) == 1);
+}
+
+TEST_CASE("a search goes on by itself if its relay does not respond")
+{
+    // The next round used to wait for the caller's retransmission, of which few
+    // fit into its deadline.
+    pass_balancer_state state = make_balancer();
+    add_agents(state, 12);
+    note_members_read(state, start);
+    pass_actions first;
+    handle_caller_segment(state, make_request(1, 77), sample_bytes(), start,
+                          first);
+    pass_actions early;
+    handle_tick(state, start + milliseconds(100), early);
+    CHECK(count_messages<locate_message>(early) == 0);
+    pass_actions second;
+    handle_tick(state, start + milliseconds(200), second);
+    CHECK(count_messages<locate_message>(second) == 2);
+    // Other agents are relays in the next round.
+    pass_actions third;
+    handle_tick(state, start + milliseconds(600), third);
+    CHECK(count_messages<locate_message>(third) == 2);
+}
+
+TEST_CASE("the owner gets the segment once more after other upstreams got it")
+{
+    pass_balancer_state state = make_balancer();
+    add_agents(state, 2);
+    note_members_read(state, start);
+    pass_actions out;
+    handle_caller_segment(state, make_request(1, 77), sample_bytes(), start,
+                          out);
+    std::vector<host_address> all = agents_in(state, "a");
+    const std::vector<host_address> far = agents_in(state, "b");
+    all.insert(all.end(), far.begin(), far.end());
+    handle_search_result(state, {make_flow(1), agent_a, {}, all}, start, out);
+    const owner_search& search = state.searches_.at(make_flow(1));
+    REQUIRE(search.told_to_ask_.size() == 2);
+    const std::vector<host_address> first_batch = search.told_to_ask_;
+    handle_search_result(state, {make_flow(1), agent_a, first_batch, {}}, start,
+                         out);
+    const host_address owner = search.told_to_ask_.front();
+    handle_flow_owner(state, {make_flow(1), owner, false}, start, out);
+    pass_actions tick;
+    handle_tick(state, start + milliseconds(100), tick);
+    REQUIRE(tick.datagrams_.size() == 1);
+    CHECK(tick.datagrams_[0].target_ == pass_target::agent);
+    CHECK(tick.datagrams_[0].host_ == owner);
+    CHECK(state.searches_.empty());
+}
--- a/src/libpass/flow_replay.h
+++ b/src/libpass/flow_replay.h
@@ -24,6 +24,8 @@
     std::size_t balancers_ = 4;
     /// Even agents serve one service, odd ones another.
     std::size_t agents_ = 6;
+    /// Balancers and agents are distributed evenly over these.
+    std::size_t data_centres_ = 1;
     std::size_t callers_ = 30;
     duration length_ = std::chrono::seconds(50);
     /// Callers pause between two requests of a flow for up to this time.
@@ -34,6 +36,12 @@
     /// Planned restarts of agents: they end their flows' requests first.
     duration agent_restart_period_{0};
     duration agent_kill_period_{0};
+    /// Time from the start at which all balancers and agents end at once and
+    /// start again; zero for never.
+    duration total_restart_at_{0};
+    /// With `total_restart_at_`: upstreams lose power as well and start again
+    /// shortly before their agents.
+    bool upstreams_lose_power_ = false;
     /// An upstream ends and starts again on its instance.
     duration upstream_restart_period_{0};
     /// If positive, an agent is killed at a random time up to this after each
@@ -62,6 +70,14 @@
     /// Open flows with a living upstream that do not answer after the fleet has
     /// been left alone.
     std::size_t stuck_ = 0;
+    /// Flows that were reset after a loss of power, and the sum of the times
+    /// from the first segment that reached a balancer to the caller's reset.
+    std::size_t reset_after_power_loss_ = 0;
+    duration reset_delay_sum_{0};
+    /// Searches that balancers started, and the messages that they sent or got
+    /// for them.
+    std::size_t searches_ = 0;
+    std::size_t balancer_search_messages_ = 0;
 };
 
 flow_replay_result replay_flows(const flow_replay_settings& settings);
