Evacuation of a data centre

Cause: the operator's entries evacuations/DATA_CENTRE are not read, and flows are opened in data centres that are being evacuated.

Change: where bounds.evacuate_ms is set, balancers share the reads of the collection (one every 0.7 s by all of them), announce a change to all peers and agents at once, and place no opening segment in an evacuated data centre. An agent in an evacuated data centre accepts no flows and sends queued segments and retransmissions to other agents. Balancers that never had a state are not ready unless the store has been failing for 2 s. Changes are logged as evacuation_changed and exported as galena_evacuated_data_centres.

--- a/src/galena_pass_agent/agent_traffic.cpp
+++ b/src/galena_pass_agent/agent_traffic.cpp
@@ -31,11 +31,12 @@
 public:
     worker(agent_traffic& owner, const pass_agent_settings& settings,
            packet_io io, unique_fd upstream_socket, decision_log& log,
+           mailbox<evacuation_change>& evacuation_changes,
            metrics_registry& metrics)
         : owner_(owner),
           state_(new_pass_agent(settings, read_monotonic_clock())),
           io_(std::move(io)), upstream_socket_(std::move(upstream_socket)),
-          log_(log),
+          log_(log), evacuation_changes_(evacuation_changes),
           segments_(platform_adapter::max_segment_bytes, ip_family::v4),
           messages_(max_message_bytes, ip_family::v4), tick_(tick_interval),
           malformed_(metrics.add_counter(
@@ -180,6 +181,7 @@
         }
         else if (const auto* hello = std::get_if<hello_message>(&*message))
         {
+            handle_evacuations(*hello);
             handle_hello(state_, *hello, now_, actions_);
         }
         // Enqueued before `message` goes out of scope: actions may refer to its
@@ -187,6 +189,17 @@
         io_.enqueue(actions_);
     }
 
+    void handle_evacuations(const hello_message& hello)
+    {
+        std::vector<data_centre> before = state_.evacuations_.data_centres_;
+        if (update_evacuations(state_, hello.evacuations_, now_, actions_) ==
+            evacuation_update::changed)
+        {
+            evacuation_changes_.post(
+                {state_.evacuations_, std::move(before), hello.host_});
+        }
+    }
+
     std::optional<segment_header>
     decode_enclosed_segment(const std::vector<std::uint8_t>& packet)
     {
@@ -255,6 +268,7 @@
     packet_io io_;
     unique_fd upstream_socket_;
     decision_log& log_;
+    mailbox<evacuation_change>& evacuation_changes_;
     receive_batch segments_;
     receive_batch messages_;
     interval_timer tick_;
@@ -294,11 +308,12 @@
 
 agent_traffic::agent_traffic(const pass_agent_settings& settings, packet_io io,
                              unique_fd upstream_socket, decision_log& log,
+                             mailbox<evacuation_change>& evacuation_changes,
                              metrics_registry& metrics)
     : commands_(max_queued_commands),
       worker_(std::make_unique<worker>(*this, settings, std::move(io),
                                        std::move(upstream_socket), log,
-                                       metrics))
+                                       evacuation_changes, metrics))
 {
 }
 
--- a/src/galena_pass_agent/agent_traffic.h
+++ b/src/galena_pass_agent/agent_traffic.h
@@ -7,6 +7,7 @@
 #include <galenafork/mailbox.h>
 #include <galenafork/pass_agent.h>
 #include <libpassd/decision_log.h>
+#include <libpassd/evacuation_log.h>
 #include <libpassd/packet_io.h>
 
 #include <atomic>
@@ -45,6 +46,7 @@
 public:
     agent_traffic(const pass_agent_settings& settings, packet_io io,
                   unique_fd upstream_socket, decision_log& log,
+                  mailbox<evacuation_change>& evacuation_changes,
                   metrics_registry& metrics);
     ~agent_traffic();
     agent_traffic(const agent_traffic&) = delete;
--- a/src/galena_pass_agent/pass_agent_daemon.cpp
+++ b/src/galena_pass_agent/pass_agent_daemon.cpp
@@ -95,7 +95,8 @@
     const platform_adapter::instance_settings& settings,
     std::unique_ptr<metrics_registry> metrics,
     std::unique_ptr<control_loop> loop, packet_io io, unique_fd upstream_socket)
-    : settings_(settings), metrics_(std::move(metrics)), loop_(std::move(loop)),
+    : settings_(settings), metrics_(std::move(metrics)),
+      evacuation_log_(*metrics_), loop_(std::move(loop)),
       random_(std::random_device{}()), log_({}, *metrics_),
       store_(store_settings(settings),
              {loop_->timer(), loop_->io().provider->getNetwork(),
@@ -108,10 +109,13 @@
           {
               pass_agent_settings s;
               s.host_ = settings.host_;
+              s.data_centre_ = settings.data_centre_;
+              s.follows_evacuations_ = settings.evacuate_within_.has_value();
               s.flow_lifetime_ = settings.flow_lifetime_;
               return s;
           }(),
-          std::move(io), std::move(upstream_socket), log_, *metrics_),
+          std::move(io), std::move(upstream_socket), log_,
+          evacuation_log_.changes(), *metrics_),
       registration_(store_, loop_->timer(), [this] { return random_bits(); },
                     {}),
       reports_(metrics_->add_counter("galena_upstream_reports_total",
@@ -124,6 +128,9 @@
                             { return handle_request(request); });
     loop_->set_readiness_handler([] { return readiness{true, ""}; });
     loop_->set_drain_handler([this] { return drain(); });
+    loop_->add_mailbox_handler<evacuation_change>(
+        evacuation_log_.changes(),
+        [this](evacuation_change&& change) { evacuation_log_.write(change); });
     loop_->run_every(log_flush_interval, [this] { log_.flush(); });
 }
 
--- a/src/galena_pass_agent/pass_agent_daemon.h
+++ b/src/galena_pass_agent/pass_agent_daemon.h
@@ -53,6 +53,9 @@
 
     platform_adapter::instance_settings settings_;
     std::unique_ptr<metrics_registry> metrics_;
+    // Declared before the loop, which reads its mailbox and so must not outlive
+    // it.
+    evacuation_log evacuation_log_;
     std::unique_ptr<control_loop> loop_;
     std::mt19937_64 random_;
     decision_log log_;
--- a/src/galena_pass_balancer/balancer_daemon.cpp
+++ b/src/galena_pass_balancer/balancer_daemon.cpp
@@ -68,8 +68,9 @@
     std::unique_ptr<metrics_registry> metrics,
     std::unique_ptr<control_loop> loop, packet_io io)
     : settings_(settings), metrics_(std::move(metrics)),
-      newer_rules_mailbox_(max_queued_newer_rules), loop_(std::move(loop)),
-      random_(std::random_device{}()), log_({}, *metrics_),
+      newer_rules_mailbox_(max_queued_newer_rules), evacuation_log_(*metrics_),
+      loop_(std::move(loop)), random_(std::random_device{}()),
+      log_({}, *metrics_),
       store_(store_settings(settings),
              {loop_->timer(), loop_->io().provider->getNetwork(),
               read_monotonic_clock,
@@ -82,11 +83,12 @@
               pass_balancer_settings s;
               s.host_ = settings.host_;
               s.data_centre_ = settings.data_centre_;
+              s.follows_evacuations_ = settings.evacuate_within_.has_value();
               s.flow_lifetime_ = settings.flow_lifetime_;
               return s;
           }(),
           static_cast<std::uint32_t>(random_bits()), std::move(io), log_,
-          newer_rules_mailbox_, *metrics_),
+          newer_rules_mailbox_, evacuation_log_.changes(), *metrics_),
       follower_(
           store_, loop_->timer(),
           [this] { return std::uniform_real_distribution<double>()(random_); },
@@ -100,6 +102,16 @@
           },
           [this](host_address host)
           { return fetch_rules(*loop_, rpc_address(host)); }),
+      evacuations_(
+          store_, loop_->timer(),
+          [this] { return std::uniform_real_distribution<double>()(random_); },
+          {},
+          [this](const evacuation_state& state)
+          {
+              balancer_commands commands;
+              commands.evacuations_ = state;
+              traffic_.commands().post(std::move(commands));
+          }),
       registration_(store_, loop_->timer(), [this] { return random_bits(); },
                     {})
 {
@@ -116,6 +128,9 @@
             loop_->add_task("fetch_newer_rules",
                             follower_.handle_newer_rules(newer));
         });
+    loop_->add_mailbox_handler<evacuation_change>(
+        evacuation_log_.changes(),
+        [this](evacuation_change&& change) { evacuation_log_.write(change); });
     loop_->run_every(log_flush_interval, [this] { log_.flush(); });
 }
 
@@ -147,6 +162,10 @@
                {"data_centre", settings_.data_centre_.value()},
                {"first_start", settings_.bootstrap_}});
     loop_->add_task("follow_rules", follower_.follow());
+    if (follows_evacuations())
+    {
+        loop_->add_task("follow_evacuations", evacuations_.follow());
+    }
     loop_->add_task(
         "maintain_registration",
         registration_.maintain(
@@ -171,6 +190,11 @@
     {
         return {false, "no agent is live"};
     }
+    if (follows_evacuations() && !traffic_.status().evacuations_known_ &&
+        !evacuations_.is_store_failing())
+    {
+        return {false, "no evacuations are known"};
+    }
     return {true, ""};
 }
 
@@ -201,6 +225,20 @@
     return result;
 }
 
+bool balancer_daemon::follows_evacuations() const
+{
+    return settings_.evacuate_within_.has_value();
+}
+
+// Tells the follower of evacuations which data centres have members.
+void balancer_daemon::note_members(const std::vector<platform_object>& entries)
+{
+    if (follows_evacuations())
+    {
+        evacuations_.add_known_data_centres(data_centres_of(entries));
+    }
+}
+
 kj::Promise<void> balancer_daemon::follow_members()
 {
     const freshness fresh =
@@ -217,6 +255,7 @@
                 if (agents)
                 {
                     commands.agents_ = hosts_of(agents->objects_);
+                    note_members(agents->objects_);
                 }
                 const bool agents_read = agents.has_value();
                 return store_
@@ -232,6 +271,7 @@
                                 commands.balancers_ = hosts_of(peers->objects_);
                                 balancers_ = commands.balancers_;
                                 follower_.set_balancers(balancers_.size());
+                                evacuations_.set_balancers(balancers_.size());
                             }
                             commands.complete_ =
                                 registered && agents_read && peers.has_value();
--- a/src/galena_pass_balancer/balancer_daemon.h
+++ b/src/galena_pass_balancer/balancer_daemon.h
@@ -10,6 +10,7 @@
 
 #include <galenafork/control_loop.h>
 #include <galenafork/platform_client.h>
+#include <libpassd/evacuation_follower.h>
 #include <libpassd/rules_follower.h>
 #include <libpassd/store_registration.h>
 #include <platform/instance_settings.h>
@@ -46,6 +47,8 @@
     readiness check_readiness() const;
     endpoint rpc_address(host_address host) const;
     member_lists members() const;
+    bool follows_evacuations() const;
+    void note_members(const std::vector<platform_object>& entries);
     kj::Promise<void> follow_members();
     kj::Promise<void> query_seeds();
     kj::Promise<rules_text> query_seed(host_address host);
@@ -55,15 +58,17 @@
 
     platform_adapter::instance_settings settings_;
     std::unique_ptr<metrics_registry> metrics_;
-    // Declared before the loop, which reads the mailbox and so must not outlive
-    // it.
+    // Declared before the loop, which reads the mailboxes and so must not
+    // outlive them.
     mailbox<newer_rules> newer_rules_mailbox_;
+    evacuation_log evacuation_log_;
     std::unique_ptr<control_loop> loop_;
     std::mt19937_64 random_;
     decision_log log_;
     platform_client store_;
     balancer_traffic traffic_;
     rules_follower follower_;
+    evacuation_follower evacuations_;
     store_registration registration_;
     std::thread thread_;
     std::vector<host_address> balancers_;
--- a/src/galena_pass_balancer/balancer_traffic.cpp
+++ b/src/galena_pass_balancer/balancer_traffic.cpp
@@ -34,10 +34,13 @@
 public:
     worker(balancer_traffic& owner, const pass_balancer_settings& settings,
            std::uint32_t seed, packet_io io, decision_log& log,
-           mailbox<newer_rules>& newer_rules_mailbox, metrics_registry& metrics)
+           mailbox<newer_rules>& newer_rules_mailbox,
+           mailbox<evacuation_change>& evacuation_changes,
+           metrics_registry& metrics)
         : owner_(owner), state_(new_pass_balancer(settings, seed)),
           io_(std::move(io)), log_(log),
           newer_rules_mailbox_(newer_rules_mailbox),
+          evacuation_changes_(evacuation_changes),
           segments_(platform_adapter::max_segment_bytes, ip_family::v4),
           messages_(max_message_bytes, ip_family::v4), tick_(tick_interval),
           malformed_(metrics.add_counter(
@@ -195,6 +198,20 @@
         {
             newer_rules_mailbox_.post({hello.host_, hello.version_});
         }
+        handle_evacuations(hello.evacuations_, hello.host_);
+    }
+
+    void handle_evacuations(const evacuation_state& next, host_address source)
+    {
+        std::vector<data_centre> before = state_.evacuations_.data_centres_;
+        const evacuation_update update =
+            update_evacuations(state_, next, now_, actions_);
+        if (update == evacuation_update::changed)
+        {
+            evacuation_changes_.post(
+                {state_.evacuations_, std::move(before), source});
+        }
+        owner_.status_.evacuations_known_ = is_known(state_.evacuations_);
     }
 
     void handle_commands()
@@ -211,6 +228,10 @@
                     announce_rules(state_, actions_);
                 }
             }
+            if (commands.evacuations_)
+            {
+                handle_evacuations(*commands.evacuations_, {});
+            }
             state_.leaving_ |= commands.leaving_;
             for (const host_address host : commands.agents_)
             {
@@ -264,6 +285,7 @@
     packet_io io_;
     decision_log& log_;
     mailbox<newer_rules>& newer_rules_mailbox_;
+    mailbox<evacuation_change>& evacuation_changes_;
     receive_batch segments_;
     receive_batch messages_;
     interval_timer tick_;
@@ -283,14 +305,14 @@
     ACE_Reactor reactor_;
 };
 
-balancer_traffic::balancer_traffic(const pass_balancer_settings& settings,
-                                   std::uint32_t seed, packet_io io,
-                                   decision_log& log,
-                                   mailbox<newer_rules>& newer_rules_mailbox,
-                                   metrics_registry& metrics)
+balancer_traffic::balancer_traffic(
+    const pass_balancer_settings& settings, std::uint32_t seed, packet_io io,
+    decision_log& log, mailbox<newer_rules>& newer_rules_mailbox,
+    mailbox<evacuation_change>& evacuation_changes, metrics_registry& metrics)
     : commands_(max_queued_commands),
       worker_(std::make_unique<worker>(*this, settings, seed, std::move(io),
-                                       log, newer_rules_mailbox, metrics))
+                                       log, newer_rules_mailbox,
+                                       evacuation_changes, metrics))
 {
 }
 
--- a/src/galena_pass_balancer/balancer_traffic.h
+++ b/src/galena_pass_balancer/balancer_traffic.h
@@ -7,11 +7,13 @@
 #include <galenafork/mailbox.h>
 #include <galenafork/pass_balancer.h>
 #include <libpassd/decision_log.h>
+#include <libpassd/evacuation_log.h>
 #include <libpassd/packet_io.h>
 #include <libpassd/rules_follower.h>
 
 #include <atomic>
 #include <memory>
+#include <optional>
 
 namespace galenafork
 {
@@ -28,6 +30,8 @@
     /// `agents_` and `balancers_` are all members in the store.
     bool complete_ = false;
     bool leaving_ = false;
+    /// Evacuations as read from the store.
+    std::optional<evacuation_state> evacuations_;
 };
 
 /// State of the traffic thread that the control thread may read at any time.
@@ -37,6 +41,8 @@
     std::atomic<std::uint64_t> segments_received_{0};
     /// Version of the rules that the traffic thread uses; zero if it has none.
     std::atomic<std::uint64_t> rules_version_{0};
+    /// The traffic thread has a state of the evacuations.
+    std::atomic<bool> evacuations_known_{false};
 };
 
 /// Forwards segments of callers to agents. Owns the state of the thread that
@@ -48,6 +54,7 @@
     balancer_traffic(const pass_balancer_settings& settings, std::uint32_t seed,
                      packet_io io, decision_log& log,
                      mailbox<newer_rules>& newer_rules_mailbox,
+                     mailbox<evacuation_change>& evacuation_changes,
                      metrics_registry& metrics);
     ~balancer_traffic();
     balancer_traffic(const balancer_traffic&) = delete;
--- a/src/include/galenafork/pass_agent.h
+++ b/src/include/galenafork/pass_agent.h
@@ -7,6 +7,7 @@
 #ifndef GALENAFORK_PASS_AGENT_H
 #define GALENAFORK_PASS_AGENT_H
 
+#include <galenafork/evacuation.h>
 #include <galenafork/pass_actions.h>
 #include <galenafork/pass_messages.h>
 #include <galenafork/pass_types.h>
@@ -22,6 +23,10 @@
 struct pass_agent_settings
 {
     host_address host_;
+    /// The data centre of the agent's instance.
+    data_centre data_centre_;
+    /// Evacuations in the hellos of balancers are applied.
+    bool follows_evacuations_ = false;
     /// Requests in flight that are allowed beyond the upstream's slots, so that
     /// no slot is idle during a handshake (a caller's round trip). Zero is used
     /// while the upstream is cold.
@@ -222,6 +227,8 @@
     /// the next call of `send_statuses` tells all balancers.
     bool status_changed_ = false;
     std::unordered_map<host_address, known_balancer> balancers_;
+    /// The latest evacuations that a balancer has sent.
+    evacuation_state evacuations_;
 };
 
 /// Returns the initial state of an agent that starts at `now`.
@@ -239,6 +246,13 @@
 void handle_hello(pass_agent_state& state, const hello_message& hello,
                   instant now, pass_actions& out);
 
+/// Applies evacuations from a balancer if they are later than the current ones.
+/// In an evacuated data centre the agent accepts no new flows, and queued
+/// segments are sent to other agents or refused. Open flows stay.
+evacuation_update update_evacuations(pass_agent_state& state,
+                                     const evacuation_state& next, instant now,
+                                     pass_actions& out);
+
 /// Records a balancer that the store lists. A new one gets the status, in case
 /// it does not have this agent on its list yet.
 void add_listed_balancer(pass_agent_state& state, host_address balancer,
--- a/src/include/galenafork/pass_balancer.h
+++ b/src/include/galenafork/pass_balancer.h
@@ -7,6 +7,7 @@
 #ifndef GALENAFORK_PASS_BALANCER_H
 #define GALENAFORK_PASS_BALANCER_H
 
+#include <galenafork/evacuation.h>
 #include <galenafork/pass_actions.h>
 #include <galenafork/pass_messages.h>
 #include <galenafork/pass_types.h>
@@ -136,6 +137,8 @@
     /// A balancer that handled nothing for longer than this was paused: routers
     /// have sent its callers' retransmissions to other balancers since.
     duration max_unattended_ = std::chrono::seconds(1);
+    /// Evacuations of data centres are applied and announced.
+    bool follows_evacuations_ = false;
 };
 
 /// State of one agent at a balancer.
@@ -246,6 +249,8 @@
     std::unordered_map<flow_key, balancer_flow> flows_;
     /// Searches for the owners of flows of `flows_`.
     std::unordered_map<flow_key, owner_search> searches_;
+    /// Agents in these data centres get no new flows.
+    evacuation_state evacuations_;
     std::vector<pending_opening> pending_openings_;
     /// Flows of `pending_openings_`.
     std::unordered_set<flow_key> pending_flows_;
@@ -274,6 +279,13 @@
 bool update_rules(pass_balancer_state& state,
                   std::shared_ptr<const pass_rules> rules);
 
+/// Applies evacuations from the store or a peer if they are later than the
+/// current ones. If they change, all peers and agents get a hello with them at
+/// once.
+evacuation_update update_evacuations(pass_balancer_state& state,
+                                     const evacuation_state& next, instant now,
+                                     pass_actions& out);
+
 /// Returns the agents for an opening segment to `service`, best first: those of
 /// this data centre by their load, then those of others. Empty if no agent
 /// accepts new flows.
--- a/src/libpass/agent_lifecycle.cpp
+++ b/src/libpass/agent_lifecycle.cpp
@@ -191,6 +191,7 @@
 {
     return state.upstream_.state_ == upstream_state::ready &&
            !state.shutting_down_ && !state.upstream_suspected_ &&
+           !pvt::is_evacuated(state) &&
            now - state.last_report_at_ < state.settings_.report_timeout_;
 }
 
@@ -217,9 +218,12 @@
         state.unanswered_openings_ = 0;
         state.service_time_ = state.settings_.initial_service_time_;
     }
-    const bool changed = state.upstream_.state_ != report.state_ ||
-                         state.upstream_.started_ != report.started_ ||
-                         !accepts_new_flows(state, now);
+    // A report can't end an evacuation, so the status of an evacuated agent
+    // does not change with each report.
+    const bool changed =
+        state.upstream_.state_ != report.state_ ||
+        state.upstream_.started_ != report.started_ ||
+        (!accepts_new_flows(state, now) && !pvt::is_evacuated(state));
     state.upstream_ = report;
     state.last_report_at_ = now;
     if (state.upstream_suspected_)
--- a/src/libpass/agent_opening.cpp
+++ b/src/libpass/agent_opening.cpp
@@ -17,11 +17,6 @@
 namespace
 {
 
-// Backlog recorded for an agent whose upstream did not accept a segment: more
-// than any real backlog, so that any other visited agent gets the segment
-// instead.
-constexpr double unavailable_backlog = 100.0;
-
 // Returns the limit on requests in flight at the upstream, running or in their
 // handshake. When balancers are overloaded, mostly after an outage, a
 // handshake takes longer than the request itself. The limit then allows more
@@ -433,6 +428,12 @@
             return;
         case pass_phase::opening:
         case pass_phase::open:
+            if (pvt::is_evacuated(state))
+            {
+                pvt::divert_retransmission(state, flow, message, opening, now,
+                                           out);
+                return;
+            }
             out.send_to_upstream(
                 {message.packet_.data(), message.packet_.size()});
             return;
--- a/src/libpass/agent_pvt.h
+++ b/src/libpass/agent_pvt.h
@@ -27,6 +27,24 @@
 /// agents whose state of the flow is outdated.
 inline constexpr std::uint8_t max_hops = 8;
 
+/// Backlog recorded for an agent whose upstream did not accept a segment: more
+/// than any real backlog, so that any other visited agent gets the segment
+/// instead.
+inline constexpr double unavailable_backlog = 100.0;
+
+/// Returns whether the agent's data centre is evacuated.
+bool is_evacuated(const pass_agent_state& state);
+
+/// Handles the retransmission of an opening segment that the upstream got
+/// before the evacuation. While the flow is opening, the segment goes to
+/// another agent, which does not refuse it with a reset, because the flow may
+/// be open here. Without another agent, or if the caller has continued the
+/// handshake, the segment is dropped.
+void divert_retransmission(const pass_agent_state& state,
+                           const agent_flow& flow, const place_message& message,
+                           const segment_header& opening, instant now,
+                           pass_actions& out);
+
 /// Returns whether a caller's segment can belong to the handshake with this
 /// agent's upstream.
 bool acknowledges_upstream(const agent_flow& flow, const segment_header& s);
--- a/src/libpass/balancer.cpp
+++ b/src/libpass/balancer.cpp
@@ -39,7 +39,8 @@
                instant now)
 {
     return agent.has_status_ && agent.status_.accepting_ &&
-           now - agent.last_status_at_ < state.settings_.agent_timeout_;
+           now - agent.last_status_at_ < state.settings_.agent_timeout_ &&
+           !is_evacuated(state, agent);
 }
 
 double load_of(const pass_balancer_state& state, const agent_record& agent)
--- a/src/libpass/balancer_members.cpp
+++ b/src/libpass/balancer_members.cpp
@@ -18,15 +18,6 @@
 // gone.
 constexpr int missed_probes = 5;
 
-void send_probe(const pass_balancer_state& state, host_address host,
-                agent_record& agent, instant now, pass_actions& out)
-{
-    hello_message hello = pvt::make_hello(state);
-    hello.probe_ = true;
-    agent.hello_sent_at_ = now;
-    out.send_to_peer(host, hello);
-}
-
 // Sends the hellos that are due to agents. Probes that are due at the same time
 // are sent in the same round; random deviations of their intervals distribute
 // them over the following rounds.
@@ -52,7 +43,7 @@
         if (since_hello >= duration(static_cast<duration::rep>(
                                interval * deviation(state.random_))))
         {
-            send_probe(state, host, agent, now, out);
+            pvt::send_probe(state, host, agent, now, out);
         }
     }
 }
@@ -144,9 +135,19 @@
         state.rules_ ? state.rules_->version_ : pass_rules_version();
     hello.agents_ = static_cast<std::uint32_t>(state.agents_.size());
     hello.leaving_ = state.leaving_;
+    hello.evacuations_ = state.evacuations_;
     return hello;
 }
 
+void send_probe(const pass_balancer_state& state, host_address host,
+                agent_record& agent, instant now, pass_actions& out)
+{
+    hello_message hello = make_hello(state);
+    hello.probe_ = true;
+    agent.hello_sent_at_ = now;
+    out.send_to_peer(host, hello);
+}
+
 duration probe_interval(const pass_balancer_state& state)
 {
     const subscription_settings& settings = state.settings_.subscriptions_;
@@ -222,7 +223,7 @@
     if (!record.has_status_ && record.last_status_at_ == instant())
     {
         record.last_status_at_ = now;
-        send_probe(state, agent, record, now, out);
+        pvt::send_probe(state, agent, record, now, out);
     }
 }
 
--- a/src/libpass/balancer_opening.cpp
+++ b/src/libpass/balancer_opening.cpp
@@ -130,10 +130,11 @@
     flow.owner_ = first;
     flow.queued_ = false;
     flow.last_active_ = now;
-    add_decision(out, "placed",
-                 context.earlier_agent_ == host_address() ? ""
-                                                          : "agent_timed_out",
-                 s, first, false, state, now);
+    const char* reason = context.earlier_agent_ == host_address() ? ""
+                         : is_evacuated(state, context.earlier_agent_)
+                             ? "evacuated"
+                             : "agent_timed_out";
+    add_decision(out, "placed", reason, s, first, false, state, now);
     out.send_to_peer(first, std::move(message));
     return true;
 }
@@ -273,7 +274,10 @@
                               now - existing->second.attempt_started_at_));
         const bool delayed_here = now - existing->second.last_active_ <
                                   state.settings_.min_retransmit_gap_;
-        if (!delayed_here && is_timed_out(state, owner, now))
+        // A segment that is queued in an evacuated data centre is sent on or
+        // refused by its agent.
+        if ((!delayed_here && is_timed_out(state, owner, now)) ||
+            (!existing->second.queued_ && is_evacuated(state, owner)))
         {
             context.earlier_agent_ = owner;
         }
@@ -295,10 +299,19 @@
             return;
         }
     }
-    if (!place_opening(state, s, context, now, out))
+    if (place_opening(state, s, context, now, out))
     {
-        add_pending(state, s, bytes, now, out);
+        return;
+    }
+    if (is_evacuated(state, context.earlier_agent_))
+    {
+        // The agent may have opened the flow before the evacuation; a pending
+        // segment would end in a reset of the flow.
+        add_decision(out, "dropped", "evacuated", s, context.earlier_agent_,
+                     true, state, now);
+        return;
     }
+    add_pending(state, s, bytes, now, out);
 }
 
 void place_pending(pass_balancer_state& state, instant now, pass_actions& out)
--- a/src/libpass/balancer_pvt.h
+++ b/src/libpass/balancer_pvt.h
@@ -27,8 +27,12 @@
                   const segment_header& s, host_address host, bool important,
                   const pass_balancer_state& state, instant now);
 
+/// Returns whether the agent's data centre is evacuated.
+bool is_evacuated(const pass_balancer_state& state, const agent_record& agent);
+bool is_evacuated(const pass_balancer_state& state, host_address agent);
+
 /// Returns whether the agent may get opening segments: it has sent a status in
-/// time and accepts new flows.
+/// time, accepts new flows, and its data centre is not evacuated.
 bool is_usable(const pass_balancer_state& state, const agent_record& agent,
                instant now);
 
@@ -69,6 +73,10 @@
 /// Returns the mean time between two probes of an agent without a subscription.
 duration probe_interval(const pass_balancer_state& state);
 
+/// Asks an agent without a subscription for one status.
+void send_probe(const pass_balancer_state& state, host_address host,
+                agent_record& agent, instant now, pass_actions& out);
+
 /// Sends a subscribed agent the hello that keeps its subscription.
 void send_subscription(const pass_balancer_state& state, host_address host,
                        const service_agents& agents, agent_record& agent,
--- a/src/libpass/balancer_subscriptions.cpp
+++ b/src/libpass/balancer_subscriptions.cpp
@@ -30,11 +30,12 @@
 }
 
 // Returns whether the agent's last status shows that it accepts flows and is
-// recent enough for a subscription.
+// recent enough for a subscription, and its data centre is not evacuated.
 bool is_eligible(const pass_balancer_state& state, const agent_record& agent,
                  instant now)
 {
     return agent.has_status_ && agent.status_.accepting_ &&
+           !is_evacuated(state, agent) &&
            now - agent.last_status_at_ < (agent.subscribed_
                                               ? state.settings_.agent_timeout_
                                               : gone_timeout(state, agent));
--- a/src/libpassd/daemon_setup.cpp
+++ b/src/libpassd/daemon_setup.cpp
@@ -12,6 +12,7 @@
 using nlohmann::json;
 
 constexpr const char* host_field = "host";
+constexpr const char* data_centre_field = "data_centre";
 
 // Offsets from the first internal port of an instance.
 constexpr std::uint16_t peers_port_offset = 0;
@@ -77,7 +78,7 @@
 std::string entry_value(const platform_adapter::instance_settings& settings)
 {
     return json({{host_field, to_string(settings.host_)},
-                 {"data_centre", settings.data_centre_.value()},
+                 {data_centre_field, settings.data_centre_.value()},
                  {"service", settings.service_.value()}})
         .dump();
 }
@@ -117,6 +118,23 @@
     return hosts;
 }
 
+std::vector<data_centre>
+data_centres_of(const std::vector<platform_object>& entries)
+{
+    std::vector<data_centre> data_centres;
+    for (const platform_object& entry : entries)
+    {
+        const json value = json::parse(entry.value_, nullptr, false);
+        if (value.is_object() && value.contains(data_centre_field) &&
+            value[data_centre_field].is_string())
+        {
+            data_centres.emplace_back(
+                value[data_centre_field].get<std::string>());
+        }
+    }
+    return data_centres;
+}
+
 tl::expected<platform_adapter::instance_settings, exit_code>
 read_pass_settings(int argc, const char* const* argv, const char* program,
                    const char* summary)
--- a/src/libpassd/daemon_setup.h
+++ b/src/libpassd/daemon_setup.h
@@ -54,6 +54,11 @@
 /// IPv4 address of one instance as its host is logged and skipped.
 std::vector<host_address> hosts_of(const std::vector<platform_object>& entries);
 
+/// Returns the data centres that the entries of a collection name. Entries
+/// without a data centre are skipped.
+std::vector<data_centre>
+data_centres_of(const std::vector<platform_object>& entries);
+
 /// Reads the command line and the settings file. Without arguments the path of
 /// the file is read from the environment variable that `settings_variable`
 /// names. Fails with the exit code if the daemon is not to start: after an
