A removed entry is not written again

Cause: the checks of a store entry went on after its removal. An agent that drained for longer than the time to the next check wrote its entry again and then ended. Change: remove() ends the maintenance, and a write that was under way is undone.

--- a/src/libpassd/fake_store.h
+++ b/src/libpassd/fake_store.h
@@ -37,6 +37,16 @@
     }
 
     kj::Promise<write_result> put_if(object_write write) override
+    {
+        if (write_delay_ == 0 * kj::MILLISECONDS)
+        {
+            return apply(write);
+        }
+        return timer_.afterDelay(write_delay_)
+            .then([this, write = std::move(write)] { return apply(write); });
+    }
+
+    write_result apply(const object_write& write)
     {
         write_result result;
         const auto existing = objects_.find(write.name_);
@@ -159,6 +169,8 @@
     bool watch_times_out_ = false;
     /// The next watch fails because the store's history is gone.
     bool history_gone_ = false;
+    /// Time until a write takes effect.
+    kj::Duration write_delay_ = 0 * kj::MILLISECONDS;
     int current_reads_ = 0;
     int collection_reads_ = 0;
     std::map<std::string, platform_object> objects_;
--- a/src/libpassd/store_registration.cpp
+++ b/src/libpassd/store_registration.cpp
@@ -64,6 +64,10 @@
 
 kj::Promise<void> store_registration::run_maintenance()
 {
+    if (removed_)
+    {
+        return kj::READY_NOW;
+    }
     auto checked = confirmed_ ? store_.get_allow_stale(name_).then(
                                     [this](auto&& read) -> kj::Promise<void>
                                     {
@@ -122,6 +126,10 @@
 
 kj::Promise<void> store_registration::write(object_version expected)
 {
+    if (removed_)
+    {
+        return kj::READY_NOW;
+    }
     object_write write;
     write.name_ = name_;
     write.expected_version_ = expected;
@@ -131,7 +139,7 @@
     write.value_ = value.dump();
     return store_.put_if(std::move(write))
         .then(
-            [this](write_result&& result)
+            [this](write_result&& result) -> kj::Promise<void>
             {
                 const bool accepted =
                     result.outcome_ == write_outcome::accepted;
@@ -148,11 +156,18 @@
                            {"outcome", to_string(result.outcome_)},
                            {"version", result.version_.value()},
                            {"reason", result.reason_.message_}});
+                if (removed_ && accepted)
+                {
+                    // The write took effect after the removal.
+                    return store_.remove(name_, version_).ignoreResult();
+                }
+                return kj::READY_NOW;
             });
 }
 
 kj::Promise<void> store_registration::remove()
 {
+    removed_ = true;
     return store_.get(name_)
         .then(
             [this](tl::expected<platform_object, error>&& read)
--- a/src/libpassd/store_registration.h
+++ b/src/libpassd/store_registration.h
@@ -48,7 +48,8 @@
         return written_;
     }
 
-    /// Removes the entry and logs the outcome. The promise never fails.
+    /// Removes the entry, which is not maintained any more, and logs the
+    /// outcome. The promise never fails.
     kj::Promise<void> remove();
 
 private:
@@ -68,6 +69,7 @@
     /// The last read or write showed the entry in the store with its value.
     bool confirmed_ = false;
     bool written_ = false;
+    bool removed_ = false;
     bool store_reachable_ = true;
 };
 
--- a/src/libpassd/store_sync_test.cpp
+++ b/src/libpassd/store_sync_test.cpp
@@ -134,6 +134,30 @@
         }));
 }
 
+TEST_CASE_FIXTURE(fixture, "a removed entry is not written again")
+{
+    // The process of an agent ends some time after the removal. An entry that
+    // its checks write again would outlive it.
+    const auto maintaining =
+        registration_.maintain(agent_entry, R"({"host":"10.0.0.1"})");
+    CHECK(eventually([this] { return registration_.is_written(); }));
+    registration_.remove().wait(io_.waitScope);
+    CHECK(store_.objects_.count(agent_entry) == 0);
+    run_for(60);
+    CHECK(store_.objects_.count(agent_entry) == 0);
+}
+
+TEST_CASE_FIXTURE(fixture, "a write that is under way at the removal is undone")
+{
+    store_.write_delay_ = 30 * kj::MILLISECONDS;
+    const auto maintaining =
+        registration_.maintain(agent_entry, R"({"host":"10.0.0.1"})");
+    registration_.remove().wait(io_.waitScope);
+    CHECK(eventually([this] { return registration_.is_written(); }));
+    run_for(60);
+    CHECK(store_.objects_.count(agent_entry) == 0);
+}
+
 TEST_CASE_FIXTURE(fixture, "a watch applies newer rules and ignores older ones")
 {
     store_.put("config/main", rules_json(5));
