Agent: flows of an absent upstream end with a reset

Cause: an agent learned of a crash of its upstream from unanswered opening segments or the next report only. Callers of open flows waited until their deadline. Segments that have been unanswered for 150 ms call for a check, at most twice per second; the bookkeeping takes constant time for a segment. A refusal counts as proof only if the address has accepted a connection before and the upstream is not draining. Callers that continue an ended flow get another reset while no upstream runs. The replay of long flows runs the checks, with results up to 200 ms late.

--- a/src/include/galenafork/pass_agent.h
+++ b/src/include/galenafork/pass_agent.h
@@ -108,6 +108,19 @@
     /// Time after a pause in which opening segments are taken for ones that
     /// arrived during it. Reading the socket's buffer takes less.
     duration resume_time_ = std::chrono::milliseconds(30);
+    /// Time without any segment of the upstream, after one was sent to it that
+    /// needs a response, until a check whether its process is running. Longer
+    /// than most requests take, so that an upstream under load is rarely
+    /// checked.
+    duration check_after_ = std::chrono::milliseconds(150);
+    /// Minimum time between two such checks.
+    duration check_interval_ = std::chrono::milliseconds(500);
+    /// Time between two checks of an upstream that reports but has not accepted
+    /// a connection yet. Limits the cost where it never does.
+    duration unproven_check_interval_ = std::chrono::seconds(2);
+    /// Unanswered segments are not checked any more if no further one was sent
+    /// for this time. Callers that still wait retransmit at least every 1.6 s.
+    duration check_idle_after_ = std::chrono::seconds(2);
     /// Time between two statuses to balancers of earlier versions, which do not
     /// ask for an interval.
     duration default_status_interval_ = std::chrono::milliseconds(600);
@@ -183,10 +196,54 @@
     bool adopted_ = false;
     bool caller_finished_ = false;
     bool upstream_finished_ = false;
+    /// The caller got a reset, because the upstream that had answered its
+    /// opening segment has ended.
+    bool upstream_ended_ = false;
     /// The agent that a moved flow went to.
     host_address moved_to_;
 };
 
+/// What an agent knows about whether the process of its upstream is running.
+struct upstream_check_state
+{
+    /// When the first opening or data segment was sent to the upstream since
+    /// the upstream's last segment; unset if there is none.
+    std::optional<instant> unanswered_since_;
+    /// When the last opening or data segment was sent to the upstream.
+    instant last_sent_at_{};
+    /// When the last check was requested; unset before the first one.
+    std::optional<instant> requested_at_;
+    /// The upstream's address has accepted a connection, so a refused one shows
+    /// that no process is running. Where upstreams accept none at all, a
+    /// refusal shows nothing.
+    bool refusal_is_proof_ = false;
+    /// A check has shown that no upstream is running, and no report has arrived
+    /// since.
+    bool absent_ = false;
+};
+
+/// Why it is checked whether the upstream's process is running.
+enum class upstream_check_reason : std::uint8_t
+{
+    /// The upstream has not answered.
+    unanswered,
+    /// The check is to show whether the upstream's address accepts connections.
+    unproven,
+    /// The agent's process is ending.
+    leaving,
+};
+
+/// Returns `unanswered`, `unproven` or `leaving`.
+const char* to_string(upstream_check_reason reason);
+
+/// A check that the agent's process is to run.
+struct upstream_check_request
+{
+    upstream_check_reason reason_ = upstream_check_reason::unanswered;
+    /// Time for which segments have been unanswered.
+    duration age_{0};
+};
+
 /// All state of an agent's decisions.
 struct pass_agent_state
 {
@@ -205,6 +262,7 @@
     /// segments unanswered.
     bool upstream_suspected_ = false;
     std::uint32_t unanswered_openings_ = 0;
+    upstream_check_state check_;
     instant upstream_cold_until_{};
     std::unordered_map<flow_key, agent_flow> flows_;
     /// Flows whose opening segments are queued.
@@ -272,6 +330,36 @@
 void handle_deregistration(pass_agent_state& state, const instance_id& instance,
                            instant now, pass_actions& out);
 
+/// Returns whether it has to be checked now whether the upstream's process is
+/// running: the upstream has sent nothing for `check_after_` since an opening
+/// or data segment was sent to it, or its address has not accepted a connection
+/// yet and has reported. False before the first report, while the upstream is
+/// draining, and for some time after the last request of a check.
+///
+/// Load pattern: an upstream crashes while callers wait on long-lived flows.
+/// Its next report comes seconds later or never.
+bool needs_upstream_check(const pass_agent_state& state, instant now);
+
+/// Returns the check to run now, if one is needed, and records its request.
+std::optional<upstream_check_request>
+request_upstream_check(pass_agent_state& state, instant now);
+
+/// Handles the result of a check whose connection was started at `checked_at`.
+/// A refusal counts only if the upstream's address has accepted a connection
+/// before and the upstream is not draining; otherwise it is ignored.
+void apply_upstream_check(pass_agent_state& state, upstream_presence presence,
+                          instant checked_at, instant now, pass_actions& out);
+
+/// Handles the proof that no upstream was running at `checked_at`. Ends the
+/// flows that were at the upstream and have had no segment from or to it since
+/// then; their callers get resets at once. Unanswered opening segments and
+/// queued ones go to other agents, or are refused. The upstream gets no new
+/// flows until its next report; if the agent's process is ending, the upstream
+/// counts as gone, as after a deregistration. Flows with later activity may be
+/// at an upstream that has started since and stay.
+void note_upstream_absent(pass_agent_state& state, instant checked_at,
+                          instant now, pass_actions& out);
+
 /// Prepares the end of the agent's process: the agent accepts no new flows, and
 /// queued segments are sent to other agents or refused.
 void begin_shutdown(pass_agent_state& state, instant now, pass_actions& out);
@@ -292,8 +380,11 @@
 /// Handles a segment of a caller other than an opening segment. `sender` is a
 /// balancer, or an agent that forwards segments of a moved flow. A segment of
 /// an unknown flow is returned to `sender`, unless the upstream may have the
-/// flow from before the agent's start. The return is no denial: it only says
-/// that `sender` should not have sent the segment here.
+/// flow from before the agent's start. A segment of a flow whose upstream has
+/// ended gets another reset while no upstream is running: the first one may be
+/// lost, or its sequence number may be one that the caller has passed. The
+/// return is no denial: it only says that `sender` should not have sent the
+/// segment here.
 void handle_caller_segment(pass_agent_state& state, const segment_header& s,
                            byte_view bytes, host_address sender, instant now,
                            pass_actions& out);
--- a/src/include/galenafork/pass_types.h
+++ b/src/include/galenafork/pass_types.h
@@ -134,6 +134,21 @@
 /// Returns `unknown`, `ready`, `draining` or `gone`.
 const char* to_string(upstream_state state);
 
+/// Result of a check whether a process listens at the upstream's address.
+enum class upstream_presence : std::uint8_t
+{
+    /// The connection was refused: no process listens there.
+    absent,
+    /// The connection was accepted. The process may still be too slow to
+    /// answer.
+    present,
+    /// The connection timed out or failed in another way.
+    unknown,
+};
+
+/// Returns `absent`, `present` or `unknown`.
+const char* to_string(upstream_presence presence);
+
 /// One report of an upstream about itself.
 struct upstream_report
 {
--- a/src/libpass/agent_lifecycle.cpp
+++ b/src/libpass/agent_lifecycle.cpp
@@ -13,6 +13,7 @@
 {
 
 using pvt::add_decision;
+using pvt::add_upstream_decision;
 using pvt::set_occupies_slot;
 using pvt::set_phase;
 
@@ -38,12 +39,12 @@
             report.instance_ != current.instance_);
 }
 
-// Returns whether the upstream got the opening segment, or sent a segment of
-// the flow, after its restart. The new incarnation may then have the flow from
-// a retransmission of the opening segment.
-bool is_after_restart(const agent_flow& flow, instant restarted_at)
+// Returns when the upstream last got the opening segment or sent a segment of
+// the flow. After a restart the new incarnation may have the flow from a
+// retransmission of the opening segment.
+instant last_upstream_activity(const agent_flow& flow)
 {
-    return std::max(flow.offered_at_, flow.upstream_sent_at_) >= restarted_at;
+    return std::max(flow.offered_at_, flow.upstream_sent_at_);
 }
 
 // Returns whether the upstream is known to have had the flow or to have got its
@@ -55,44 +56,6 @@
            flow.upstream_sent_at_ != instant();
 }
 
-// Ends the flows of the incarnation before the restart. Their callers get
-// resets, so that those with idempotent requests can retry at once.
-void end_flows(pass_agent_state& state, instant restarted_at, instant now,
-               pass_actions& out)
-{
-    for (auto& [key, flow] : state.flows_)
-    {
-        const bool may_be_open = flow.phase_ == pass_phase::opening ||
-                                 flow.phase_ == pass_phase::open;
-        if (!may_be_open || is_after_restart(flow, restarted_at))
-        {
-            continue;
-        }
-        set_occupies_slot(state, flow, false);
-        if (!was_at_upstream(flow))
-        {
-            set_phase(flow, pass_phase::unknown_to_upstream, now);
-            continue;
-        }
-        out.send_reset(key, flow.caller_expected_sequence_);
-        add_decision(out, state, key, flow, "reset", "upstream_ended", now,
-                     true);
-        set_phase(flow, pass_phase::ended, now);
-    }
-}
-
-void add_upstream_decision(pass_actions& out, const pass_agent_state& state,
-                           const char* event, const char* reason)
-{
-    pass_decision decision;
-    decision.event_ = event;
-    decision.reason_ = reason;
-    decision.in_flight_ = state.in_flight_;
-    decision.queued_ = static_cast<std::uint32_t>(state.queue_.size());
-    decision.important_ = true;
-    out.decisions_.push_back(decision);
-}
-
 duration retention_of(const pass_agent_settings& settings, pass_phase phase)
 {
     switch (phase)
@@ -176,6 +139,36 @@
 
 } // namespace
 
+namespace pvt
+{
+
+void end_flows(pass_agent_state& state, instant since,
+               activity_time last_activity, instant now, pass_actions& out)
+{
+    for (auto& [key, flow] : state.flows_)
+    {
+        const bool may_be_open = flow.phase_ == pass_phase::opening ||
+                                 flow.phase_ == pass_phase::open;
+        if (!may_be_open || last_activity(flow) >= since)
+        {
+            continue;
+        }
+        set_occupies_slot(state, flow, false);
+        if (!was_at_upstream(flow))
+        {
+            set_phase(flow, pass_phase::unknown_to_upstream, now);
+            continue;
+        }
+        out.send_reset(key, flow.caller_expected_sequence_);
+        add_decision(out, state, key, flow, "reset", "upstream_ended", now,
+                     true);
+        flow.upstream_ended_ = flow.upstream_sequence_.has_value();
+        set_phase(flow, pass_phase::ended, now);
+    }
+}
+
+} // namespace pvt
+
 pass_agent_state new_pass_agent(const pass_agent_settings& settings,
                                 instant now)
 {
@@ -191,6 +184,7 @@
 {
     return state.upstream_.state_ == upstream_state::ready &&
            !state.shutting_down_ && !state.upstream_suspected_ &&
+           !state.check_.absent_ &&
            now - state.last_report_at_ < state.settings_.report_timeout_;
 }
 
@@ -203,16 +197,19 @@
         add_upstream_decision(out, state, "report_outdated", "");
         return report_outcome::outdated;
     }
-    if (is_new_incarnation(state.upstream_, report))
+    const bool new_incarnation = is_new_incarnation(state.upstream_, report);
+    if (new_incarnation)
     {
         add_upstream_decision(out, state, "upstream_new_life", "");
-        end_flows(state,
-                  report.started_monotonic_ - state.settings_.restart_margin_,
-                  now, out);
+        pvt::end_flows(
+            state, report.started_monotonic_ - state.settings_.restart_margin_,
+            last_upstream_activity, now, out);
         // A report of the earlier incarnation can arrive late, at an agent that
-        // started after the new one.
+        // started after the new one. An upstream that was absent started later
+        // than the agent, whatever the clocks say.
         state.saw_upstream_start_ =
-            report.started_monotonic_ >= state.started_at_;
+            report.started_monotonic_ >= state.started_at_ ||
+            state.check_.absent_;
         state.upstream_suspected_ = false;
         state.unanswered_openings_ = 0;
         state.service_time_ = state.settings_.initial_service_time_;
@@ -222,6 +219,7 @@
                          !accepts_new_flows(state, now);
     state.upstream_ = report;
     state.last_report_at_ = now;
+    pvt::note_report_for_checks(state, new_incarnation);
     if (state.upstream_suspected_)
     {
         // The report shows that the upstream is running. The next opening
--- a/src/libpass/agent_opening.cpp
+++ b/src/libpass/agent_opening.cpp
@@ -97,6 +97,7 @@
     set_phase(flow, pass_phase::opening, now);
     flow.offered_at_ = now;
     set_occupies_slot(state, flow, true);
+    await_upstream(state, now);
     out.send_to_upstream(
         {flow.place_.packet_.data(), flow.place_.packet_.size()});
     notify_balancer(state, key, flow, out);
@@ -433,6 +434,7 @@
             return;
         case pass_phase::opening:
         case pass_phase::open:
+            pvt::await_upstream(state, now);
             out.send_to_upstream(
                 {message.packet_.data(), message.packet_.size()});
             return;
--- a/src/libpass/agent_pvt.cpp
+++ b/src/libpass/agent_pvt.cpp
@@ -70,6 +70,19 @@
     out.decisions_.push_back(decision);
 }
 
+void add_upstream_decision(pass_actions& out, const pass_agent_state& state,
+                           const char* event, const char* reason, duration age)
+{
+    pass_decision decision;
+    decision.event_ = event;
+    decision.reason_ = reason;
+    decision.in_flight_ = state.in_flight_;
+    decision.queued_ = static_cast<std::uint32_t>(state.queue_.size());
+    decision.age_ = age;
+    decision.important_ = true;
+    out.decisions_.push_back(decision);
+}
+
 void remove_from_queue(pass_agent_state& state, const flow_key& key)
 {
     state.queue_.erase(
--- a/src/libpass/agent_pvt.h
+++ b/src/libpass/agent_pvt.h
@@ -91,6 +91,28 @@
 /// visit of this agent no longer counts.
 void reroute_queued(pass_agent_state& state, instant now, pass_actions& out);
 
+/// Returns when the upstream was last active on a flow, by the evidence that a
+/// caller of `end_flows` has.
+using activity_time = instant (*)(const agent_flow& flow);
+
+/// Ends the flows without activity since `since`, when no upstream had them any
+/// more. Their callers get resets, so that those with idempotent requests can
+/// retry at once.
+void end_flows(pass_agent_state& state, instant since,
+               activity_time last_activity, instant now, pass_actions& out);
+
+/// Adds a decision about the upstream to the log.
+void add_upstream_decision(pass_actions& out, const pass_agent_state& state,
+                           const char* event, const char* reason,
+                           duration age = duration(0));
+
+/// Records that a segment which needs a response is sent to the upstream now.
+void await_upstream(pass_agent_state& state, instant now);
+
+/// Updates the state of the checks by a report of the upstream, which is of the
+/// same incarnation as the last one or of a new one.
+void note_report_for_checks(pass_agent_state& state, bool is_new_incarnation);
+
 /// Records that the agent handles an event now. Returns whether it has resumed
 /// after a pause so recently that messages may have waited during the pause.
 bool note_attention(pass_agent_state& state, instant now);
--- a/src/libpass/agent_segments.cpp
+++ b/src/libpass/agent_segments.cpp
@@ -72,6 +72,10 @@
         set_occupies_slot(state, flow, true);
     }
     flow.caller_expected_sequence_ = s.ack_number_;
+    if (s.data_bytes_ > 0)
+    {
+        await_upstream(state, now);
+    }
     const std::uint32_t end = s.sequence_ + s.data_bytes_;
     if (s.data_bytes_ > 0 && (flow.adopted_ || is_after(end, flow.data_end_)))
     {
@@ -250,6 +254,16 @@
     end_if_finished(state, flow, now);
 }
 
+// Returns whether the caller continues a flow that has ended with its upstream,
+// while no other upstream is running that could return the segment.
+bool is_reset_due(const pass_agent_state& state, const agent_flow& flow,
+                  const segment_header& s)
+{
+    return state.check_.absent_ && flow.phase_ == pass_phase::ended &&
+           flow.upstream_ended_ && !s.resets_ &&
+           pvt::acknowledges_upstream(flow, s);
+}
+
 } // namespace
 
 void handle_caller_segment(pass_agent_state& state, const segment_header& s,
@@ -307,6 +321,13 @@
         pvt::offer_queued(state, now, out);
         return;
     }
+    if (is_reset_due(state, flow, s))
+    {
+        out.send_reset(s.flow_, s.ack_number_);
+        add_decision(out, state, s.flow_, flow, "reset", "upstream_absent", now,
+                     true);
+        return;
+    }
     if (flow.adopted_)
     {
         flow.place_.balancer_ = sender;
@@ -323,6 +344,7 @@
                              byte_view bytes, instant now, pass_actions& out)
 {
     state.unanswered_openings_ = 0;
+    state.check_.unanswered_since_.reset();
     if (s.bounced_)
     {
         handle_returned_by_upstream(state, s, bytes, now, out);
--- a/src/libpass/flow_replay_test.cpp
+++ b/src/libpass/flow_replay_test.cpp
@@ -44,6 +44,8 @@
 // kill and for this time after its start.
 constexpr duration stability_window = seconds(4);
 constexpr duration agent_drain_time = milliseconds(300);
+// Longest time from the start of a check of an upstream to its result.
+constexpr duration check_timeout = milliseconds(200);
 constexpr duration flow_lifetime = seconds(60);
 constexpr std::uint64_t clock_start_ms = 1'700'000'000'000;
 const endpoint service_address{make_v4(198, 18, 0, 1), 443};
@@ -298,6 +300,7 @@
         begin_shutdown(*agents_[i].state_, now_, out);
         send_statuses(*agents_[i].state_, now_, out);
         send(out, agent_host(i));
+        check_upstream(i);
         const unsigned incarnation = agents_[i].incarnation_;
         after(agent_drain_time,
               [this, i, incarnation]
@@ -441,12 +444,39 @@
         }
         pass_actions out;
         handle_tick(*agent.state_, now_, out);
+        if (request_upstream_check(*agent.state_, now_))
+        {
+            check_upstream(i);
+        }
         send_statuses(*agent.state_, now_, out);
         send(out, agent_host(i));
         after(agent_tick_interval,
               [this, i, incarnation] { tick_agent(i, incarnation); });
     }
 
+    // Checks whether the upstream is running. The result takes up to the time
+    // limit of a check to arrive, and the upstream may restart meanwhile.
+    void check_upstream(std::size_t i)
+    {
+        const auto presence = upstreams_[i].alive_ ? upstream_presence::present
+                                                   : upstream_presence::absent;
+        after(random_duration(check_timeout),
+              [this, i, presence, checked_at = now_,
+               incarnation = agents_[i].incarnation_]
+              {
+                  process<pass_agent_state>& agent = agents_[i];
+                  if (agent.incarnation_ != incarnation)
+                  {
+                      return;
+                  }
+                  pass_actions out;
+                  apply_upstream_check(*agent.state_, presence, checked_at,
+                                       now_, out);
+                  send_statuses(*agent.state_, now_, out);
+                  send(out, agent_host(i));
+              });
+    }
+
     void start_upstream(std::size_t i, bool again)
     {
         upstream& u = upstreams_[i];
--- a/src/libpass/pass_types.cpp
+++ b/src/libpass/pass_types.cpp
@@ -74,4 +74,18 @@
     return "unknown";
 }
 
+const char* to_string(upstream_presence presence)
+{
+    switch (presence)
+    {
+    case upstream_presence::absent:
+        return "absent";
+    case upstream_presence::present:
+        return "present";
+    case upstream_presence::unknown:
+        break;
+    }
+    return "unknown";
+}
+
 } // namespace galenafork
