Agent: checks of the upstream's process, and a check at SIGTERM

Cause: an agent that stopped after its upstream had crashed left its entry in the store, and nothing ran the checks of the upstream. Change: the traffic thread requests checks, the control thread runs them and posts the results. At SIGTERM the check runs once more; if the upstream is absent, its state is gone as after a deregistration, and the entry is removed. A deregistration during the drain removes it as well. Metrics count checks and refused ones.

--- a/src/galena_pass_agent/agent_traffic.cpp
+++ b/src/galena_pass_agent/agent_traffic.cpp
@@ -30,12 +30,13 @@
 {
 public:
     worker(agent_traffic& owner, const pass_agent_settings& settings,
-           packet_io io, unique_fd upstream_socket, decision_log& log,
+           packet_io io, unique_fd upstream_socket,
+           mailbox<upstream_check_request>& check_requests, decision_log& log,
            metrics_registry& metrics)
         : owner_(owner),
           state_(new_pass_agent(settings, read_monotonic_clock())),
           io_(std::move(io)), upstream_socket_(std::move(upstream_socket)),
-          log_(log),
+          check_requests_(check_requests), log_(log),
           segments_(platform_adapter::max_segment_bytes, ip_family::v4),
           messages_(max_message_bytes, ip_family::v4), tick_(tick_interval),
           malformed_(metrics.add_counter(
@@ -218,6 +219,13 @@
             {
                 begin_shutdown(state_, now_, actions_);
             }
+            if (commands.check_)
+            {
+                apply_upstream_check(state_, commands.check_->presence_,
+                                     commands.check_->checked_at_, now_,
+                                     actions_);
+                ++checks_handled_;
+            }
             for (const host_address host : commands.balancers_)
             {
                 add_listed_balancer(state_, host, now_, actions_);
@@ -232,6 +240,10 @@
         tick_.clear();
         now_ = read_monotonic_clock();
         handle_tick(state_, now_, actions_);
+        if (const auto request = request_upstream_check(state_, now_))
+        {
+            check_requests_.post(*request);
+        }
         send_statuses(state_, now_, actions_);
         io_.enqueue(actions_);
         publish_status();
@@ -246,6 +258,8 @@
             static_cast<std::uint32_t>(state_.queue_.size());
         owner_.status_.upstream_gone_ =
             state_.upstream_.state_ == upstream_state::gone;
+        // After the states that the results may have changed.
+        owner_.status_.checks_handled_ = checks_handled_;
         flows_.set(static_cast<std::int64_t>(state_.flows_.size()));
         service_time_.set(state_.service_time_.count());
     }
@@ -254,6 +268,7 @@
     pass_agent_state state_;
     packet_io io_;
     unique_fd upstream_socket_;
+    mailbox<upstream_check_request>& check_requests_;
     decision_log& log_;
     receive_batch segments_;
     receive_batch messages_;
@@ -265,6 +280,7 @@
     pass_actions actions_;
     std::vector<std::uint8_t> returned_segment_;
     instant now_{};
+    std::uint32_t checks_handled_ = 0;
     bool stopped_ = false;
     input_handler on_segments_{
         [this]
@@ -293,12 +309,13 @@
 };
 
 agent_traffic::agent_traffic(const pass_agent_settings& settings, packet_io io,
-                             unique_fd upstream_socket, decision_log& log,
-                             metrics_registry& metrics)
+                             unique_fd upstream_socket,
+                             mailbox<upstream_check_request>& check_requests,
+                             decision_log& log, metrics_registry& metrics)
     : commands_(max_queued_commands),
       worker_(std::make_unique<worker>(*this, settings, std::move(io),
-                                       std::move(upstream_socket), log,
-                                       metrics))
+                                       std::move(upstream_socket),
+                                       check_requests, log, metrics))
 {
 }
 
--- a/src/galena_pass_agent/agent_traffic.h
+++ b/src/galena_pass_agent/agent_traffic.h
@@ -16,12 +16,21 @@
 namespace galenafork
 {
 
+/// Result of a check whether the upstream's process is running.
+struct upstream_check_result
+{
+    upstream_presence presence_ = upstream_presence::unknown;
+    /// When the connection was started.
+    instant checked_at_{};
+};
+
 /// Commands from the control thread to the traffic thread. An empty member
 /// changes nothing.
 struct agent_commands
 {
     std::optional<upstream_report> report_;
     std::optional<instance_id> deregistered_;
+    std::optional<upstream_check_result> check_;
     std::vector<host_address> balancers_;
     bool shut_down_ = false;
 };
@@ -33,8 +42,11 @@
     std::atomic<bool> accepting_{false};
     std::atomic<std::uint32_t> in_flight_{0};
     std::atomic<std::uint32_t> queued_{0};
-    /// The upstream has deregistered and has not reported since.
+    /// The upstream has deregistered, or was absent while the process was
+    /// ending, and has not reported since.
     std::atomic<bool> upstream_gone_{false};
+    /// Results of checks that have been handled.
+    std::atomic<std::uint32_t> checks_handled_{0};
 };
 
 /// Forwards segments between balancers, callers and the upstream. Owns the
@@ -43,9 +55,12 @@
 class agent_traffic
 {
 public:
+    /// Checks of the upstream that are to be run are posted to
+    /// `check_requests`.
     agent_traffic(const pass_agent_settings& settings, packet_io io,
-                  unique_fd upstream_socket, decision_log& log,
-                  metrics_registry& metrics);
+                  unique_fd upstream_socket,
+                  mailbox<upstream_check_request>& check_requests,
+                  decision_log& log, metrics_registry& metrics);
     ~agent_traffic();
     agent_traffic(const agent_traffic&) = delete;
     agent_traffic& operator=(const agent_traffic&) = delete;
--- a/src/galena_pass_agent/pass_agent_daemon.cpp
+++ b/src/galena_pass_agent/pass_agent_daemon.cpp
@@ -3,6 +3,7 @@
 #include <galenafork/log.h>
 #include <libpassd/daemon_setup.h>
 #include <libpassd/report_check.h>
+#include <libpassd/upstream_check.h>
 #include <platform/store_dialect.h>
 
 namespace galenafork
@@ -34,6 +35,9 @@
 // The drain ends at the latest this long before the platform kills the process.
 constexpr duration grace_reserve = milliseconds(1500);
 
+// Requested checks of the upstream that may wait for the control thread.
+constexpr std::size_t max_queued_check_requests = 4;
+
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_not_found = 404;
@@ -95,7 +99,8 @@
     const platform_adapter::instance_settings& settings,
     std::unique_ptr<metrics_registry> metrics,
     std::unique_ptr<control_loop> loop, packet_io io, unique_fd upstream_socket)
-    : settings_(settings), metrics_(std::move(metrics)), loop_(std::move(loop)),
+    : settings_(settings), metrics_(std::move(metrics)),
+      check_requests_(max_queued_check_requests), loop_(std::move(loop)),
       random_(std::random_device{}()), log_({}, *metrics_),
       store_(store_settings(settings),
              {loop_->timer(), loop_->io().provider->getNetwork(),
@@ -111,20 +116,32 @@
               s.flow_lifetime_ = settings.flow_lifetime_;
               return s;
           }(),
-          std::move(io), std::move(upstream_socket), log_, *metrics_),
+          std::move(io), std::move(upstream_socket), check_requests_, log_,
+          *metrics_),
       registration_(store_, loop_->timer(), [this] { return random_bits(); },
                     {}),
       reports_(metrics_->add_counter("galena_upstream_reports_total",
                                      "Reports received from the upstream.")),
       bad_reports_(metrics_->add_counter(
           "galena_upstream_reports_unreadable_total",
-          "Reports that were malformed or of another upstream."))
+          "Reports that were malformed or of another upstream.")),
+      checks_(metrics_->add_counter(
+          "galena_upstream_checks_total",
+          "Checks whether the upstream's process is running.")),
+      absences_(metrics_->add_counter(
+          "galena_upstream_absences_total",
+          "Checks whose connection the upstream's address refused."))
 {
     loop_->set_http_handler([this](const http_request& request)
                             { return handle_request(request); });
     loop_->set_readiness_handler([] { return readiness{true, ""}; });
     loop_->set_drain_handler([this] { return drain(); });
     loop_->run_every(log_flush_interval, [this] { log_.flush(); });
+    loop_->add_mailbox_handler<upstream_check_request>(
+        check_requests_,
+        [this](upstream_check_request&& request) {
+            loop_->add_task("check_upstream", check_upstream_process(request));
+        });
 }
 
 pass_agent_daemon::~pass_agent_daemon()
@@ -262,6 +279,64 @@
         .then([this] { return find_balancers(); });
 }
 
+kj::Promise<void>
+pass_agent_daemon::check_upstream_process(upstream_check_request request)
+{
+    checks_.add();
+    const instant checked_at = read_monotonic_clock();
+    return check_upstream(loop_->io().provider->getNetwork(), loop_->timer(),
+                          settings_.upstream_, upstream_check_timeout)
+        .then(
+            [this, request, checked_at](upstream_presence presence)
+            {
+                if (presence == upstream_presence::absent)
+                {
+                    absences_.add();
+                }
+                // An address that never accepts a connection is checked
+                // periodically, so only changes are logged.
+                if (request.reason_ != upstream_check_reason::unproven ||
+                    presence != last_presence_)
+                {
+                    const duration took = std::chrono::duration_cast<duration>(
+                        read_monotonic_clock() - checked_at);
+                    log_event(log_level::info, "upstream_check",
+                              {{"outcome", to_string(presence)},
+                               {"reason", to_string(request.reason_)},
+                               {"age_us", request.age_.count()},
+                               {"took_us", took.count()}});
+                }
+                last_presence_ = presence;
+                agent_commands commands;
+                commands.check_ = upstream_check_result{presence, checked_at};
+                if (traffic_.commands().post(std::move(commands)))
+                {
+                    ++checks_posted_;
+                }
+            });
+}
+
+void pass_agent_daemon::remove_entry_if_gone()
+{
+    if (entry_removal_started_ || !registered_ ||
+        !traffic_.status().upstream_gone_)
+    {
+        return;
+    }
+    // The removal runs in the background, because the store may not respond
+    // and the drain ends before the grace period does.
+    entry_removal_started_ = true;
+    removing_entry_ = true;
+    loop_->add_task("remove_entry", registration_.remove().then(
+                                        [this] { removing_entry_ = false; }));
+}
+
+bool pass_agent_daemon::is_drain_pending() const
+{
+    return removing_entry_ || final_check_running_ ||
+           traffic_.status().checks_handled_ != checks_posted_;
+}
+
 kj::Promise<void> pass_agent_daemon::wait_until_idle()
 {
     return loop_->timer()
@@ -271,7 +346,10 @@
             {
                 const duration elapsed = std::chrono::duration_cast<duration>(
                     read_monotonic_clock() - leaving_since_);
-                const bool idle = traffic_.status().idle_ && !removing_entry_;
+                const bool checks_ended = !is_drain_pending();
+                remove_entry_if_gone();
+                const bool idle =
+                    traffic_.status().idle_ && checks_ended && !removing_entry_;
                 if ((idle && elapsed >= min_drain_time) ||
                     elapsed >= settings_.stop_grace_ - grace_reserve)
                 {
@@ -288,14 +366,14 @@
     agent_commands commands;
     commands.shut_down_ = true;
     traffic_.commands().post(std::move(commands));
-    if (traffic_.status().upstream_gone_ && registered_)
+    remove_entry_if_gone();
+    if (registered_)
     {
-        // The removal runs in the background, because the store may not respond
-        // and the wait below ends before the grace period does.
-        removing_entry_ = true;
-        loop_->add_task(
-            "remove_entry",
-            registration_.remove().then([this] { removing_entry_ = false; }));
+        // An upstream that has crashed sends no deregistration.
+        final_check_running_ = true;
+        loop_->add_task("check_upstream",
+                        check_upstream_process({upstream_check_reason::leaving})
+                            .then([this] { final_check_running_ = false; }));
     }
     return wait_until_idle();
 }
--- a/src/galena_pass_agent/pass_agent_daemon.h
+++ b/src/galena_pass_agent/pass_agent_daemon.h
@@ -47,12 +47,22 @@
                                         const std::string& body);
     http_response handle_deregistration_request(const instance_id& instance);
     kj::Promise<void> find_balancers();
+    /// Checks whether the upstream's process is running and posts the result
+    /// to the traffic thread.
+    kj::Promise<void> check_upstream_process(upstream_check_request request);
     kj::Promise<void> drain();
+    /// Removes the own entry in the background if the upstream is gone.
+    void remove_entry_if_gone();
+    /// Returns whether the drain must continue for work of its own.
+    bool is_drain_pending() const;
     kj::Promise<void> wait_until_idle();
     std::uint64_t random_bits();
 
     platform_adapter::instance_settings settings_;
     std::unique_ptr<metrics_registry> metrics_;
+    // Declared before the loop, which reads the mailbox and so must not outlive
+    // it.
+    mailbox<upstream_check_request> check_requests_;
     std::unique_ptr<control_loop> loop_;
     std::mt19937_64 random_;
     decision_log log_;
@@ -61,12 +71,20 @@
     store_registration registration_;
     std::thread thread_;
     bool registered_ = false;
+    bool entry_removal_started_ = false;
     /// The removal of the entry has not ended yet.
     bool removing_entry_ = false;
+    /// The check that the drain starts with has not ended yet.
+    bool final_check_running_ = false;
+    /// Results of checks that were posted to the traffic thread.
+    std::uint32_t checks_posted_ = 0;
+    upstream_presence last_presence_ = upstream_presence::unknown;
     bool balancers_read_ = false;
     instant leaving_since_{};
     counter& reports_;
     counter& bad_reports_;
+    counter& checks_;
+    counter& absences_;
 };
 
 } // namespace galenafork
