Agent: each incarnation of an upstream has to accept a connection first

Cause: an upstream that has restarted may report, and get flows, before it listens. A refused connection in that time would have reset its flows, because its earlier incarnation had accepted one. Change: a new incarnation takes the proof back until a check is accepted, which follows its first report at the latest after 500 ms.

--- a/src/include/galenafork/pass_agent.h
+++ b/src/include/galenafork/pass_agent.h
@@ -116,7 +116,7 @@
     /// Minimum time between two such checks.
     duration check_interval_ = std::chrono::milliseconds(500);
     /// Time between two checks of an upstream that reports but has not accepted
-    /// a connection yet. Limits the cost where it never does.
+    /// a connection. Limits the cost where it never does.
     duration unproven_check_interval_ = std::chrono::seconds(2);
     /// Unanswered segments are not checked any more if no further one was sent
     /// for this time. Callers that still wait retransmit at least every 1.6 s.
@@ -213,10 +213,13 @@
     instant last_sent_at_{};
     /// When the last check was requested; unset before the first one.
     std::optional<instant> requested_at_;
-    /// The upstream's address has accepted a connection, so a refused one shows
-    /// that no process is running. Where upstreams accept none at all, a
-    /// refusal shows nothing.
+    /// The present incarnation of the upstream has accepted a connection, so a
+    /// refused one shows that no process is running. Where upstreams accept
+    /// none at all, or not yet, a refusal shows nothing.
     bool refusal_is_proof_ = false;
+    /// A check of the present incarnation has been requested while a refusal
+    /// was no proof.
+    bool unproven_requested_ = false;
     /// A check has shown that no upstream is running, and no report has arrived
     /// since.
     bool absent_ = false;
@@ -332,9 +335,10 @@
 
 /// Returns whether it has to be checked now whether the upstream's process is
 /// running: the upstream has sent nothing for `check_after_` since an opening
-/// or data segment was sent to it, or its address has not accepted a connection
-/// yet and has reported. False before the first report, while the upstream is
-/// draining, and for some time after the last request of a check.
+/// or data segment was sent to it, or it has reported but its present
+/// incarnation has not accepted a connection yet. False before the first
+/// report, while the upstream is draining, and for some time after the last
+/// request of a check.
 ///
 /// Load pattern: an upstream crashes while callers wait on long-lived flows.
 /// Its next report comes seconds later or never.
@@ -345,8 +349,8 @@
 request_upstream_check(pass_agent_state& state, instant now);
 
 /// Handles the result of a check whose connection was started at `checked_at`.
-/// A refusal counts only if the upstream's address has accepted a connection
-/// before and the upstream is not draining; otherwise it is ignored.
+/// A refusal counts only if the present incarnation of the upstream has
+/// accepted a connection before and is not draining; otherwise it is ignored.
 void apply_upstream_check(pass_agent_state& state, upstream_presence presence,
                           instant checked_at, instant now, pass_actions& out);
 
--- a/src/libpass/agent_upstream_check.cpp
+++ b/src/libpass/agent_upstream_check.cpp
@@ -102,7 +102,13 @@
 
 void note_report_for_checks(pass_agent_state& state, bool is_new_incarnation)
 {
-    if (state.check_.absent_ && !is_new_incarnation)
+    if (is_new_incarnation)
+    {
+        // It may report before it listens.
+        state.check_.refusal_is_proof_ = false;
+        state.check_.unproven_requested_ = false;
+    }
+    else if (state.check_.absent_)
     {
         // Either the upstream runs although it refused a connection, or this
         // report was late. The next check shows it.
@@ -141,9 +147,11 @@
                (!check.requested_at_ ||
                 now - *check.requested_at_ >= state.settings_.check_interval_);
     }
+    const duration interval = check.unproven_requested_
+                                  ? state.settings_.unproven_check_interval_
+                                  : state.settings_.check_interval_;
     return !check.requested_at_ ||
-           (now - *check.requested_at_ >=
-                state.settings_.unproven_check_interval_ &&
+           (now - *check.requested_at_ >= interval &&
             state.last_report_at_ > *check.requested_at_);
 }
 
@@ -156,6 +164,7 @@
     }
     upstream_check_state& check = state.check_;
     check.requested_at_ = now;
+    check.unproven_requested_ = !check.refusal_is_proof_;
     return upstream_check_request{
         check.refusal_is_proof_ ? upstream_check_reason::unanswered
                                 : upstream_check_reason::unproven,
--- a/src/libpass/agent_upstream_check_test.cpp
+++ b/src/libpass/agent_upstream_check_test.cpp
@@ -328,6 +328,31 @@
     CHECK(checks <= 10);
 }
 
+TEST_CASE("a refusal proves nothing until the new incarnation has accepted a "
+          "connection")
+{
+    // It may report, and get flows, before it listens.
+    pass_agent_state state = make_checked_agent();
+    pass_actions out;
+    const instant restarted = start + milliseconds(200);
+    apply_report(state, make_restart_report(milliseconds(150)), restarted, out);
+    open_flow(state, 1, restarted);
+    // At most twice per second, also after a restart.
+    CHECK_FALSE(needs_upstream_check(state, start + milliseconds(499)));
+    const instant checked_at = start + milliseconds(500);
+    REQUIRE(request_upstream_check(state, checked_at));
+    apply_upstream_check(state, upstream_presence::absent, checked_at,
+                         checked_at, out);
+    CHECK(count(out, pass_target::reset) == 0);
+    CHECK(phase_of(state, 1) == pass_phase::open);
+    CHECK(accepts_new_flows(state, checked_at));
+    apply_upstream_check(state, upstream_presence::present,
+                         checked_at + seconds(2), checked_at + seconds(2), out);
+    apply_upstream_check(state, upstream_presence::absent,
+                         checked_at + seconds(3), checked_at + seconds(3), out);
+    CHECK(count(out, pass_target::reset) == 1);
+}
+
 TEST_CASE("a refusal proves nothing while the upstream is draining")
 {
     // It may close its listening socket first and then end its open flows.
