--- a/src/galena_pass_agent/agent_traffic.cpp
+++ b/src/galena_pass_agent/agent_traffic.cpp
@@ -32,11 +32,13 @@
     worker(agent_traffic& owner, const pass_agent_settings& settings,
            packet_io io, unique_fd upstream_socket, decision_log& log,
            mailbox<evacuation_change>& evacuation_changes,
+           mailbox<upstream_check_request>& check_requests,
            metrics_registry& metrics)
         : owner_(owner),
           state_(new_pass_agent(settings, read_monotonic_clock())),
           io_(std::move(io)), upstream_socket_(std::move(upstream_socket)),
-          log_(log), evacuation_changes_(evacuation_changes),
+          check_requests_(check_requests), log_(log),
+          evacuation_changes_(evacuation_changes),
           segments_(platform_adapter::max_segment_bytes, ip_family::v4),
           messages_(max_message_bytes, ip_family::v4), tick_(tick_interval),
           malformed_(metrics.add_counter(
@@ -236,6 +238,13 @@
             {
                 begin_shutdown(state_, now_, actions_);
             }
+            if (commands.check_)
+            {
+                apply_upstream_check(state_, commands.check_->presence_,
+                                     commands.check_->checked_at_, now_,
+                                     actions_);
+                ++checks_handled_;
+            }
             for (const host_address host : commands.balancers_)
             {
                 add_listed_balancer(state_, host, now_, actions_);
@@ -250,6 +259,10 @@
         tick_.clear();
         now_ = read_monotonic_clock();
         handle_tick(state_, now_, actions_);
+        if (const auto request = request_upstream_check(state_, now_))
+        {
+            check_requests_.post(*request);
+        }
         send_statuses(state_, now_, actions_);
         io_.enqueue(actions_);
         publish_status();
@@ -264,6 +277,8 @@
             static_cast<std::uint32_t>(state_.queue_.size());
         owner_.status_.upstream_gone_ =
             state_.upstream_.state_ == upstream_state::gone;
+        // After the states that the results may have changed.
+        owner_.status_.checks_handled_ = checks_handled_;
         flows_.set(static_cast<std::int64_t>(state_.flows_.size()));
         service_time_.set(state_.service_time_.count());
     }
@@ -272,6 +287,7 @@
     pass_agent_state state_;
     packet_io io_;
     unique_fd upstream_socket_;
+    mailbox<upstream_check_request>& check_requests_;
     decision_log& log_;
     mailbox<evacuation_change>& evacuation_changes_;
     receive_batch segments_;
@@ -284,6 +300,7 @@
     pass_actions actions_;
     std::vector<std::uint8_t> returned_segment_;
     instant now_{};
+    std::uint32_t checks_handled_ = 0;
     bool stopped_ = false;
     input_handler on_segments_{
         [this]
@@ -314,11 +331,12 @@
 agent_traffic::agent_traffic(const pass_agent_settings& settings, packet_io io,
                              unique_fd upstream_socket, decision_log& log,
                              mailbox<evacuation_change>& evacuation_changes,
+                             mailbox<upstream_check_request>& check_requests,
                              metrics_registry& metrics)
     : commands_(max_queued_commands),
-      worker_(std::make_unique<worker>(*this, settings, std::move(io),
-                                       std::move(upstream_socket), log,
-                                       evacuation_changes, metrics))
+      worker_(std::make_unique<worker>(
+          *this, settings, std::move(io), std::move(upstream_socket), log,
+          evacuation_changes, check_requests, metrics))
 {
 }
 
--- a/src/include/galenafork/pass_balancer.h
+++ b/src/include/galenafork/pass_balancer.h
@@ -251,6 +251,9 @@
     std::size_t last_batch_ = 0;
     /// When the caller's last segment arrived.
     instant caller_sent_at_{};
+    /// All have responded but agents that are probably down. One that comes
+    /// back may be the owner's, so they are asked again.
+    bool waits_for_silent_ = false;
     /// Rounds that the search has started by itself since an agent last
     /// responded.
     unsigned unanswered_rounds_ = 0;
--- a/src/libpass/balancer_search.cpp
+++ b/src/libpass/balancer_search.cpp
@@ -316,7 +316,8 @@
         ask_upstreams(state, key, search, remaining.ruled_out_, now, out);
         return;
     }
-    if (!remaining.in_scope_.empty() || !knows_all_agents(state, now))
+    search.waits_for_silent_ = !remaining.in_scope_.empty();
+    if (search.waits_for_silent_ || !knows_all_agents(state, now))
     {
         return;
     }
@@ -382,6 +383,7 @@
                        }),
         undecided.end());
     const remaining_agents remaining = find_remaining(state, key, search, now);
+    search.waits_for_silent_ = !remaining.in_scope_.empty();
     search.awaited_ = remaining.awaited_;
     ask(state, key, search, remaining.in_scope_, true, "unknown_flow_again",
         remaining.ruled_out_, now, out);
@@ -390,7 +392,7 @@
                                search.asking_upstream_.begin(),
                                search.asking_upstream_.end());
     search.asking_upstream_.clear();
-    if (remaining.awaited_ == 0 && all_confirmed)
+    if (remaining.awaited_ == 0 && all_confirmed && !search.undecided_.empty())
     {
         ask_upstreams(state, key, search, remaining.ruled_out_, now, out);
     }
@@ -424,9 +426,9 @@
 bool is_round_due(const pass_balancer_state& state, const owner_search& search,
                   instant now)
 {
-    const bool unanswered = search.awaited_ > 0 ||
-                            !search.told_to_ask_.empty() ||
-                            !knows_all_agents(state, now);
+    const bool unanswered =
+        search.awaited_ > 0 || !search.told_to_ask_.empty() ||
+        search.waits_for_silent_ || !knows_all_agents(state, now);
     constexpr unsigned max_doublings = 2;
     const duration interval =
         std::min(state.settings_.search_interval_ *
--- a/src/libpassd/store_registration.h
+++ b/src/libpassd/store_registration.h
@@ -48,8 +48,9 @@
         return written_;
     }
 
-    /// Removes the entry and logs the outcome. The promise never fails.
-    kj::Promise<void> remove();
+    /// Removes the entry `name`, which may be one of an earlier process and is
+    /// not maintained any more, and logs the outcome. The promise never fails.
+    kj::Promise<void> remove(std::string name);
 
 private:
     kj::Promise<void> run_maintenance();
@@ -68,6 +69,7 @@
     /// The last read or write showed the entry in the store with its value.
     bool confirmed_ = false;
     bool written_ = false;
+    bool removed_ = false;
     bool store_reachable_ = true;
 };
 
