--- a/src/libpass/flow_replay.h
+++ b/src/libpass/flow_replay.h
@@ -52,6 +52,9 @@
     /// Time between two reports of an upstream. The first one comes after a
     /// random part of it.
     duration report_interval_ = std::chrono::milliseconds(770);
+    /// Longest time from the start of a check of an upstream to its result. The
+    /// time limit of a check by default.
+    duration max_check_time_ = std::chrono::milliseconds(200);
     /// Fraction of the messages between balancers and agents that are lost.
     double loss_ = 0;
     /// Maximum error of an instance's clock, drawn at each start of a process.
@@ -78,6 +81,9 @@
     /// for them.
     std::size_t searches_ = 0;
     std::size_t balancer_search_messages_ = 0;
+    /// Longest time for which a caller waited for an answer of an upstream that
+    /// had ended, until its flow was reset.
+    duration longest_wait_{0};
 };
 
 flow_replay_result replay_flows(const flow_replay_settings& settings);
--- a/src/libpass/flow_replay_test.cpp
+++ b/src/libpass/flow_replay_test.cpp
@@ -89,6 +89,8 @@
     unsigned incarnation_ = 0;
     std::uint64_t reports_ = 0;
     std::uint64_t started_ms_ = 0;
+    /// When the last incarnation ended.
+    instant ended_at_{};
     std::map<std::uint16_t, upstream_flow> flows_;
 };
 
@@ -116,6 +118,7 @@
     bool waiting_ = false;
     unsigned attempt_ = 0;
     instant opened_at_{};
+    instant requested_at_{};
     /// The agent whose upstream got the end of the handshake.
     std::optional<std::size_t> owner_;
     unsigned owner_incarnation_ = 0;
@@ -377,6 +380,7 @@
     {
         upstreams_[i].alive_ = false;
         ++upstreams_[i].incarnation_;
+        upstreams_[i].ended_at_ = now_;
         upstreams_[i].flows_.clear();
     }
 
@@ -513,13 +517,13 @@
               [this, i, incarnation] { tick_agent(i, incarnation); });
     }
 
-    // Checks whether the upstream is running. The result takes up to the time
-    // limit of a check to arrive, and the upstream may restart meanwhile.
+    // Checks whether the upstream is running. It may restart before the result
+    // arrives.
     void check_upstream(std::size_t i)
     {
         const auto presence = upstreams_[i].alive_ ? upstream_presence::present
                                                    : upstream_presence::absent;
-        after(random_duration(check_timeout),
+        after(random_duration(settings_.max_check_time_),
               [this, i, presence, checked_at = now_,
                incarnation = agents_[i].incarnation_]
               {
@@ -991,6 +995,7 @@
             return;
         }
         flow.waiting_ = true;
+        flow.requested_at_ = now_;
         ++flow.attempt_;
         transmit(port, flow.attempt_, milliseconds(200));
     }
@@ -1070,6 +1075,14 @@
             result_.reset_delay_sum_ +=
                 std::chrono::duration_cast<duration>(now_ - *flow.orphaned_at_);
         }
+        if (flow.waiting_ && flow.owner_ && !owner_lives(flow))
+        {
+            const instant waits_since = std::max(
+                flow.requested_at_, upstreams_[*flow.owner_].ended_at_);
+            result_.longest_wait_ = std::max(
+                result_.longest_wait_,
+                std::chrono::duration_cast<duration>(now_ - waits_since));
+        }
         end_flow(flow);
     }
 
@@ -1199,6 +1212,33 @@
     }
 }
 
+TEST_CASE("callers of a crashed upstream learn of it before their deadline")
+{
+    // Without the agents' checks they wait for the restart and the first report
+    // of the next incarnation, up to 4.6 s here. The shortest deadline of the
+    // deployments that this is for is 1.2 s.
+    flow_replay_settings settings;
+    settings.upstream_restart_period_ = seconds(2);
+    settings.report_interval_ = milliseconds(2500);
+    // A refused connection on the same instance takes less than a millisecond;
+    // the rest is for a busy agent.
+    settings.max_check_time_ = milliseconds(20);
+    std::int64_t longest_ms = 0;
+    for (std::uint32_t seed = 1; seed <= 5; ++seed)
+    {
+        settings.seed_ = seed;
+        CAPTURE(seed);
+        const flow_replay_result result = replay_flows(settings);
+        longest_ms = std::max<std::int64_t>(
+            longest_ms,
+            std::chrono::duration_cast<milliseconds>(result.longest_wait_)
+                .count());
+        check_none(result.wrong_resets_);
+    }
+    CHECK(longest_ms > 0);
+    CHECK(longest_ms < 1200);
+}
+
 TEST_CASE("open flows outlive an agent that is down for long")
 {
     flow_replay_settings settings;
