Limit of opening segments for cold upstreams

Cause: services[].warmup_per_s is not read, and an upstream that has just started gets as many openings as its slots admit, which it answers late.

Change: balancers send the rate of the service with each opening segment. The agent counts the opening segments that it sends, retransmissions included, over 1.05 s; beyond warmup_per_s * warmup_overage + warmup_slack a cold upstream counts as full (reason cold_limit). The wait that the limit causes is part of the expected wait and of the backlog that other agents compare. Beside a cold upstream whose start it has not seen, an agent begins with an exhausted limit. A malformed rate is ignored for its service and counted in the line rules_taken.

--- a/src/galena_pass_agent/pass_agent_daemon.cpp
+++ b/src/galena_pass_agent/pass_agent_daemon.cpp
@@ -111,6 +111,10 @@
               s.host_ = settings.host_;
               s.data_centre_ = settings.data_centre_;
               s.follows_evacuations_ = settings.evacuate_within_.has_value();
+              s.cold_limit_.overage_ =
+                  settings.cold_overage_.value_or(s.cold_limit_.overage_);
+              s.cold_limit_.slack_ =
+                  settings.cold_slack_.value_or(s.cold_limit_.slack_);
               s.flow_lifetime_ = settings.flow_lifetime_;
               return s;
           }(),
--- a/src/include/galenafork/pass_agent.h
+++ b/src/include/galenafork/pass_agent.h
@@ -7,6 +7,7 @@
 #ifndef GALENAFORK_PASS_AGENT_H
 #define GALENAFORK_PASS_AGENT_H
 
+#include <galenafork/cold_limit.h>
 #include <galenafork/evacuation.h>
 #include <galenafork/pass_actions.h>
 #include <galenafork/pass_messages.h>
@@ -27,6 +28,8 @@
     data_centre data_centre_;
     /// Evacuations in the hellos of balancers are applied.
     bool follows_evacuations_ = false;
+    /// Bounds of the opening segments that a cold upstream gets.
+    cold_limit_settings cold_limit_;
     /// Requests in flight that are allowed beyond the upstream's slots, so that
     /// no slot is idle during a handshake (a caller's round trip). Zero is used
     /// while the upstream is cold.
@@ -211,6 +214,7 @@
     bool upstream_suspected_ = false;
     std::uint32_t unanswered_openings_ = 0;
     instant upstream_cold_until_{};
+    cold_limit cold_limit_;
     std::unordered_map<flow_key, agent_flow> flows_;
     /// Flows whose opening segments are queued.
     std::vector<flow_key> queue_;
--- a/src/include/galenafork/pass_types.h
+++ b/src/include/galenafork/pass_types.h
@@ -103,6 +103,8 @@
     /// Requests a second that a cold upstream of a service can take. Services
     /// without a limit have no entry.
     std::map<service_name, double> cold_rates_;
+    /// Number of services whose limit is malformed and was ignored.
+    std::size_t ignored_cold_rates_ = 0;
 };
 
 /// Returns the service that `rule` selects for `flow`; every balancer selects
--- a/src/libpass/agent_evacuation.cpp
+++ b/src/libpass/agent_evacuation.cpp
@@ -21,8 +21,8 @@
 
 void divert_retransmission(const pass_agent_state& state,
                            const agent_flow& flow, const place_message& message,
-                           const segment_header& opening, instant now,
-                           pass_actions& out)
+                           const segment_header& opening, const char* reason,
+                           instant now, pass_actions& out)
 {
     const host_address self = state.settings_.host_;
     place_message diverted = message;
@@ -31,8 +31,8 @@
                      candidates.end());
     if (flow.phase_ == pass_phase::open || candidates.empty())
     {
-        add_decision(out, state, opening.flow_, flow, "dropped", "evacuated",
-                     now, true);
+        add_decision(out, state, opening.flow_, flow, "dropped", reason, now,
+                     true);
         return;
     }
     const host_address next = candidates.front();
@@ -40,7 +40,7 @@
     diverted.earlier_agent_ = self;
     // The visit makes the next agent notify the balancer.
     diverted.visits_.push_back({self, unavailable_backlog});
-    add_decision(out, state, opening.flow_, flow, "passed_on", "evacuated", now,
+    add_decision(out, state, opening.flow_, flow, "passed_on", reason, now,
                  true, next);
     out.send_to_peer(next, std::move(diverted));
 }
--- a/src/libpass/agent_opening.cpp
+++ b/src/libpass/agent_opening.cpp
@@ -35,10 +35,16 @@
     return slots + fixed_extra + static_cast<std::uint32_t>(handshake_extra);
 }
 
-double backlog_of(const pass_agent_state& state)
+// The limit for a cold upstream counts as the backlog with the same wait.
+double backlog_of(const pass_agent_state& state, instant now)
 {
-    return (state.in_flight_ + static_cast<double>(state.queue_.size())) /
-           state.upstream_.slots_.value();
+    const double limit_wait = static_cast<double>(
+        cold_wait(state, state.queue_.size() + 1, now).count());
+    return std::max(
+        (state.in_flight_ + static_cast<double>(state.queue_.size())) /
+            state.upstream_.slots_.value(),
+        limit_wait / static_cast<double>(std::max<duration::rep>(
+                         state.service_time_.count(), 1)));
 }
 
 rejection_reason rejection_reason_for(const pass_agent_state& state,
@@ -52,11 +58,22 @@
     {
         return rejection_reason::not_accepting;
     }
+    if (is_cold_limited(state, now))
+    {
+        return rejection_reason::cold_limited;
+    }
     return state.in_flight_ < max_in_flight(state, now)
                ? rejection_reason::none
                : rejection_reason::full;
 }
 
+// Returns whether the segment may be queued here.
+bool is_full(rejection_reason reason)
+{
+    return reason == rejection_reason::full ||
+           reason == rejection_reason::cold_limited;
+}
+
 const char* to_string(rejection_reason reason)
 {
     switch (reason)
@@ -69,6 +86,8 @@
         return "not_accepting";
     case rejection_reason::full:
         return "full";
+    case rejection_reason::cold_limited:
+        return "cold_limit";
     }
     return "";
 }
@@ -92,8 +111,7 @@
     set_phase(flow, pass_phase::opening, now);
     flow.offered_at_ = now;
     set_occupies_slot(state, flow, true);
-    out.send_to_upstream(
-        {flow.place_.packet_.data(), flow.place_.packet_.size()});
+    send_opening(state, flow.place_.packet_, now, out);
     notify_balancer(state, key, flow, out);
     add_decision(out, state, key, flow, "offered", "", now, false);
 }
@@ -190,7 +208,8 @@
     const double wait = slots_needed *
                         static_cast<double>(state.service_time_.count()) /
                         state.upstream_.slots_.value();
-    return duration(static_cast<duration::rep>(wait));
+    return std::max(duration(static_cast<duration::rep>(wait)),
+                    cold_wait(state, static_cast<std::size_t>(ahead) + 1, now));
 }
 
 // Queues or refuses a segment after all candidates were found full. In a burst,
@@ -257,10 +276,10 @@
                       agent_flow& flow, rejection_reason why, instant now,
                       pass_actions& out)
 {
-    if (why == rejection_reason::full)
+    if (is_full(why))
     {
         flow.place_.visits_.push_back(
-            {state.settings_.host_, backlog_of(state)});
+            {state.settings_.host_, backlog_of(state, now)});
     }
     if (forward_to_next_candidate(state, key, flow, to_string(why), now, out))
     {
@@ -328,7 +347,7 @@
     }
     if (flow.place_.candidates_exhausted_)
     {
-        if (why == rejection_reason::full)
+        if (is_full(why))
         {
             queue_or_refuse(state, key, flow, now, out);
             return;
@@ -342,7 +361,8 @@
 void offer_queued(pass_agent_state& state, instant now, pass_actions& out)
 {
     while (!state.queue_.empty() && accepts_new_flows(state, now) &&
-           state.in_flight_ < max_in_flight(state, now))
+           state.in_flight_ < max_in_flight(state, now) &&
+           !is_cold_limited(state, now))
     {
         const auto best =
             std::min_element(state.queue_.begin(), state.queue_.end(),
@@ -400,6 +420,24 @@
     out.send_to_peer(flow.moved_to_, std::move(forwarded));
 }
 
+// Sends the retransmission of a segment that the upstream has got, unless the
+// upstream may get no more opening segments.
+void resend_opening(pass_agent_state& state, const agent_flow& flow,
+                    const place_message& message, const segment_header& opening,
+                    instant now, pass_actions& out)
+{
+    const char* barred = pvt::is_evacuated(state)           ? "evacuated"
+                         : pvt::is_cold_limited(state, now) ? "cold_limit"
+                                                            : nullptr;
+    if (barred != nullptr)
+    {
+        pvt::divert_retransmission(state, flow, message, opening, barred, now,
+                                   out);
+        return;
+    }
+    pvt::send_opening(state, message.packet_, now, out);
+}
+
 } // namespace
 
 void handle_place(pass_agent_state& state, const place_message& message,
@@ -415,6 +453,7 @@
                           "process_paused", now, true, message.balancer_);
         return;
     }
+    pvt::note_cold_rate(state, message);
     const auto existing = state.flows_.find(key);
     if (existing != state.flows_.end() &&
         existing->second.opening_sequence_ == opening.sequence_)
@@ -428,14 +467,7 @@
             return;
         case pass_phase::opening:
         case pass_phase::open:
-            if (pvt::is_evacuated(state))
-            {
-                pvt::divert_retransmission(state, flow, message, opening, now,
-                                           out);
-                return;
-            }
-            out.send_to_upstream(
-                {message.packet_.data(), message.packet_.size()});
+            resend_opening(state, flow, message, opening, now, out);
             return;
         case pass_phase::refused:
             if (flow.place_.earlier_agent_ != host_address())
--- a/src/libpass/agent_pvt.h
+++ b/src/libpass/agent_pvt.h
@@ -16,6 +16,8 @@
     wrong_service,
     not_accepting,
     full,
+    /// The upstream is cold and gets no more opening segments for now.
+    cold_limited,
 };
 
 /// More bytes than an upstream sends on one flow. An acknowledgement further
@@ -36,14 +38,33 @@
 bool is_evacuated(const pass_agent_state& state);
 
 /// Handles the retransmission of an opening segment that the upstream got
-/// before the evacuation. While the flow is opening, the segment goes to
+/// before and may not get again: its data centre is evacuated, or it is cold
+/// and has got too many. While the flow is opening, the segment goes to
 /// another agent, which does not refuse it with a reset, because the flow may
 /// be open here. Without another agent, or if the caller has continued the
 /// handshake, the segment is dropped.
 void divert_retransmission(const pass_agent_state& state,
                            const agent_flow& flow, const place_message& message,
-                           const segment_header& opening, instant now,
-                           pass_actions& out);
+                           const segment_header& opening, const char* reason,
+                           instant now, pass_actions& out);
+
+/// Returns the time until the upstream may get the opening segment number
+/// `position` (1 is the next one), as far as the limit for cold upstreams is
+/// concerned.
+duration cold_wait(const pass_agent_state& state, std::size_t position,
+                   instant now);
+
+/// Returns whether the upstream is cold and gets no opening segment now.
+bool is_cold_limited(const pass_agent_state& state, instant now);
+
+/// Records the limit for cold upstreams that a balancer sent.
+void note_cold_rate(pass_agent_state& state, const place_message& place);
+
+/// Sends an opening segment to the upstream and counts it. All opening segments
+/// are sent with this function.
+void send_opening(pass_agent_state& state,
+                  const std::vector<std::uint8_t>& packet, instant now,
+                  pass_actions& out);
 
 /// Returns whether a caller's segment can belong to the handshake with this
 /// agent's upstream.
--- a/src/libpass/balancer_opening.cpp
+++ b/src/libpass/balancer_opening.cpp
@@ -95,6 +95,11 @@
     message.idempotent_ = context.rule_.idempotent_;
     message.age_ = context.age_;
     message.latency_target_ = context.rule_.latency_target_;
+    const auto cold_rate = state.rules_->cold_rates_.find(service);
+    if (cold_rate != state.rules_->cold_rates_.end())
+    {
+        message.cold_rate_ = cold_rate->second;
+    }
     return message;
 }
 
@@ -223,6 +228,22 @@
         out);
 }
 
+// Handles an opening segment for which there is no agent.
+void handle_unplaced(pass_balancer_state& state, const segment_header& s,
+                     const opening_context& context, instant now,
+                     pass_actions& out)
+{
+    if (is_evacuated(state, context.earlier_agent_))
+    {
+        // The agent may have opened the flow before the evacuation; a pending
+        // segment would end in a reset of the flow.
+        add_decision(out, "dropped", "evacuated", s, context.earlier_agent_,
+                     true, state, now);
+        return;
+    }
+    add_pending(state, s, context.bytes_, now, out);
+}
+
 // Returns the message with a retransmission for `receiver`, the agent that got
 // the first transmission.
 place_message make_retransmission(pass_balancer_state& state,
@@ -299,19 +320,10 @@
             return;
         }
     }
-    if (place_opening(state, s, context, now, out))
-    {
-        return;
-    }
-    if (is_evacuated(state, context.earlier_agent_))
+    if (!place_opening(state, s, context, now, out))
     {
-        // The agent may have opened the flow before the evacuation; a pending
-        // segment would end in a reset of the flow.
-        add_decision(out, "dropped", "evacuated", s, context.earlier_agent_,
-                     true, state, now);
-        return;
+        handle_unplaced(state, s, context, now, out);
     }
-    add_pending(state, s, bytes, now, out);
 }
 
 void place_pending(pass_balancer_state& state, instant now, pass_actions& out)
--- a/src/libpassd/rules_follower.cpp
+++ b/src/libpassd/rules_follower.cpp
@@ -62,7 +62,9 @@
               {{"source", to_string(source)},
                {"version", rules->version_.value()},
                {"before", current_.version_.value()},
-               {"rules", rules->rules_.size()}});
+               {"rules", rules->rules_.size()},
+               {"cold_limits", rules->cold_rates_.size()},
+               {"cold_limits_ignored", rules->ignored_cold_rates_}});
     current_ = {rules->version_, text};
     on_rules_(std::make_shared<const pass_rules>(std::move(*rules)),
               source != rules_source::watch);
