--- a/src/galena_pass_agent/pass_agent_daemon.cpp
+++ b/src/galena_pass_agent/pass_agent_daemon.cpp
@@ -118,6 +118,10 @@
               s.follows_evacuations_ = settings.evacuate_within_.has_value();
               // The platform checks the health of upstreams there.
               s.upstream_accepts_connections_ = true;
+              s.cold_limit_.overage_ =
+                  settings.cold_overage_.value_or(s.cold_limit_.overage_);
+              s.cold_limit_.slack_ =
+                  settings.cold_slack_.value_or(s.cold_limit_.slack_);
               s.flow_lifetime_ = settings.flow_lifetime_;
               return s;
           }(),
