Agents: adopted flows take no slot for a request that may have been answered

Cause: after a restart of all agents each owner search left flows at agents whose upstreams acknowledged the segment without data, because it was a repeat. Besides, a search asked the same relay of a data centre again and again if others responded in between. Change: the first data of an adopted flow takes no slot, repeats of it are no new request; each round of a search chooses other relays.

--- a/src/include/galenafork/pass_agent.h
+++ b/src/include/galenafork/pass_agent.h
@@ -223,6 +223,8 @@
     /// Sequence number of the end of the caller's data so far; later data is
     /// another request.
     std::uint32_t data_end_ = 0;
+    /// On an adopted flow: `data_end_` is known.
+    bool has_data_end_ = false;
     /// Next sequence number that the caller expects.
     std::uint32_t caller_expected_sequence_ = 0;
     instant request_started_{};
--- a/src/include/galenafork/pass_balancer.h
+++ b/src/include/galenafork/pass_balancer.h
@@ -254,8 +254,9 @@
     /// All have responded but agents that are probably down. One that comes
     /// back may be the owner's, so they are asked again.
     bool waits_for_silent_ = false;
-    /// Rounds that the search has started by itself since an agent last
-    /// responded.
+    /// Rounds so far, and those that the search has started by itself since an
+    /// agent last responded.
+    unsigned rounds_ = 0;
     unsigned unanswered_rounds_ = 0;
     /// The owner, once it is found. The search then only waits for the next
     /// tick, which sends the owner the segment once more.
--- a/src/libpass/agent_segments.cpp
+++ b/src/libpass/agent_segments.cpp
@@ -77,13 +77,22 @@
         await_upstream(state, now);
     }
     const std::uint32_t end = s.sequence_ + s.data_bytes_;
-    if (s.data_bytes_ > 0 && (flow.adopted_ || is_after(end, flow.data_end_)))
+    // The first data of an adopted flow may be a repeat of a request that has
+    // been answered, or belong to another upstream. It takes no slot, as
+    // nothing would release it.
+    const bool is_first_of_adopted = flow.adopted_ && !flow.has_data_end_;
+    if (s.data_bytes_ > 0 &&
+        (is_first_of_adopted || is_after(end, flow.data_end_)))
     {
         flow.data_end_ = end;
+        flow.has_data_end_ = true;
         if (!flow.request_running_)
         {
             flow.request_running_ = true;
             flow.request_started_ = now;
+        }
+        if (!is_first_of_adopted)
+        {
             set_occupies_slot(state, flow, true);
         }
     }
--- a/src/libpass/agent_test.cpp
+++ b/src/libpass/agent_test.cpp
@@ -918,3 +918,32 @@
         CHECK(told == std::vector{balancer_x, agent_b});
     }
 }
+
+TEST_CASE("an adopted flow without an answer takes no slot")
+{
+    // slf-vestland-grown trouble-3: after a restart of all agents each owner
+    // search left flows at agents whose upstreams only acknowledged the
+    // segment. They took all slots for a minute, and new flows were refused.
+    pass_agent_state state = make_agent();
+    state.saw_upstream_start_ = false;
+    pass_actions out;
+    for (std::uint16_t port = 1; port <= 10; ++port)
+    {
+        handle_locate(state, {sample_packet, balancer_x, false},
+                      make_request(port, 77), start, out);
+        segment_header acknowledgement = make_request(port, 77);
+        acknowledgement.sequence_ = 77;
+        acknowledgement.data_bytes_ = 0;
+        handle_upstream_segment(state, acknowledgement, sample_bytes(), start,
+                                out);
+    }
+    CHECK(state.in_flight_ == 0);
+    // A retransmission is no request either, the next data is one.
+    handle_caller_segment(state, make_request(1, 77), sample_bytes(),
+                          balancer_x, start, out);
+    CHECK(state.in_flight_ == 0);
+    segment_header next = make_request(1, 77);
+    next.sequence_ += 100;
+    handle_caller_segment(state, next, sample_bytes(), balancer_x, start, out);
+    CHECK(state.in_flight_ == 1);
+}
--- a/src/libpass/balancer_search.cpp
+++ b/src/libpass/balancer_search.cpp
@@ -193,7 +193,7 @@
     const auto relay =
         group.size() < state.settings_.min_relay_group_
             ? std::nullopt
-            : choose_relay(state, flow, search.unanswered_rounds_, group, now);
+            : choose_relay(state, flow, search.rounds_, group, now);
     if (!relay)
     {
         out.send_to_peers(group, std::move(question));
@@ -384,6 +384,7 @@
         undecided.end());
     const remaining_agents remaining = find_remaining(state, key, search, now);
     search.waits_for_silent_ = !remaining.in_scope_.empty();
+    ++search.rounds_;
     search.awaited_ = remaining.awaited_;
     ask(state, key, search, remaining.in_scope_, true, "unknown_flow_again",
         remaining.ruled_out_, now, out);
--- a/src/libpass/balancer_test.cpp
+++ b/src/libpass/balancer_test.cpp
@@ -3,6 +3,7 @@
 #include <galenafork/rules_watch.h>
 
 #include <doctest/doctest.h>
+#include <set>
 
 using namespace galenafork;
 using namespace galenafork::samples;
@@ -781,3 +782,33 @@
     CHECK(tick.datagrams_[0].host_ == owner);
     CHECK(state.searches_.empty());
 }
+
+TEST_CASE("each round of a search asks through other relays")
+{
+    // A relay that does not respond kept the agents of its data centre from
+    // being asked as long as others responded.
+    pass_balancer_state state = make_balancer();
+    add_agents(state, 12);
+    note_members_read(state, start);
+    pass_actions out;
+    handle_caller_segment(state, make_request(1, 77), sample_bytes(), start,
+                          out);
+    handle_search_result(
+        state, {make_flow(1), agent_a, agents_in(state, "a"), {}}, start, out);
+    std::set<host_address> relays;
+    for (int round = 1; round <= 8; ++round)
+    {
+        // One agent of the other data centre responds by itself.
+        handle_flow_owner(state,
+                          {make_flow(1), host_address(), false,
+                           agents_in(state, "b").front(), true},
+                          start + milliseconds(200 * round), out);
+        pass_actions tick;
+        handle_tick(state, start + milliseconds(200 * round + 150), tick);
+        for (const pass_datagram& d : tick.datagrams_)
+        {
+            relays.insert(d.host_);
+        }
+    }
+    CHECK(relays.size() > 2);
+}
