Soak: upstreams accept connections while they run

Cause: agents take refused connections as proof that no upstream is running, as the users' platform checks health at the same address; the soak's upstreams had no such listener. Change: a listener that is open while the stand-in upstream is alive.

--- a/testsuite/soak/ends.py
+++ b/testsuite/soak/ends.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import socket
 import time
 
 from wire import ACK, BOUNCED, FINISH, OPEN, RESET, Segment
@@ -48,6 +49,7 @@
         self.incarnation = 0
         self.draining_since = None
         self.drain_acked_at = None
+        self.listener = None
 
     def start(self):
         """Starts a new incarnation without the flows of the previous one."""
@@ -56,10 +58,27 @@
         self.draining_since = self.drain_acked_at = None
         self.started_at_unix_ms, self.sequence = int(time.time() * 1000), 0
         self.started_at = time.monotonic()
+        self._listen()
 
     def crash(self):
         """Stops without closing flows or deregistering."""
         self.alive = False
+        self._stop_listening()
+
+    def _stop_listening(self):
+        if self.listener is not None:
+            asyncio.get_running_loop().remove_reader(self.listener)
+            self.listener.close()
+            self.listener = None
+
+    def _listen(self):
+        """Accepts connections, by which agents see that it is running."""
+        self._stop_listening()
+        self.listener = socket.create_server(
+            (self.host, self.testbed.ports["app"]), backlog=64)
+        self.listener.setblocking(False)
+        asyncio.get_running_loop().add_reader(
+            self.listener, lambda: self.listener.accept()[0].close())
 
     def connection_made(self, transport):
         self.transport = transport
