Store era: a return of the store from an older copy is noticed

Cause: after such a return versions are given out again, and an evacuation that the operator writes has a lower version than the list before, so that it was ignored until versions had caught up; own entries may be gone. Change: the client reads the header Store-Era and reports its rise; lists carry the era, own entries are read and written again, members are read with current data. Rules need no more: their versions only grow, a watch from an unknown revision fails with 410, and scheduled reads follow within a second. Not built: a balancer that starts in the two seconds in which agents' entries are missing takes the list for complete.

--- a/src/galena_pass_agent/pass_agent_daemon.cpp
+++ b/src/galena_pass_agent/pass_agent_daemon.cpp
@@ -149,6 +149,14 @@
         evacuation_log_.changes(),
         [this](evacuation_change&& change) { evacuation_log_.write(change); });
     loop_->run_every(log_flush_interval, [this] { log_.flush(); });
+    store_.set_era_handler(
+        [this](store_era era)
+        {
+            log_event(log_level::warning, "store_era_changed",
+                      {{"era", era.value()}});
+            registration_.recheck();
+            balancers_read_ = false;
+        });
     loop_->add_mailbox_handler<upstream_check_request>(
         check_requests_,
         [this](upstream_check_request&& request) {
--- a/src/galena_pass_balancer/balancer_daemon.cpp
+++ b/src/galena_pass_balancer/balancer_daemon.cpp
@@ -132,6 +132,16 @@
         evacuation_log_.changes(),
         [this](evacuation_change&& change) { evacuation_log_.write(change); });
     loop_->run_every(log_flush_interval, [this] { log_.flush(); });
+    // Rules never go back in a process. Their watch fails or is followed by a
+    // read within a second; evacuations carry the era.
+    store_.set_era_handler(
+        [this](store_era era)
+        {
+            log_event(log_level::warning, "store_era_changed",
+                      {{"era", era.value()}});
+            registration_.recheck();
+            members_read_ = false;
+        });
 }
 
 balancer_daemon::~balancer_daemon()
--- a/src/include/galenafork/api_dialect.h
+++ b/src/include/galenafork/api_dialect.h
@@ -33,6 +33,8 @@
     std::string body_;
     /// True if there was no response within the timeout.
     bool timed_out_ = false;
+    /// Zero if the response has no era, or one that is not a number.
+    store_era era_ = {};
 };
 
 /// Functions that translate between the client and one platform. The parsing
@@ -67,6 +69,8 @@
         const std::string& collection, const std::string& body) = nullptr;
     tl::expected<object_changes, error> (*parse_changes_)(
         const std::string& collection, const std::string& body) = nullptr;
+    /// Header of responses that holds the store's era; empty if there is none.
+    const char* era_header_ = "";
 };
 
 /// Returns the dialect of the project's own platform, whose objects have URLs
--- a/src/include/galenafork/platform_client.h
+++ b/src/include/galenafork/platform_client.h
@@ -120,6 +120,11 @@
     kj::Promise<tl::expected<void, error>>
     remove(std::string name, object_version expected) override;
 
+    /// Sets a function that is called when the store's era rises: acknowledged
+    /// writes of the last seconds may be gone, and versions are given out
+    /// again.
+    void set_era_handler(std::function<void(store_era)> handler);
+
     /// Returns the current counters, to be exported as metrics.
     const platform_counters& counters() const;
 
--- a/src/libpassd/store_registration.h
+++ b/src/libpassd/store_registration.h
@@ -42,6 +42,13 @@
     /// Changes the value; it is written at the next check.
     void set_value(std::string value);
 
+    /// Has the next check read the current entry: the store has come back from
+    /// an older copy, which may lack it.
+    void recheck()
+    {
+        confirmed_ = false;
+    }
+
     /// Returns whether an entry of this name has been in the store.
     bool is_written() const
     {
--- a/src/libplatform/call_loop.cpp
+++ b/src/libplatform/call_loop.cpp
@@ -99,6 +99,7 @@
     if (pvt::is_valid_response(response))
     {
         pvt::record_success(state_.breaker_);
+        note_era(response.era_);
         return pvt::response_or_error(std::move(response));
     }
     counters_.timeouts_ += response.timed_out_ ? 1 : 0;
@@ -120,6 +121,25 @@
         .then([this, call = std::move(call)] { return run(call); });
 }
 
+void platform_client::impl::note_era(store_era era)
+{
+    if (era <= era_)
+    {
+        return;
+    }
+    const bool is_first = era_ == store_era();
+    era_ = era;
+    if (!is_first && on_new_era_)
+    {
+        on_new_era_(era);
+    }
+}
+
+void platform_client::set_era_handler(std::function<void(store_era)> handler)
+{
+    impl_->on_new_era_ = std::move(handler);
+}
+
 void platform_client::impl::count_give_up(const error& reason)
 {
     counters_.refused_by_breaker_ +=
--- a/src/libplatform/client_impl.h
+++ b/src/libplatform/client_impl.h
@@ -75,7 +75,7 @@
           clock_(std::move(dependencies.clock_)),
           random_(std::move(dependencies.random_)),
           exchange_(dependencies.timer_, dependencies.network_,
-                    settings.address_),
+                    settings.address_, dialect.era_header_),
           state_(pvt::new_call_state(settings, clock_()))
     {
     }
@@ -93,6 +93,7 @@
 
     const api_dialect& dialect_;
     platform_counters counters_;
+    std::function<void(store_era)> on_new_era_;
 
 private:
     pvt::call_ptr new_call(std::uint64_t platform_counters::*counter,
@@ -102,6 +103,7 @@
     kj::Promise<pvt::response_or_error> handle_response(pvt::call_ptr call,
                                                         api_response response);
     void count_give_up(const error& reason);
+    void note_era(store_era era);
 
     kj::Promise<write_result>
     handle_put_response(const pvt::write_ptr& write,
@@ -121,6 +123,8 @@
     std::function<double()> random_;
     pvt::http_exchange exchange_;
     pvt::call_state state_;
+    /// The latest era; zero before the first one.
+    store_era era_;
 };
 
 } // namespace galenafork
--- a/src/libplatform/collections.cpp
+++ b/src/libplatform/collections.cpp
@@ -101,6 +101,7 @@
                 if (collected.version_ == no_object_version)
                 {
                     collected.version_ = next->version_;
+                    collected.era_ = response->era_;
                 }
                 collected.objects_.insert(
                     collected.objects_.end(),
--- a/src/libplatform/http_exchange.cpp
+++ b/src/libplatform/http_exchange.cpp
@@ -1,10 +1,13 @@
 #include <libplatform/http_exchange.h>
 
 #include <algorithm>
+#include <charconv>
 #include <kj/encoding.h>
 #include <netinet/in.h>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <strings.h>
+#include <system_error>
 
 namespace galenafork::pvt
 {
@@ -49,14 +52,34 @@
     return {text.begin(), text.size()};
 }
 
-kj::Promise<api_response> read_response(kj::HttpClient::Response&& response)
+// Header names are compared without regard to case.
+store_era era_of(const kj::HttpHeaders& headers, const std::string& era_header)
+{
+    store_era era;
+    headers.forEach(
+        [&](kj::StringPtr name, kj::StringPtr value)
+        {
+            if (strcasecmp(name.cStr(), era_header.c_str()) == 0)
+            {
+                era = parse_era({value.begin(), value.size()});
+            }
+        });
+    return era;
+}
+
+kj::Promise<api_response> read_response(kj::HttpClient::Response&& response,
+                                        const std::string& era_header)
 {
     const unsigned status = response.statusCode;
+    const store_era era = era_header.empty()
+                              ? store_era()
+                              : era_of(*response.headers, era_header);
     auto text = response.body->readAllText(max_response_bytes);
     return text.attach(kj::mv(response.body))
         .then(
-            [status](const kj::String& body) {
-                return api_response{status, {body.begin(), body.size()}, false};
+            [status, era](const kj::String& body) {
+                return api_response{
+                    status, {body.begin(), body.size()}, false, era};
             });
 }
 
@@ -79,6 +102,15 @@
 
 } // namespace
 
+store_era parse_era(const std::string& value)
+{
+    std::uint64_t era = 0;
+    const char* end = value.data() + value.size();
+    const auto parsed = std::from_chars(value.data(), end, era);
+    return parsed.ec == std::errc() && parsed.ptr == end ? store_era(era)
+                                                         : store_era();
+}
+
 bool is_valid_response(const api_response& response)
 {
     return response.status_ >= first_success &&
@@ -187,8 +219,8 @@
 {
 
 http_exchange::http_exchange(kj::Timer& timer, kj::Network& network,
-                             const endpoint& address)
-    : timer_(timer), host_(to_string(address)),
+                             const endpoint& address, const char* era_header)
+    : timer_(timer), host_(to_string(address)), era_header_(era_header),
       if_match_(builder_.add("If-Match")), headers_(builder_.build()),
       address_(network_address(network, address)),
       client_(kj::newHttpClient(timer, *headers_, *address_))
@@ -235,8 +267,8 @@
     return written
         .then([response = kj::mv(http_request.response)]() mutable
               { return kj::mv(response); })
-        .then([](kj::HttpClient::Response&& response)
-              { return read_response(kj::mv(response)); });
+        .then([this](kj::HttpClient::Response&& response)
+              { return read_response(kj::mv(response), era_header_); });
 }
 
 } // namespace galenafork::pvt
--- a/src/libplatform/http_exchange.h
+++ b/src/libplatform/http_exchange.h
@@ -38,13 +38,16 @@
 tl::expected<std::vector<object_entry>, error>
 parse_list(const std::string& body);
 
+/// Parses the value of an era header. Returns zero if it is not a number.
+store_era parse_era(const std::string& value);
+
 /// Sends requests to one address over a pool of connections.
 class http_exchange
 {
 public:
-    /// `timer` must outlive this.
+    /// `timer` must outlive this. `era_header` may be empty.
     http_exchange(kj::Timer& timer, kj::Network& network,
-                  const endpoint& address);
+                  const endpoint& address, const char* era_header);
 
     /// Sends `request`. The promise is never rejected: the status is 0 if there
     /// is no response within `timeout` or the connection fails.
@@ -56,6 +59,7 @@
 
     kj::Timer& timer_;
     std::string host_;
+    std::string era_header_;
     kj::HttpHeaderTable::Builder builder_;
     kj::HttpHeaderId if_match_;
     kj::Own<kj::HttpHeaderTable> headers_;
