Command line: additional percentage options of daemons

Hedging needs an option of the balancer program only, and the command line of daemons had a fixed set of options. parse_command_line now takes additional options whose values are whole numbers from 0 to 100; any other value ends the program with the exit code of bad settings and one message.

--- a/src/include/galenafork/program_options.h
+++ b/src/include/galenafork/program_options.h
@@ -6,8 +6,11 @@
 
 #include <galenafork/settings.h>
 
+#include <cstdint>
+#include <map>
 #include <string>
 #include <tl/expected.hpp>
+#include <vector>
 
 namespace galenafork
 {
@@ -34,14 +37,30 @@
     std::string config_path_;
     /// Whether to check the settings and exit.
     bool check_only_ = false;
+    /// The values of the additional options, by name.
+    std::map<std::string, std::uint32_t> percents_;
 };
 
-/// Parses `--config FILE`, `--check`, `--help` and `--version`. If the daemon
-/// is not to start, prints the error, the help text or the version and fails
-/// with the exit code.
+/// An additional option of a daemon: a whole number from 0 to 100.
+struct percent_option
+{
+    /// Without the leading dashes.
+    std::string name_;
+    std::string description_;
+    std::uint32_t default_ = 0;
+};
+
+/// Parses `--config FILE`, `--check`, `--help`, `--version` and the options of
+/// `additional`. Without `--config` and `--check`, `default_config_path` is
+/// used unless it is empty. If the daemon is not to start, prints
+/// the error, the help text or the version and fails with the exit code, which
+/// is `bad_settings` if the value of an additional option is not a whole number
+/// from 0 to 100.
 tl::expected<daemon_arguments, exit_code>
 parse_command_line(int argc, const char* const* argv,
-                   const std::string& program, const std::string& summary);
+                   const std::string& program, const std::string& summary,
+                   const std::vector<percent_option>& additional = {},
+                   const std::string& default_config_path = "");
 
 /// Returns the content of a file. Fails with `not_found` if the file can't be
 /// read.
--- a/src/libdaemon/program_options.cpp
+++ b/src/libdaemon/program_options.cpp
@@ -1,8 +1,10 @@
 #include <galenafork/program_options.h>
 
 #include <boost/program_options.hpp>
+#include <charconv>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <sstream>
 
 namespace galenafork
@@ -13,7 +15,8 @@
 namespace
 {
 
-options::options_description describe_options()
+options::options_description
+describe_options(const std::vector<percent_option>& additional)
 {
     options::options_description description("Options");
     auto add = description.add_options();
@@ -21,9 +24,55 @@
     add("check", "check the settings file and exit");
     add("help", "print this text and exit");
     add("version", "print the version and exit");
+    for (const percent_option& option : additional)
+    {
+        add(option.name_.c_str(), options::value<std::string>(),
+            option.description_.c_str());
+    }
     return description;
 }
 
+// Returns nothing if `text` is not a whole number from 0 to 100.
+std::optional<std::uint32_t> parse_percent(const std::string& text)
+{
+    constexpr std::uint32_t max_percent = 100;
+    std::uint32_t value = 0;
+    const char* end = text.data() + text.size();
+    const auto [stopped_at, code] = std::from_chars(text.data(), end, value);
+    if (code != std::errc() || stopped_at != end || value > max_percent)
+    {
+        return std::nullopt;
+    }
+    return value;
+}
+
+// Returns the values of `additional`, or a message about the first bad one.
+tl::expected<std::map<std::string, std::uint32_t>, std::string>
+read_percents(const options::variables_map& values,
+              const std::vector<percent_option>& additional)
+{
+    std::map<std::string, std::uint32_t> percents;
+    for (const percent_option& option : additional)
+    {
+        percents[option.name_] = option.default_;
+        if (values.count(option.name_) == 0)
+        {
+            continue;
+        }
+        const auto& text = values[option.name_].as<std::string>();
+        const auto value = parse_percent(text);
+        if (!value)
+        {
+            return tl::unexpected("--" + option.name_ +
+                                  " must be a whole number from 0 to 100, and "
+                                  "is \"" +
+                                  text + "\"");
+        }
+        percents[option.name_] = *value;
+    }
+    return percents;
+}
+
 tl::expected<options::variables_map, std::string>
 parse(int argc, const char* const* argv,
       const options::options_description& description)
@@ -49,9 +98,11 @@
 
 tl::expected<daemon_arguments, exit_code>
 parse_command_line(int argc, const char* const* argv,
-                   const std::string& program, const std::string& summary)
+                   const std::string& program, const std::string& summary,
+                   const std::vector<percent_option>& additional,
+                   const std::string& default_config_path)
 {
-    const auto description = describe_options();
+    const auto description = describe_options(additional);
     const auto values = parse(argc, argv, description);
     if (!values)
     {
@@ -73,13 +124,27 @@
         std::cout << program << " " << GALENA_VERSION << "\n";
         return tl::unexpected(exit_code::success);
     }
-    if (values->count("config") == 0)
+    auto percents = read_percents(*values, additional);
+    if (!percents)
+    {
+        print_error(program + ": " + percents.error());
+        return tl::unexpected(exit_code::bad_settings);
+    }
+    daemon_arguments arguments;
+    arguments.check_only_ = values->count("check") != 0;
+    arguments.percents_ = std::move(*percents);
+    if (values->count("config") != 0)
+    {
+        arguments.config_path_ = (*values)["config"].as<std::string>();
+        return arguments;
+    }
+    if (default_config_path.empty() || arguments.check_only_)
     {
         print_error(program + ": --config FILE is missing");
         return tl::unexpected(exit_code::usage);
     }
-    return daemon_arguments{(*values)["config"].as<std::string>(),
-                            values->count("check") != 0};
+    arguments.config_path_ = default_config_path;
+    return arguments;
 }
 
 tl::expected<std::string, error> read_text_file(const std::string& path)
--- a/src/libpassd/daemon_setup.cpp
+++ b/src/libpassd/daemon_setup.cpp
@@ -117,19 +117,14 @@
     return hosts;
 }
 
-tl::expected<platform_adapter::instance_settings, exit_code>
+tl::expected<start_settings, exit_code>
 read_pass_settings(int argc, const char* const* argv, const char* program,
-                   const char* summary)
+                   const char* summary,
+                   const std::vector<percent_option>& options)
 {
     const char* path = std::getenv(platform_adapter::settings_variable);
-    std::vector<const char*> args(argv, argv + argc);
-    if (argc == 1 && path != nullptr)
-    {
-        args.push_back("--config");
-        args.push_back(path);
-    }
-    const auto arguments = parse_command_line(static_cast<int>(args.size()),
-                                              args.data(), program, summary);
+    const auto arguments = parse_command_line(
+        argc, argv, program, summary, options, path != nullptr ? path : "");
     if (!arguments)
     {
         return tl::unexpected(arguments.error());
@@ -151,7 +146,7 @@
     {
         return tl::unexpected(exit_code::success);
     }
-    return std::move(*settings);
+    return start_settings{std::move(*settings), arguments->percents_};
 }
 
 } // namespace galenafork
--- a/src/libpassd/daemon_setup.h
+++ b/src/libpassd/daemon_setup.h
@@ -12,7 +12,10 @@
 #include <platform/instance_settings.h>
 
 #include <kj/common.h>
+#include <map>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace galenafork
 {
@@ -54,13 +57,37 @@
 /// IPv4 address of one instance as its host is logged and skipped.
 std::vector<host_address> hosts_of(const std::vector<platform_object>& entries);
 
-/// Reads the command line and the settings file. Without arguments the path of
-/// the file is read from the environment variable that `settings_variable`
-/// names. Fails with the exit code if the daemon is not to start: after an
-/// error, which has then been printed, or after an option such as `--check`.
-tl::expected<platform_adapter::instance_settings, exit_code>
+/// Settings with which a daemon starts.
+struct start_settings
+{
+    platform_adapter::instance_settings settings_;
+    /// The values of the additional options, by name.
+    std::map<std::string, std::uint32_t> percents_;
+};
+
+/// Reads the command line, which may contain the additional `options`, and the
+/// settings file. Without `--config` and `--check` the path of the file is read
+/// from the environment variable that `settings_variable` names. Fails with the
+/// exit code if the daemon is not to start: after an error, which has then been
+/// printed, or after an option such as `--check`.
+tl::expected<start_settings, exit_code>
 read_pass_settings(int argc, const char* const* argv, const char* program,
-                   const char* summary);
+                   const char* summary,
+                   const std::vector<percent_option>& options = {});
+
+/// Runs a daemon until it ends, unless it could not be opened. Returns the exit
+/// code of the process.
+template <class Daemon>
+int run_daemon(const tl::expected<std::unique_ptr<Daemon>, error>& daemon)
+{
+    if (!daemon)
+    {
+        log_event(log_level::error, "start_failed",
+                  {{"reason", daemon.error().message_}});
+        return static_cast<int>(exit_code::failure);
+    }
+    return static_cast<int>((*daemon)->run());
+}
 
 /// Runs a daemon of class `Daemon`: reads its settings, opens it and runs it
 /// until it ends. Returns the exit code of the process.
@@ -73,14 +100,7 @@
     {
         return static_cast<int>(settings.error());
     }
-    const auto daemon = Daemon::open(*settings);
-    if (!daemon)
-    {
-        log_event(log_level::error, "start_failed",
-                  {{"reason", daemon.error().message_}});
-        return static_cast<int>(exit_code::failure);
-    }
-    return static_cast<int>((*daemon)->run());
+    return run_daemon(Daemon::open(settings->settings_));
 }
 
 } // namespace galenafork
