--- a/src/galena_pass_balancer/balancer_daemon.cpp
+++ b/src/galena_pass_balancer/balancer_daemon.cpp
@@ -46,7 +46,8 @@
 } // namespace
 
 tl::expected<std::unique_ptr<balancer_daemon>, error>
-balancer_daemon::open(const platform_adapter::instance_settings& settings)
+balancer_daemon::open(const platform_adapter::instance_settings& settings,
+                      const hedge_settings& hedging)
 {
     auto metrics = std::make_unique<metrics_registry>();
     auto loop = open_control(settings, *metrics);
@@ -59,15 +60,17 @@
     {
         return tl::unexpected(io.error());
     }
-    return std::unique_ptr<balancer_daemon>(new balancer_daemon(
-        settings, std::move(metrics), std::move(*loop), std::move(*io)));
+    return std::unique_ptr<balancer_daemon>(
+        new balancer_daemon(settings, hedging, std::move(metrics),
+                            std::move(*loop), std::move(*io)));
 }
 
 balancer_daemon::balancer_daemon(
     const platform_adapter::instance_settings& settings,
-    std::unique_ptr<metrics_registry> metrics,
+    const hedge_settings& hedging, std::unique_ptr<metrics_registry> metrics,
     std::unique_ptr<control_loop> loop, packet_io io)
-    : settings_(settings), metrics_(std::move(metrics)),
+    : settings_(settings), hedge_percent_(hedging.percent_),
+      metrics_(std::move(metrics)),
       newer_rules_mailbox_(max_queued_newer_rules), loop_(std::move(loop)),
       random_(std::random_device{}()), log_({}, *metrics_),
       store_(store_settings(settings),
@@ -83,6 +86,7 @@
               s.host_ = settings.host_;
               s.data_centre_ = settings.data_centre_;
               s.flow_lifetime_ = settings.flow_lifetime_;
+              s.hedging_ = hedging;
               return s;
           }(),
           static_cast<std::uint32_t>(random_bits()), std::move(io), log_,
@@ -146,6 +150,10 @@
                {"host", to_string(settings_.host_)},
                {"data_centre", settings_.data_centre_.value()},
                {"first_start", settings_.bootstrap_}});
+    if (hedge_percent_ > 0)
+    {
+        log_event(log_level::info, "hedging", {{"percent", hedge_percent_}});
+    }
     loop_->add_task("follow_rules", follower_.follow());
     loop_->add_task(
         "maintain_registration",
--- a/src/galena_pass_balancer/balancer_daemon.h
+++ b/src/galena_pass_balancer/balancer_daemon.h
@@ -28,7 +28,8 @@
     /// and with `bad_address` if the address for segments is not an IPv4
     /// address.
     static tl::expected<std::unique_ptr<balancer_daemon>, error>
-    open(const platform_adapter::instance_settings& settings);
+    open(const platform_adapter::instance_settings& settings,
+         const hedge_settings& hedging);
     ~balancer_daemon();
     balancer_daemon(const balancer_daemon&) = delete;
     balancer_daemon& operator=(const balancer_daemon&) = delete;
@@ -39,6 +40,7 @@
 
 private:
     balancer_daemon(const platform_adapter::instance_settings& settings,
+                    const hedge_settings& hedging,
                     std::unique_ptr<metrics_registry> metrics,
                     std::unique_ptr<control_loop> loop, packet_io io);
 
@@ -54,6 +56,7 @@
     std::uint64_t random_bits();
 
     platform_adapter::instance_settings settings_;
+    std::uint32_t hedge_percent_;
     std::unique_ptr<metrics_registry> metrics_;
     // Declared before the loop, which reads the mailbox and so must not outlive
     // it.
--- a/src/galena_pass_balancer/balancer_traffic.cpp
+++ b/src/galena_pass_balancer/balancer_traffic.cpp
@@ -7,6 +7,7 @@
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/OS_NS_Thread.h>
 #include <ace/Reactor.h>
+#include <utility>
 
 namespace galenafork
 {
@@ -26,6 +27,45 @@
 constexpr unsigned ticks_per_hello_round =
     static_cast<unsigned>(hello_round_interval / tick_interval);
 
+/// Timer and metrics of hedging, which exist only if it is enabled.
+struct hedge_counters
+{
+    explicit hedge_counters(metrics_registry& metrics)
+        : tick_(hedge_tick_interval),
+          sent_(metrics.add_counter(
+              "galena_hedges_sent_total",
+              "Opening segments sent to a second agent because "
+              "the caller did not continue in time.")),
+          won_(metrics.add_counter(
+              "galena_hedges_won_total",
+              "Hedges whose flow was opened by the second agent.")),
+          denied_(metrics.add_counter("galena_hedges_denied_total",
+                                      "Hedges that were due and not sent "
+                                      "because the limit was reached."))
+    {
+    }
+
+    static std::unique_ptr<hedge_counters>
+    add_if_enabled(const hedge_settings& settings, metrics_registry& metrics)
+    {
+        return settings.percent_ > 0 ? std::make_unique<hedge_counters>(metrics)
+                                     : nullptr;
+    }
+
+    /// Moves the counts of `state` to the metrics.
+    void publish(hedge_state& state)
+    {
+        sent_.add(std::exchange(state.sent_, 0));
+        won_.add(std::exchange(state.won_, 0));
+        denied_.add(std::exchange(state.denied_by_limit_, 0));
+    }
+
+    interval_timer tick_;
+    counter& sent_;
+    counter& won_;
+    counter& denied_;
+};
+
 } // namespace
 
 /// State and event handlers of the traffic thread.
@@ -48,8 +88,13 @@
               metrics.add_counter("galena_openings_without_rule_total",
                                   "Opening segments refused because no rule "
                                   "matches their address.")),
+          hedges_(hedge_counters::add_if_enabled(settings.hedging_, metrics)),
           reactor_(new ACE_Dev_Poll_Reactor, true)
     {
+        if (hedges_)
+        {
+            watch(hedges_->tick_.fd(), on_hedge_tick_);
+        }
         watch(io_.segments().get(), on_segments_);
         watch(io_.peers().get(), on_peers_);
         watch(tick_.fd(), on_tick_);
@@ -62,8 +107,11 @@
         for (const int fd : {io_.segments().get(), io_.peers().get(),
                              tick_.fd(), owner_.commands_.fd(), stop_.fd()})
         {
-            reactor_.remove_handler(fd, ACE_Event_Handler::READ_MASK |
-                                            ACE_Event_Handler::DONT_CALL);
+            unwatch(fd);
+        }
+        if (hedges_)
+        {
+            unwatch(hedges_->tick_.fd());
         }
     }
     worker(const worker&) = delete;
@@ -91,6 +139,12 @@
         reactor_.register_handler(fd, &handler, ACE_Event_Handler::READ_MASK);
     }
 
+    void unwatch(int fd)
+    {
+        reactor_.remove_handler(fd, ACE_Event_Handler::READ_MASK |
+                                        ACE_Event_Handler::DONT_CALL);
+    }
+
     void attend()
     {
         now_ = read_monotonic_clock();
@@ -163,6 +217,7 @@
         else if (const auto* flow_owner =
                      std::get_if<flow_owner_message>(&*message))
         {
+            note_owner_report(state_, *flow_owner);
             handle_flow_owner(state_, *flow_owner, now_, actions_);
         }
         else if (const auto* returned = std::get_if<locate_message>(&*message))
@@ -241,6 +296,14 @@
         io_.enqueue(actions_);
     }
 
+    void on_hedge_timer()
+    {
+        hedges_->tick_.clear();
+        attend();
+        handle_hedge_tick(state_, now_, actions_);
+        io_.enqueue(actions_);
+    }
+
     void publish_status()
     {
         owner_.status_.live_agents_ = count_live_agents(state_, now_);
@@ -251,6 +314,10 @@
         flows_.set(static_cast<std::int64_t>(state_.flows_.size()));
         openings_without_rule_.add(state_.refused_no_rule_);
         state_.refused_no_rule_ = 0;
+        if (hedges_)
+        {
+            hedges_->publish(state_.hedging_);
+        }
         const std::lock_guard<std::mutex> lock(owner_.agents_mutex_);
         owner_.agents_.clear();
         for (const auto& entry : state_.agents_)
@@ -270,6 +337,7 @@
     counter& malformed_;
     gauge& flows_;
     counter& openings_without_rule_;
+    std::unique_ptr<hedge_counters> hedges_;
     wake_event stop_;
     pass_actions actions_;
     instant now_{};
@@ -278,6 +346,7 @@
     input_handler on_segments_{[this] { receive_segments(); }};
     input_handler on_peers_{[this] { receive_messages(); }};
     input_handler on_tick_{[this] { on_timer(); }};
+    input_handler on_hedge_tick_{[this] { on_hedge_timer(); }};
     input_handler on_commands_{[this] { handle_commands(); }};
     input_handler on_stop_{[this] { stopped_ = true; }};
     ACE_Reactor reactor_;
