Owner search: ended agents are not waited for, and a late list ends it

Searches that had all denials before the first complete list never ended. Change: an agent that ends after a check has shown that its upstream's process is gone says so in its last status; a search that waits for a list goes on in its next round.

--- a/src/include/galenafork/pass_balancer.h
+++ b/src/include/galenafork/pass_balancer.h
@@ -256,6 +256,8 @@
     /// All have responded but agents that are probably down. One that comes
     /// back may be the owner's, so they are asked again.
     bool waits_for_silent_ = false;
+    /// All have denied the flow, but the list of agents was read too long ago.
+    bool waits_for_list_ = false;
     /// Rounds so far, and those that the search has started by itself since an
     /// agent last responded.
     unsigned rounds_ = 0;
--- a/src/include/galenafork/pass_messages.h
+++ b/src/include/galenafork/pass_messages.h
@@ -136,6 +136,9 @@
     duration cold_remaining_{0};
     /// Smoothed service time of a request at the upstream; zero if unknown.
     duration service_time_{0};
+    /// The agent's process is ending, and a check has shown that no upstream is
+    /// running.
+    bool ended_ = false;
     /// Load that the idle open flows are expected to bring, in units of the
     /// upstream's slots.
     double expected_load_ = 0;
--- a/src/libpass/agent_upstream_check_test.cpp
+++ b/src/libpass/agent_upstream_check_test.cpp
@@ -596,4 +596,5 @@
     begin_shutdown(state, start, out);
     apply_upstream_check(state, upstream_presence::absent, start, start, out);
     CHECK(state.upstream_.state_ == upstream_state::gone);
+    CHECK(status_of(state, start).ended_);
 }
--- a/src/libpass/balancer_search.cpp
+++ b/src/libpass/balancer_search.cpp
@@ -49,15 +49,16 @@
 
 // Returns whether the agent's upstream can't have the flow although the agent
 // does not respond. Silence alone does not show this: the upstream may live and
-// the agent come back. The upstream must have deregistered before, or the
-// agent, through which all of its flows pass, must have been silent for longer
-// than a flow lives.
+// the agent come back. The upstream must have deregistered before, the agent
+// must have ended after its upstream's process, or the agent, through which all
+// of its flows pass, must have been silent for longer than a flow lives.
 bool is_ruled_out(const pass_balancer_state& state, const agent_record& agent,
                   instant now)
 {
     const bool deregistered =
         agent.has_status_ && agent.status_.state_ == upstream_state::gone;
-    return (deregistered && !is_probably_running(state, agent, now)) ||
+    const bool ended = agent.has_status_ && agent.status_.ended_;
+    return ended || (deregistered && !is_probably_running(state, agent, now)) ||
            now - agent.last_status_at_ > state.settings_.flow_lifetime_;
 }
 
@@ -317,7 +318,8 @@
         return;
     }
     search.waits_for_silent_ = !remaining.in_scope_.empty();
-    if (search.waits_for_silent_ || !knows_all_agents(state, now))
+    search.waits_for_list_ = !knows_all_agents(state, now);
+    if (search.waits_for_silent_ || search.waits_for_list_)
     {
         return;
     }
@@ -388,6 +390,13 @@
     search.awaited_ = remaining.awaited_;
     ask(state, key, search, remaining.in_scope_, true, "unknown_flow_again",
         remaining.ruled_out_, now, out);
+    if (remaining.in_scope_.empty() && search.told_to_ask_.empty() &&
+        search.asking_upstream_.empty())
+    {
+        // All have responded, but their list was not read lately then.
+        advance_search(state, key, search, now, out);
+        return;
+    }
     const bool all_confirmed = search.told_to_ask_.empty();
     search.told_to_ask_.insert(search.told_to_ask_.end(),
                                search.asking_upstream_.begin(),
@@ -427,9 +436,9 @@
 bool is_round_due(const pass_balancer_state& state, const owner_search& search,
                   instant now)
 {
-    const bool unanswered =
-        search.awaited_ > 0 || !search.told_to_ask_.empty() ||
-        search.waits_for_silent_ || !knows_all_agents(state, now);
+    const bool unanswered = search.awaited_ > 0 ||
+                            !search.told_to_ask_.empty() ||
+                            search.waits_for_silent_ || search.waits_for_list_;
     constexpr unsigned max_doublings = 2;
     const duration interval =
         std::min(state.settings_.search_interval_ *
@@ -517,6 +526,8 @@
                         pass_actions& out)
 {
     state.confirmed_packets_.clear();
+    // A round may end its search, so the rounds are started after the loop.
+    std::vector<flow_key> due;
     for (auto it = state.searches_.begin(); it != state.searches_.end();)
     {
         owner_search& search = it->second;
@@ -530,8 +541,7 @@
         }
         if (is_round_due(state, search, now))
         {
-            ++search.unanswered_rounds_;
-            repeat_search(state, it->first, search, now, out);
+            due.push_back(it->first);
         }
         // An upstream that has ended returns no segment.
         if (search.told_to_ask_.empty() && !search.asking_upstream_.empty() &&
@@ -545,6 +555,12 @@
         }
         ++it;
     }
+    for (const flow_key& key : due)
+    {
+        owner_search& search = state.searches_.at(key);
+        ++search.unanswered_rounds_;
+        repeat_search(state, key, search, now, out);
+    }
 }
 
 } // namespace pvt
--- a/src/libpass/balancer_test.cpp
+++ b/src/libpass/balancer_test.cpp
@@ -812,3 +812,47 @@
     }
     CHECK(relays.size() > 2);
 }
+
+TEST_CASE("a search does not wait for an agent that ended after its upstream")
+{
+    // slf-vestland-grown trouble-1: after a loss of power instances whose
+    // upstreams did not come back ended one each second. All searches waited
+    // for each of them for eight seconds.
+    pass_balancer_state state = make_balancer();
+    note_members_read(state, start);
+    pass_actions out;
+    status_message ended = make_status(agent_c, "b");
+    ended.state_ = upstream_state::gone;
+    ended.accepting_ = false;
+    ended.ended_ = true;
+    handle_status(state, ended, start, out);
+    handle_caller_segment(state, make_request(1, 77), sample_bytes(), start,
+                          out);
+    for (const host_address host : {agent_a, agent_b})
+    {
+        handle_flow_owner(state, {make_flow(1), host_address(), false, host},
+                          start, out);
+    }
+    CHECK(count(out, pass_target::reset) == 1);
+}
+
+TEST_CASE("a search ends once the agents' list is read after all have denied")
+{
+    // A restarted balancer got all denials before its first complete list. The
+    // search then went on until the caller's deadline.
+    pass_balancer_state state = make_balancer();
+    pass_actions out;
+    handle_caller_segment(state, make_request(1, 77), sample_bytes(), start,
+                          out);
+    for (const host_address host : {agent_a, agent_b, agent_c})
+    {
+        handle_flow_owner(state, {make_flow(1), host_address(), false, host},
+                          start, out);
+    }
+    CHECK(count(out, pass_target::reset) == 0);
+    note_members_read(state, start + milliseconds(50));
+    pass_actions tick;
+    handle_tick(state, start + milliseconds(100), tick);
+    handle_tick(state, start + milliseconds(200), tick);
+    CHECK(count(tick, pass_target::reset) == 1);
+}
--- a/src/libpass/pass.capnp
+++ b/src/libpass/pass.capnp
@@ -82,6 +82,7 @@
   coldMicros @10 :UInt32;
   serviceMicros @11 :UInt32;
   expectedLoadMillis @12 :UInt32;  # Thousandths of the upstream's slots.
+  ended @13 :Bool;
 }
 
 struct Hello {
--- a/src/libpass/pass.capnp.h
+++ b/src/libpass/pass.capnp.h
@@ -980,6 +980,8 @@
 
   inline  ::uint32_t getExpectedLoadMillis() const;
 
+  inline bool getEnded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1059,6 +1061,9 @@
   inline  ::uint32_t getExpectedLoadMillis();
   inline void setExpectedLoadMillis( ::uint32_t value);
 
+  inline bool getEnded();
+  inline void setEnded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2720,6 +2725,20 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Status::Reader::getEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<41>() * ::capnp::ELEMENTS);
+}
+
+inline bool Status::Builder::getEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<41>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<41>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Hello::Reader::getHost() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libpass/pass_messages.cpp
+++ b/src/libpass/pass_messages.cpp
@@ -208,6 +208,7 @@
     out.setHeld(to_count(m.queued_));
     out.setColdMicros(to_micros(m.cold_remaining_));
     out.setServiceMicros(to_micros(m.service_time_));
+    out.setEnded(m.ended_);
     out.setExpectedLoadMillis(to_thousandths(m.expected_load_));
 }
 
@@ -228,6 +229,7 @@
     m.queued_ = in.getHeld();
     m.cold_remaining_ = duration(in.getColdMicros());
     m.service_time_ = duration(in.getServiceMicros());
+    m.ended_ = in.getEnded();
     m.expected_load_ = in.getExpectedLoadMillis() / thousandths;
     return m;
 }
--- a/src/libpass/pass_messages_test.cpp
+++ b/src/libpass/pass_messages_test.cpp
@@ -92,6 +92,7 @@
     status.started_ = start_time_ms(1234567890123);
     status.cold_remaining_ = std::chrono::seconds(2);
     status.expected_load_ = 0.75;
+    status.ended_ = true;
     const auto read = std::get<status_message>(round_trip(status));
     CHECK(read.host_ == agent_a);
     CHECK(read.service_ == orders);
@@ -101,6 +102,7 @@
     CHECK(read.in_flight_ == 5);
     CHECK(read.cold_remaining_ == status.cold_remaining_);
     CHECK(read.expected_load_ == doctest::Approx(0.75));
+    CHECK(read.ended_);
 
     hello_message sent{balancer_x, pass_rules_version(8), 40, true};
     sent.evacuations_ = {
