--- a/src/libpass/agent_segments.cpp
+++ b/src/libpass/agent_segments.cpp
@@ -278,6 +278,56 @@
            pvt::acknowledges_upstream(flow, s);
 }
 
+// Returns whether the caller continues the handshake with another upstream.
+bool is_opened_elsewhere(const agent_flow& flow, const segment_header& s)
+{
+    switch (flow.phase_)
+    {
+    case pass_phase::queued:
+    case pass_phase::refused:
+        return true;
+    case pass_phase::opening:
+        return !pvt::acknowledges_upstream(flow, s);
+    case pass_phase::ended:
+        // A hedge that the upstream has left unanswered.
+        return flow.place_.hedged_ && !flow.upstream_sequence_;
+    case pass_phase::open:
+    case pass_phase::moved:
+    case pass_phase::unknown_to_upstream:
+        break;
+    }
+    return false;
+}
+
+// Handles a segment of a flow that the caller has opened elsewhere: forwards it
+// to the agent of the first transmission, or returns it if there is none.
+void give_up_opening(pass_agent_state& state, const segment_header& s,
+                     byte_view bytes, host_address sender, instant now,
+                     pass_actions& out)
+{
+    const auto it = state.flows_.find(s.flow_);
+    agent_flow& flow = it->second;
+    set_occupies_slot(state, flow, false);
+    pvt::remove_from_queue(state, s.flow_);
+    const host_address earlier = flow.place_.earlier_agent_;
+    add_decision(out, state, s.flow_, flow, "passed_on", "opened_elsewhere",
+                 now, true, earlier);
+    if (earlier != host_address())
+    {
+        flow.moved_to_ = earlier;
+        set_phase(flow, pass_phase::moved, now);
+        out.send_to_agent(earlier, bytes);
+        out.send_to_peer(sender, flow_owner_message{s.flow_, earlier, false,
+                                                    state.settings_.host_});
+    }
+    else
+    {
+        state.flows_.erase(it);
+        return_to_sender(bytes, sender, state, out);
+    }
+    pvt::offer_queued(state, now, out);
+}
+
 } // namespace
 
 void handle_caller_segment(pass_agent_state& state, const segment_header& s,
@@ -308,34 +358,9 @@
         pvt::forward_to_new_agent(state, flow, s, bytes, now, out);
         return;
     }
-    const bool is_unanswered_hedge = flow.phase_ == pass_phase::ended &&
-                                     flow.place_.hedged_ &&
-                                     !flow.upstream_sequence_;
-    if (flow.phase_ == pass_phase::queued ||
-        flow.phase_ == pass_phase::refused || is_unanswered_hedge ||
-        (flow.phase_ == pass_phase::opening &&
-         !pvt::acknowledges_upstream(flow, s)))
+    if (is_opened_elsewhere(flow, s))
     {
-        // The caller continues the handshake with another upstream.
-        set_occupies_slot(state, flow, false);
-        pvt::remove_from_queue(state, s.flow_);
-        const host_address earlier = flow.place_.earlier_agent_;
-        add_decision(out, state, s.flow_, flow, "passed_on", "opened_elsewhere",
-                     now, true, earlier);
-        if (earlier != host_address())
-        {
-            flow.moved_to_ = earlier;
-            set_phase(flow, pass_phase::moved, now);
-            out.send_to_agent(earlier, bytes);
-            out.send_to_peer(sender, flow_owner_message{s.flow_, earlier, false,
-                                                        state.settings_.host_});
-        }
-        else
-        {
-            state.flows_.erase(it);
-            return_to_sender(bytes, sender, state, out);
-        }
-        pvt::offer_queued(state, now, out);
+        give_up_opening(state, s, bytes, sender, now, out);
         return;
     }
     if (is_reset_due(state, flow, s))
--- a/src/libpass/flow_replay_test.cpp
+++ b/src/libpass/flow_replay_test.cpp
@@ -51,8 +51,6 @@
 constexpr duration power_down_time = milliseconds(850);
 constexpr duration upstream_start_spread = milliseconds(40);
 constexpr duration agent_start_delay = milliseconds(15);
-// Longest time from the start of a check of an upstream to its result.
-constexpr duration check_timeout = milliseconds(200);
 constexpr duration flow_lifetime = seconds(60);
 constexpr std::uint64_t clock_start_ms = 1'700'000'000'000;
 const endpoint service_address{make_v4(198, 18, 0, 1), 443};
