--- a/src/include/galenafork/pass_messages.h
+++ b/src/include/galenafork/pass_messages.h
@@ -136,8 +136,8 @@
     duration cold_remaining_{0};
     /// Smoothed service time of a request at the upstream; zero if unknown.
     duration service_time_{0};
-    /// A check has shown that no upstream is running, and the agent's process is
-    /// ending or has had no report since its start.
+    /// A check has shown that no upstream is running, and the agent's process
+    /// is ending or has had no report since its start.
     bool ended_ = false;
     /// Load that the idle open flows are expected to bring, in units of the
     /// upstream's slots.
