--- a/src/include/galenafork/pass_agent.h
+++ b/src/include/galenafork/pass_agent.h
@@ -96,10 +96,12 @@
     /// longer than this, so no activity of the earlier incarnation falls into
     /// the margin.
     duration restart_margin_ = std::chrono::milliseconds(100);
-    /// Time for which a relay waits for the responses of its group, several
-    /// round trips between data centres. A member that is gone delays the
-    /// others' responses by this.
-    duration relay_timeout_ = std::chrono::milliseconds(20);
+    /// Time for which a relay waits for the responses of its group. With 20 ms
+    /// summaries of agents that had just started were incomplete, and further
+    /// rounds filled the links of balancers.
+    duration relay_timeout_ = std::chrono::milliseconds(60);
+    /// Time for which a relay forwards responses that arrive after its summary.
+    duration relay_linger_ = std::chrono::seconds(1);
     /// Time for which a flow that is unknown to the upstream is not tried there
     /// again.
     duration unknown_flow_retention_ = std::chrono::seconds(5);
@@ -196,6 +198,8 @@
     std::vector<host_address> awaited_;
     std::vector<host_address> denied_;
     std::vector<host_address> undecided_;
+    /// The summary has been sent; later responses are forwarded one by one.
+    bool summary_sent_ = false;
 };
 
 /// State of one flow at an agent.
--- a/src/libpass/agent_search.cpp
+++ b/src/libpass/agent_search.cpp
@@ -171,6 +171,13 @@
         return;
     }
     awaited.erase(position);
+    if (search.summary_sent_)
+    {
+        out.send_to_peer(
+            search.searcher_,
+            flow_owner_message{flow, host_address(), false, member, undecided});
+        return;
+    }
     (undecided ? search.undecided_ : search.denied_).push_back(member);
     if (awaited.empty())
     {
@@ -184,11 +191,10 @@
                     const flow_key& flow, instant now, pass_actions& out)
 {
     relayed_search& search = state.relayed_searches_[flow];
-    search = {message.sender_,
-              now + state.settings_.relay_timeout_,
-              message.group_,
-              {},
-              {}};
+    search = relayed_search();
+    search.searcher_ = message.sender_;
+    search.expires_at_ = now + state.settings_.relay_timeout_;
+    search.awaited_ = message.group_;
     search.awaited_.push_back(state.settings_.host_);
     locate_message question = message;
     question.group_.clear();
@@ -234,13 +240,18 @@
     for (auto it = state.relayed_searches_.begin();
          it != state.relayed_searches_.end();)
     {
-        if (now < it->second.expires_at_)
+        relayed_search& search = it->second;
+        if (now >= search.expires_at_ + state.settings_.relay_linger_)
         {
-            ++it;
+            it = state.relayed_searches_.erase(it);
             continue;
         }
-        finish_relay(state, it->first, it->second, out);
-        it = state.relayed_searches_.erase(it);
+        if (now >= search.expires_at_ && !search.summary_sent_)
+        {
+            finish_relay(state, it->first, search, out);
+            search.summary_sent_ = true;
+        }
+        ++it;
     }
 }
 
--- a/src/libpass/agent_test.cpp
+++ b/src/libpass/agent_test.cpp
@@ -872,9 +872,28 @@
     const auto* result = find_message<search_result_message>(responses);
     CHECK(result->denied_ == std::vector{agent_a, agent_b});
     CHECK(result->undecided_.size() <= 1);
+    handle_tick(state, start + seconds(2), responses);
     CHECK(state.relayed_searches_.empty());
 }
 
+TEST_CASE("a relay forwards a response that arrives after its summary")
+{
+    // After a loss of power agents answered late. Their responses were lost,
+    // and each further round cost as many messages again.
+    pass_agent_state state = make_agent();
+    state.saw_upstream_start_ = true;
+    pass_actions out;
+    handle_locate(state, {sample_packet, balancer_x, true, {agent_b, agent_c}},
+                  make_request(9, 77), start, out);
+    handle_tick(state, start + milliseconds(100), out);
+    pass_actions late;
+    handle_flow_owner(state, {make_flow(9), host_address(), false, agent_b},
+                      late);
+    REQUIRE(late.datagrams_.size() == 1);
+    CHECK(late.datagrams_[0].host_ == balancer_x);
+    CHECK(find_message<flow_owner_message>(late)->sender_ == agent_b);
+}
+
 TEST_CASE("a member of a group denies to the relay and owns to the balancer")
 {
     pass_agent_state state = make_agent();
