Balancers probe a new agent again until it responds or two seconds are over

Searches wait for an agent that was never heard of for 2 s, so that other upstreams got a flow whose owner's agent was there. Change: an agent without a status is probed in each hello round of these 2 s.

--- a/src/libpass/balancer_members.cpp
+++ b/src/libpass/balancer_members.cpp
@@ -40,8 +40,13 @@
             }
             continue;
         }
-        if (since_hello >= duration(static_cast<duration::rep>(
-                               interval * deviation(state.random_))))
+        // An agent may start just after its first probe; searches wait for it
+        // for a few rounds only.
+        const bool is_new =
+            !agent.has_status_ && now - agent.last_status_at_ <=
+                                      state.settings_.unheard_agent_timeout_;
+        if (is_new || since_hello >= duration(static_cast<duration::rep>(
+                                         interval * deviation(state.random_))))
         {
             pvt::send_probe(state, host, agent, now, out);
         }
--- a/src/libpass/members_test.cpp
+++ b/src/libpass/members_test.cpp
@@ -393,3 +393,26 @@
     CHECK(state.services_.at(orders).all_.empty());
     CHECK(state.services_.at(orders).subscribed_.empty());
 }
+
+TEST_CASE("an agent that has not responded to its first probe is probed again")
+{
+    // Flow replay, restarts of agents and balancers, seed 37: an agent started
+    // just after the probe of a new balancer. The next one came 2.5 s later,
+    // and searches had stopped waiting for the agent, which was the flow's
+    // owner.
+    pass_balancer_settings settings;
+    settings.host_ = balancer_x;
+    pass_balancer_state state = new_pass_balancer(settings, 1);
+    pass_actions listed;
+    add_listed_agent(state, agent_a, start, listed);
+    CHECK(count_messages<hello_message>(listed) == 1);
+    for (int round = 1; round <= 4; ++round)
+    {
+        pass_actions out;
+        send_hellos(state, start + round * hello_round_interval, out);
+        CHECK(count_messages<hello_message>(out) == 1);
+    }
+    pass_actions later;
+    send_hellos(state, start + 5 * hello_round_interval, later);
+    CHECK(count_messages<hello_message>(later) == 0);
+}
