Agents: a refused connection is no proof where none was ever accepted

Change: the agent records in its entry in the store that the upstream's address has accepted a connection; a restarted agent takes refusals as a proof only if its predecessor's entry says so.

--- a/src/galena_pass_agent/agent_traffic.cpp
+++ b/src/galena_pass_agent/agent_traffic.cpp
@@ -238,6 +238,8 @@
             {
                 begin_shutdown(state_, now_, actions_);
             }
+            state_.settings_.upstream_accepts_connections_ |=
+                commands.upstream_accepts_connections_;
             if (commands.check_)
             {
                 apply_upstream_check(state_, commands.check_->presence_,
--- a/src/galena_pass_agent/agent_traffic.h
+++ b/src/galena_pass_agent/agent_traffic.h
@@ -34,6 +34,9 @@
     std::optional<upstream_check_result> check_;
     std::vector<host_address> balancers_;
     bool shut_down_ = false;
+    /// The upstream's address has accepted a connection, of this process or of
+    /// an earlier one.
+    bool upstream_accepts_connections_ = false;
 };
 
 /// State of the traffic thread that the control thread may read at any time.
--- a/src/galena_pass_agent/pass_agent_daemon.cpp
+++ b/src/galena_pass_agent/pass_agent_daemon.cpp
@@ -116,8 +116,6 @@
               s.host_ = settings.host_;
               s.data_centre_ = settings.data_centre_;
               s.follows_evacuations_ = settings.evacuate_within_.has_value();
-              // The platform checks the health of upstreams there.
-              s.upstream_accepts_connections_ = true;
               s.cold_limit_.overage_ =
                   settings.cold_overage_.value_or(s.cold_limit_.overage_);
               s.cold_limit_.slack_ =
@@ -188,6 +186,7 @@
                {"service", settings_.service_.value()},
                {"upstream", to_string(settings_.upstream_)}});
     loop_->add_task("find_balancers", find_balancers());
+    loop_->add_task("read_own_entry", read_own_entry());
     return loop_->run();
 }
 
@@ -242,10 +241,7 @@
     {
         registered_ = true;
         loop_->add_task("maintain_registration",
-                        registration_.maintain(
-                            entry_name(platform_adapter::agents_collection,
-                                       settings_.host_),
-                            entry_value(settings_)));
+                        registration_.maintain(own_entry(), own_entry_value()));
     }
     return {status_ok, "{}"};
 }
@@ -299,6 +295,51 @@
         .then([this] { return find_balancers(); });
 }
 
+std::string pass_agent_daemon::own_entry() const
+{
+    return entry_name(platform_adapter::agents_collection, settings_.host_);
+}
+
+std::string pass_agent_daemon::own_entry_value() const
+{
+    return agent_entry_value(settings_, upstream_accepts_connections_);
+}
+
+kj::Promise<void> pass_agent_daemon::read_own_entry()
+{
+    return store_.get(own_entry())
+        .then(
+            [this](tl::expected<platform_object, error>&& entry)
+                -> kj::Promise<void>
+            {
+                if (entry && accepts_connections(*entry))
+                {
+                    note_connection_accepted();
+                }
+                if (entry || entry.error().code_ == error_code::not_found ||
+                    upstream_accepts_connections_)
+                {
+                    return kj::READY_NOW;
+                }
+                return loop_->timer()
+                    .afterDelay(to_kj(balancers_retry_interval))
+                    .then([this] { return read_own_entry(); });
+            });
+}
+
+void pass_agent_daemon::note_connection_accepted()
+{
+    if (upstream_accepts_connections_)
+    {
+        return;
+    }
+    upstream_accepts_connections_ = true;
+    registration_.set_value(own_entry_value());
+    agent_commands commands;
+    commands.upstream_accepts_connections_ = true;
+    traffic_.commands().post(std::move(commands));
+}
+
 kj::Promise<void>
 pass_agent_daemon::check_upstream_process(upstream_check_request request)
 {
@@ -327,6 +368,10 @@
                                {"took_us", took.count()}});
                 }
                 last_presence_ = presence;
+                if (presence == upstream_presence::present)
+                {
+                    note_connection_accepted();
+                }
                 agent_commands commands;
                 commands.check_ = upstream_check_result{presence, checked_at};
                 if (traffic_.commands().post(std::move(commands)))
@@ -347,9 +392,7 @@
     entry_removal_started_ = true;
     removing_entry_ = true;
     loop_->add_task("remove_entry",
-                    registration_
-                        .remove(entry_name(platform_adapter::agents_collection,
-                                           settings_.host_))
+                    registration_.remove(own_entry())
                         .then([this] { removing_entry_ = false; }));
 }
 
--- a/src/galena_pass_agent/pass_agent_daemon.h
+++ b/src/galena_pass_agent/pass_agent_daemon.h
@@ -47,6 +47,13 @@
                                         const std::string& body);
     http_response handle_deregistration_request(const instance_id& instance);
     kj::Promise<void> find_balancers();
+    std::string own_entry() const;
+    std::string own_entry_value() const;
+    /// Reads from the entry of this agent's predecessor whether the upstream's
+    /// address has accepted a connection.
+    kj::Promise<void> read_own_entry();
+    /// Records it for this agent and, in the entry, for its successors.
+    void note_connection_accepted();
     /// Checks whether the upstream's process is running and posts the result
     /// to the traffic thread.
     kj::Promise<void> check_upstream_process(upstream_check_request request);
@@ -72,6 +79,7 @@
     store_registration registration_;
     std::thread thread_;
     bool registered_ = false;
+    bool upstream_accepts_connections_ = false;
     bool entry_removal_started_ = false;
     /// The removal of the entry has not ended yet.
     bool removing_entry_ = false;
--- a/src/include/galenafork/pass_agent.h
+++ b/src/include/galenafork/pass_agent.h
@@ -129,8 +129,9 @@
     duration check_after_ = std::chrono::milliseconds(150);
     /// Minimum time between two such checks.
     duration check_interval_ = std::chrono::milliseconds(500);
-    /// Upstreams accept connections at their address while they run, so that a
-    /// refusal is a proof also before the first report.
+    /// The upstream's address has accepted a connection before, which may have
+    /// been one of an earlier agent. A refusal is then a proof also before the
+    /// first report.
     bool upstream_accepts_connections_ = false;
     /// Number of refused connections, `check_after_` apart, that show to an
     /// agent without a report that no upstream is running. One that has just
--- a/src/libpassd/daemon_setup.cpp
+++ b/src/libpassd/daemon_setup.cpp
@@ -12,6 +12,7 @@
 using nlohmann::json;
 
 constexpr const char* host_field = "host";
+constexpr const char* accepts_connections_field = "accepts_connections";
 constexpr const char* data_centre_field = "data_centre";
 
 // Offsets from the first internal port of an instance.
@@ -83,6 +84,25 @@
         .dump();
 }
 
+std::string
+agent_entry_value(const platform_adapter::instance_settings& settings,
+                  bool upstream_accepts_connections)
+{
+    json value = json::parse(entry_value(settings));
+    if (upstream_accepts_connections)
+    {
+        value[accepts_connections_field] = true;
+    }
+    return value.dump();
+}
+
+bool accepts_connections(const platform_object& entry)
+{
+    const json value = json::parse(entry.value_, nullptr, false);
+    return value.is_object() && value.contains(accepts_connections_field) &&
+           value[accepts_connections_field] == true;
+}
+
 namespace
 {
 
--- a/src/libpassd/daemon_setup.h
+++ b/src/libpassd/daemon_setup.h
@@ -53,6 +53,16 @@
 /// service as JSON.
 std::string entry_value(const platform_adapter::instance_settings& settings);
 
+/// Returns the value of an agent's entry. It also says whether the upstream's
+/// address has accepted a connection, which a restarted agent can't know.
+std::string
+agent_entry_value(const platform_adapter::instance_settings& settings,
+                  bool upstream_accepts_connections);
+
+/// Returns whether an agent's entry says that the upstream's address has
+/// accepted a connection. False if the entry is malformed.
+bool accepts_connections(const platform_object& entry);
+
 /// Returns the hosts of the entries of a collection. An entry without a valid
 /// IPv4 address of one instance as its host is logged and skipped.
 std::vector<host_address> hosts_of(const std::vector<platform_object>& entries);
