--- a/src/libpassd/store_sync_test.cpp
+++ b/src/libpassd/store_sync_test.cpp
@@ -2,6 +2,8 @@
 #include "rules_follower.h"
 #include "store_registration.h"
 
+#include <libpassd/daemon_setup.h>
+
 #include <doctest/doctest.h>
 #include <kj/async-io.h>
 
@@ -282,3 +284,25 @@
     follower_.apply_newest({});
     CHECK(applied_versions_ == std::vector<std::uint64_t>{6});
 }
+
+TEST_CASE("an agent's entry says whether its upstream accepts connections")
+{
+    // review/4: a restarted agent took refused connections as a proof that its
+    // upstream was gone, although that upstream never accepted any.
+    const platform_adapter::instance_settings settings;
+    const auto accepted = [](const std::string& value)
+    {
+        return accepts_connections(
+            {"galenafork-agents/10.0.0.1", object_version(3), value});
+    };
+    CHECK(accepted(agent_entry_value(settings, true)));
+    CHECK_FALSE(accepted(agent_entry_value(settings, false)));
+    CHECK(agent_entry_value(settings, false) == entry_value(settings));
+    for (const char* odd :
+         {"", "[]", "7", R"({"accepts_connections":"yes"})",
+          R"({"accepts_connections":1})", R"({"accepts_connections":null})"})
+    {
+        CAPTURE(odd);
+        CHECK_FALSE(accepted(odd));
+    }
+}
