--- a/src/libpass/balancer.cpp
+++ b/src/libpass/balancer.cpp
@@ -43,6 +43,12 @@
            !is_evacuated(state, agent);
 }
 
+bool is_near(const pass_balancer_state& state, const agent_record& agent)
+{
+    return agent.has_status_ &&
+           agent.status_.data_centre_ == state.settings_.data_centre_;
+}
+
 double load_of(const pass_balancer_state& state, const agent_record& agent)
 {
     const double speed = agent.status_.cold_remaining_ > duration(0)
--- a/src/libpass/balancer_opening.cpp
+++ b/src/libpass/balancer_opening.cpp
@@ -464,9 +464,7 @@
         {
             continue;
         }
-        const bool is_near =
-            agent.status_.data_centre_ == state.settings_.data_centre_;
-        (is_near ? near : far)
+        (pvt::is_near(state, agent) ? near : far)
             .push_back(
                 {host, pvt::load_of(state, agent) + jitter(state.random_)});
     }
--- a/src/libpass/balancer_pvt.h
+++ b/src/libpass/balancer_pvt.h
@@ -36,6 +36,9 @@
 bool is_usable(const pass_balancer_state& state, const agent_record& agent,
                instant now);
 
+/// Returns whether the agent is known to be in the balancer's data centre.
+bool is_near(const pass_balancer_state& state, const agent_record& agent);
+
 /// Returns the agent's load: requests that are in flight, queued or on their
 /// way there, per slot. A slot of a cold upstream counts less.
 double load_of(const pass_balancer_state& state, const agent_record& agent);
--- a/src/libpass/balancer_search.cpp
+++ b/src/libpass/balancer_search.cpp
@@ -16,6 +16,7 @@
 {
 
 using pvt::contains;
+using pvt::is_near;
 
 // Returns whether the agent's upstream is one that the flow is usually at: its
 // service is one of those that the active rule selects from, or is unknown,
@@ -41,12 +42,6 @@
     return now - agent.last_status_at_ <= timeout;
 }
 
-bool is_near(const pass_balancer_state& state, const agent_record& agent)
-{
-    return agent.has_status_ &&
-           agent.status_.data_centre_ == state.settings_.data_centre_;
-}
-
 // Returns whether the agent has said that its upstream's process is gone and
 // has ended itself, or has been silent since: its instance is then mostly taken
 // away. While it responds, another upstream may start beside it.
--- a/src/libpass/balancer_subscriptions.cpp
+++ b/src/libpass/balancer_subscriptions.cpp
@@ -11,11 +11,6 @@
 namespace
 {
 
-bool is_near(const pass_balancer_state& state, const agent_record& agent)
-{
-    return agent.status_.data_centre_ == state.settings_.data_centre_;
-}
-
 // Returns the rank of an agent at a balancer. Ranks differ from balancer to
 // balancer, so that the agents which all balancers together subscribe to are
 // evenly distributed, and they do not change, so that subscriptions stay.
