--- a/review/lib-2/bed.py
+++ b/review/lib-2/bed.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import random
+import re
 import shutil
 import signal
 import socket
@@ -16,7 +17,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -380,10 +380,11 @@
         self.store, self.processes, self.tasks = Store(), {}, []
         self.machines, self.rotation, self.sent = {}, {}, {}
         self.servers, self.clients = [], []
-        self.roles = tomllib.loads(
-            (ROOT / "deploy/system.toml").read_text())["roles"]
-        self.run_words = {r["on"]: r["run"].split()
-                          for r in self.roles.values()}
+        # The deploy file's command of each class of machines.
+        self.run_words = {
+            on: run.split() for run, on in re.findall(
+                r'^run = "(.*)"\non = "(.*)"$',
+                (ROOT / "deploy/system.toml").read_text(), re.MULTILINE)}
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
 
     def log(self, text):
@@ -547,12 +548,17 @@
     run)."""
     bed = Bed(case)
     code = 2
+    # The processes are also ended if the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
-        code = asyncio.run(asyncio.wait_for(play(bed), 118))
-    except (AssertionError, OSError, asyncio.TimeoutError) as e:
+        loop = asyncio.new_event_loop()
+        code = loop.run_until_complete(asyncio.wait_for(play(bed), 116))
+    except Exception as e:  # Whatever goes wrong here says nothing of the rule.
         bed.log(f"could not run: {e!r}")
     finally:
         bed.log(f"result {code}")
         bed.stop()
-    print(f"{bed.case.name}: exit code {code}")
-    sys.exit(code)
+    print(f"{bed.case.name}: exit code {code}", flush=True)
+    # Does not wait for the tasks: in Python 3.11 wait_for can swallow their
+    # cancellation.
+    os._exit(code)
