Store client: after a timeout requests use new connections

Cause, one of two: connections to the store can go silent without a reset. The pool keeps several idle ones, and a read waited one timeout (1 s) for each. Change: a timeout replaces the pool. Requests in flight keep the old one. Evidence: 'after a timeout requests use new connections' failed before: with three silent connections the second request timed out as well (status 0, no new connection), now it is answered.

--- a/src/libplatform/http_exchange.cpp
+++ b/src/libplatform/http_exchange.cpp
@@ -223,26 +223,38 @@
     : timer_(timer), host_(to_string(address)), era_header_(era_header),
       if_match_(builder_.add("If-Match")), headers_(builder_.build()),
       address_(network_address(network, address)),
-      client_(kj::newHttpClient(timer, *headers_, *address_))
+      client_(new_client())
 {
 }
 
+http_exchange::client_ptr http_exchange::new_client()
+{
+    return std::make_shared<kj::Own<kj::HttpClient>>(
+        kj::newHttpClient(timer_, *headers_, *address_));
+}
+
 kj::Promise<api_response> http_exchange::send(const api_request& request,
                                               duration timeout)
 {
-    auto response = kj::evalNow([&] { return exchange(request); });
+    const client_ptr client = client_;
+    auto response = kj::evalNow([&] { return exchange(client, request); });
     return timer_
         .timeoutAfter(timeout.count() * kj::MICROSECONDS, kj::mv(response))
         .catch_(
-            [](const kj::Exception& e)
+            [this, client](const kj::Exception& e)
             {
                 const bool timed_out =
                     e.getType() == kj::Exception::Type::OVERLOADED;
+                if (timed_out && client == client_)
+                {
+                    client_ = new_client();
+                }
                 return api_response{0, {}, timed_out};
             });
 }
 
-kj::Promise<api_response> http_exchange::exchange(const api_request& request)
+kj::Promise<api_response> http_exchange::exchange(const client_ptr& client,
+                                                  const api_request& request)
 {
     kj::HttpHeaders headers(*headers_);
     headers.set(kj::HttpHeaderId::HOST, kj::StringPtr(host_.c_str()));
@@ -256,7 +268,8 @@
         headers.set(kj::HttpHeaderId::CONTENT_TYPE, "application/json");
     }
     auto http_request =
-        client_->request(request.method_, request.url_.c_str(), headers, size);
+        (*client)->request(request.method_, request.url_.c_str(), headers,
+                           size);
     kj::Promise<void> written = kj::READY_NOW;
     if (size != 0)
     {
--- a/src/libplatform/http_exchange.h
+++ b/src/libplatform/http_exchange.h
@@ -11,6 +11,7 @@
 #include <kj/async-io.h>
 #include <kj/compat/http.h>
 #include <kj/timer.h>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -50,12 +51,20 @@
                   const endpoint& address, const char* era_header);
 
     /// Sends `request`. The promise is never rejected: the status is 0 if there
-    /// is no response within `timeout` or the connection fails.
+    /// is no response within `timeout` or the connection fails. After a timeout
+    /// later requests use new connections: the idle ones may have gone silent
+    /// like the one that timed out.
     kj::Promise<api_response> send(const api_request& request,
                                    duration timeout);
 
 private:
-    kj::Promise<api_response> exchange(const api_request& request);
+    /// Requests in flight share the pool with `client_`, which may be replaced
+    /// meanwhile.
+    using client_ptr = std::shared_ptr<kj::Own<kj::HttpClient>>;
+
+    client_ptr new_client();
+    kj::Promise<api_response> exchange(const client_ptr& client,
+                                       const api_request& request);
 
     kj::Timer& timer_;
     std::string host_;
@@ -64,7 +73,7 @@
     kj::HttpHeaderId if_match_;
     kj::Own<kj::HttpHeaderTable> headers_;
     kj::Own<kj::NetworkAddress> address_;
-    kj::Own<kj::HttpClient> client_;
+    client_ptr client_;
 };
 
 } // namespace galenafork::pvt
