--- a/src/galena_pass_balancer/balancer_daemon.cpp
+++ b/src/galena_pass_balancer/balancer_daemon.cpp
@@ -1,6 +1,7 @@
 #include "balancer_daemon.h"
 
 #include <galenafork/log.h>
+#include <galenafork/read_schedule.h>
 #include <libpassd/daemon_setup.h>
 #include <platform/report_codec.h>
 #include <platform/store_dialect.h>
@@ -95,7 +96,8 @@
           newer_rules_mailbox_, evacuation_log_.changes(), *metrics_),
       follower_(
           store_, loop_->timer(),
-          [this] { return std::uniform_real_distribution<double>()(random_); },
+          make_pacer(settings.apply_rules_within_,
+                     traffic_.status().rules_read_at_),
           {},
           [this](std::shared_ptr<const pass_rules> rules, bool announce)
           {
@@ -104,6 +106,12 @@
               commands.announce_ = announce;
               traffic_.commands().post(std::move(commands));
           },
+          [this](instant began_at)
+          {
+              balancer_commands commands;
+              commands.reads_.rules_at_ = began_at;
+              traffic_.commands().post(std::move(commands));
+          },
           [this](host_address host)
           { return fetch_rules(*loop_, rpc_address(host)); }),
       evacuations_(
@@ -157,6 +165,18 @@
     }
 }
 
+// Returns the timer of the reads of data that must be applied within `limit`.
+// `latest_read` is when the latest read began that the traffic thread knows of.
+read_pacer balancer_daemon::make_pacer(duration limit,
+                                       const std::atomic<instant>& latest_read)
+{
+    return {max_read_age(limit),
+            {loop_->timer(), read_monotonic_clock,
+             [this]
+             { return std::uniform_real_distribution<double>()(random_); },
+             [&latest_read] { return latest_read.load(); }}};
+}
+
 std::uint64_t balancer_daemon::random_bits()
 {
     return random_();
@@ -288,7 +308,6 @@
                             {
                                 commands.balancers_ = hosts_of(peers->objects_);
                                 balancers_ = commands.balancers_;
-                                follower_.set_balancers(balancers_.size());
                                 evacuations_.set_balancers(balancers_.size());
                             }
                             commands.complete_ =
--- a/src/galena_pass_balancer/balancer_daemon.h
+++ b/src/galena_pass_balancer/balancer_daemon.h
@@ -57,6 +57,8 @@
     kj::Promise<void> drain();
     kj::Promise<void> wait_until_idle(std::uint64_t segments_before);
     std::uint64_t random_bits();
+    read_pacer make_pacer(duration limit,
+                          const std::atomic<instant>& latest_read);
 
     platform_adapter::instance_settings settings_;
     std::uint32_t hedge_percent_;
--- a/src/galena_pass_balancer/balancer_traffic.cpp
+++ b/src/galena_pass_balancer/balancer_traffic.cpp
@@ -254,11 +254,12 @@
 
     void handle_peer_hello(const hello_message& hello)
     {
+        handle_evacuations(hello.evacuations_, hello.host_);
         if (handle_hello(state_, hello, now_))
         {
             newer_rules_mailbox_.post({hello.host_, hello.version_});
         }
-        handle_evacuations(hello.evacuations_, hello.host_);
+        publish_reads();
     }
 
     void handle_evacuations(const evacuation_state& next, host_address source)
@@ -285,13 +286,14 @@
                     commands.rules_->version_.value();
                 if (commands.announce_)
                 {
-                    announce_rules(state_, actions_);
+                    announce_rules(state_, now_, actions_);
                 }
             }
             if (commands.evacuations_)
             {
                 handle_evacuations(*commands.evacuations_, {});
             }
+            note_store_reads(state_, commands.reads_, now_, actions_);
             state_.leaving_ |= commands.leaving_;
             for (const host_address host : commands.agents_)
             {
@@ -306,9 +308,18 @@
                 note_members_read(state_, now_);
             }
         }
+        publish_reads();
         io_.enqueue(actions_);
     }
 
+    void publish_reads()
+    {
+        owner_.status_.rules_read_at_ =
+            state_.rules_read_at_.value_or(instant());
+        owner_.status_.evacuations_read_at_ =
+            state_.evacuations_read_at_.value_or(instant());
+    }
+
     void on_timer()
     {
         tick_.clear();
--- a/src/galena_pass_balancer/balancer_traffic.h
+++ b/src/galena_pass_balancer/balancer_traffic.h
@@ -32,6 +32,7 @@
     bool leaving_ = false;
     /// Evacuations as read from the store.
     std::optional<evacuation_state> evacuations_;
+    store_reads reads_;
 };
 
 /// State of the traffic thread that the control thread may read at any time.
@@ -43,6 +44,10 @@
     std::atomic<std::uint64_t> rules_version_{0};
     /// The traffic thread has a state of the evacuations.
     std::atomic<bool> evacuations_known_{false};
+    /// When the latest reads began that the traffic thread knows of, by this
+    /// balancer or a peer; `instant()` if there were none.
+    std::atomic<instant> rules_read_at_{instant()};
+    std::atomic<instant> evacuations_read_at_{instant()};
 };
 
 /// Forwards segments of callers to agents. Owns the state of the thread that
--- a/src/include/galenafork/pass_balancer.h
+++ b/src/include/galenafork/pass_balancer.h
@@ -59,6 +59,12 @@
     /// Number of random peers that get a hello in each round. Versions of rules
     /// reach all balancers within a few rounds.
     std::size_t peers_per_round_ = 8;
+    /// A peer that has sent no hello for this time, in which a running one
+    /// sends many, is silent: it gets hellos of `silent_peers_per_round_` only.
+    duration peer_silence_timeout_ = std::chrono::seconds(30);
+    /// Number of random silent peers that get a hello in each round, in case
+    /// they are running and could not be reached.
+    std::size_t silent_peers_per_round_ = 1;
     /// An agent or a peer that is neither listed nor sends a message for this
     /// time is forgotten.
     duration forget_after_ = std::chrono::seconds(120);
@@ -220,6 +226,15 @@
     all_agents,
 };
 
+/// Another balancer. The store also lists balancers whose instance is gone.
+struct peer_record
+{
+    instant last_listed_at_{};
+    /// When the peer last sent a hello; when it was first listed if it has sent
+    /// none.
+    instant last_heard_at_{};
+};
+
 /// An agent whose upstream may have a flow from before the agent's start.
 struct undecided_agent
 {
@@ -289,8 +304,8 @@
     std::unordered_map<host_address, agent_record> agents_;
     /// Agents by the service of their last status.
     std::unordered_map<service_name, service_agents> services_;
-    /// Other balancers, and when each was last listed or sent a hello.
-    std::unordered_map<host_address, instant> peers_;
+    /// Other balancers that are listed or send hellos.
+    std::unordered_map<host_address, peer_record> peers_;
     std::unordered_map<flow_key, balancer_flow> flows_;
     /// Searches for the owners of flows of `flows_`.
     std::unordered_map<flow_key, owner_search> searches_;
@@ -299,6 +314,12 @@
     std::vector<std::vector<std::uint8_t>> confirmed_packets_;
     /// Agents in these data centres get no new flows.
     evacuation_state evacuations_;
+    /// When the latest read of the store began that found no rules newer than
+    /// the active ones; unset if none is known. The read may have been one of
+    /// another balancer.
+    std::optional<instant> rules_read_at_;
+    /// The same for the evacuations.
+    std::optional<instant> evacuations_read_at_;
     std::vector<pending_opening> pending_openings_;
     /// Flows of `pending_openings_`.
     std::unordered_set<flow_key> pending_flows_;
@@ -374,12 +395,28 @@
 void add_listed_peer(pass_balancer_state& state, host_address peer, instant now,
                      pass_actions& out);
 
-/// Handles a hello of a peer. Returns whether the peer has newer rules.
+/// Handles a hello of a peer, after its evacuations were applied. Returns
+/// whether the peer has newer rules.
 bool handle_hello(pass_balancer_state& state, const hello_message& hello,
                   instant now);
 
-/// Announces the active rules to all peers at once.
-void announce_rules(const pass_balancer_state& state, pass_actions& out);
+/// Announces the active rules to all peers that are not silent at once.
+void announce_rules(const pass_balancer_state& state, instant now,
+                    pass_actions& out);
+
+/// Reads of the store by this balancer: when each began. Unset for none.
+struct store_reads
+{
+    /// Found no rules newer than the active ones.
+    std::optional<instant> rules_at_;
+    /// Found no evacuations later than the current ones.
+    std::optional<instant> evacuations_at_;
+};
+
+/// Records reads of the store, and tells all peers that are not silent, which
+/// then need no read of their own for a while.
+void note_store_reads(pass_balancer_state& state, const store_reads& reads,
+                      instant now, pass_actions& out);
 
 /// Chooses the agents to subscribe to, and sends the hellos that are due to
 /// agents and to some random peers. To be called every
--- a/src/include/galenafork/pass_messages.h
+++ b/src/include/galenafork/pass_messages.h
@@ -8,6 +8,7 @@
 #include <galenafork/error.h>
 #include <galenafork/pass_types.h>
 
+#include <optional>
 #include <tl/expected.hpp>
 #include <variant>
 
@@ -162,6 +163,13 @@
     /// The evacuations that the sender knows; `no_object_version` if it knows
     /// none.
     evacuation_state evacuations_ = {};
+    /// Time since the beginning of a read of the store that found no rules
+    /// newer than `version_`. The read may have been one of another balancer.
+    /// Unset if there was none, and in messages of earlier versions.
+    std::optional<duration> rules_read_age_ = {};
+    /// The same for a read of the evacuations that found none later than
+    /// `evacuations_`.
+    std::optional<duration> evacuations_read_age_ = {};
 };
 
 using pass_message =
--- a/src/libpass/balancer_evacuation.cpp
+++ b/src/libpass/balancer_evacuation.cpp
@@ -85,7 +85,7 @@
     {
         pvt::update_subscriptions(state, entry.second, now, out);
     }
-    announce_rules(state, out);
+    announce_rules(state, now, out);
     pvt::announce_to_agents(state, subscribed_before, now, out);
     pvt::place_pending(state, now, out);
     return update;
--- a/src/libpass/balancer_members.cpp
+++ b/src/libpass/balancer_members.cpp
@@ -5,6 +5,7 @@
 #include <libpass/balancer_pvt.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace galenafork
 {
@@ -14,6 +15,24 @@
 
 using pvt::remove_from;
 
+pass_rules_version active_version(const pass_balancer_state& state)
+{
+    return state.rules_ ? state.rules_->version_ : pass_rules_version();
+}
+
+std::optional<duration> age_of(const std::optional<instant>& time, instant now)
+{
+    return time ? std::optional<duration>(
+                      std::chrono::duration_cast<duration>(now - *time))
+                : std::nullopt;
+}
+
+// Sets `time` to `candidate` unless it is later already.
+void set_later(std::optional<instant>& time, instant candidate)
+{
+    time = time ? std::max(*time, candidate) : candidate;
+}
+
 // Number of probe intervals without a response after which an agent counts as
 // gone.
 constexpr int missed_probes = 5;
@@ -53,24 +72,41 @@
     }
 }
 
-std::vector<host_address> peers_of(const pass_balancer_state& state)
+struct peer_hosts
+{
+    std::vector<host_address> heard_;
+    std::vector<host_address> silent_;
+};
+
+peer_hosts peers_of(const pass_balancer_state& state, instant now)
 {
-    std::vector<host_address> peers;
-    peers.reserve(state.peers_.size());
-    for (const auto& entry : state.peers_)
+    peer_hosts peers;
+    peers.heard_.reserve(state.peers_.size());
+    for (const auto& [host, peer] : state.peers_)
     {
-        peers.push_back(entry.first);
+        const bool silent =
+            now - peer.last_heard_at_ >
+            state.settings_.subscriptions_.peer_silence_timeout_;
+        (silent ? peers.silent_ : peers.heard_).push_back(host);
     }
     return peers;
 }
 
-void send_peer_hellos(pass_balancer_state& state, pass_actions& out)
+// Silent peers have a share of their own, so that entries of instances that are
+// gone do not keep hellos from running ones.
+void send_peer_hellos(pass_balancer_state& state, instant now,
+                      pass_actions& out)
 {
-    const std::vector<host_address> peers = peers_of(state);
+    const subscription_settings& settings = state.settings_.subscriptions_;
+    const peer_hosts peers = peers_of(state, now);
     std::vector<host_address> receivers;
-    std::sample(peers.begin(), peers.end(), std::back_inserter(receivers),
-                state.settings_.subscriptions_.peers_per_round_, state.random_);
-    out.send_to_peers(receivers, pvt::make_hello(state));
+    std::sample(peers.heard_.begin(), peers.heard_.end(),
+                std::back_inserter(receivers), settings.peers_per_round_,
+                state.random_);
+    std::sample(peers.silent_.begin(), peers.silent_.end(),
+                std::back_inserter(receivers), settings.silent_peers_per_round_,
+                state.random_);
+    out.send_to_peers(receivers, pvt::make_hello(state, now));
 }
 
 void forget_members(pass_balancer_state& state, instant now)
@@ -78,7 +114,9 @@
     const duration limit = state.settings_.subscriptions_.forget_after_;
     for (auto it = state.peers_.begin(); it != state.peers_.end();)
     {
-        it = now - it->second > limit ? state.peers_.erase(it) : std::next(it);
+        const instant last_seen =
+            std::max(it->second.last_listed_at_, it->second.last_heard_at_);
+        it = now - last_seen > limit ? state.peers_.erase(it) : std::next(it);
     }
     for (auto it = state.agents_.begin(); it != state.agents_.end();)
     {
@@ -132,22 +170,23 @@
 namespace pvt
 {
 
-hello_message make_hello(const pass_balancer_state& state)
+hello_message make_hello(const pass_balancer_state& state, instant now)
 {
     hello_message hello;
     hello.host_ = state.settings_.host_;
-    hello.version_ =
-        state.rules_ ? state.rules_->version_ : pass_rules_version();
+    hello.version_ = active_version(state);
     hello.agents_ = static_cast<std::uint32_t>(state.agents_.size());
     hello.leaving_ = state.leaving_;
     hello.evacuations_ = state.evacuations_;
+    hello.rules_read_age_ = age_of(state.rules_read_at_, now);
+    hello.evacuations_read_age_ = age_of(state.evacuations_read_at_, now);
     return hello;
 }
 
 void send_probe(const pass_balancer_state& state, host_address host,
                 agent_record& agent, instant now, pass_actions& out)
 {
-    hello_message hello = make_hello(state);
+    hello_message hello = make_hello(state, now);
     hello.probe_ = true;
     agent.hello_sent_at_ = now;
     out.send_to_peer(host, hello);
@@ -244,11 +283,12 @@
     {
         return;
     }
-    const bool is_new = state.peers_.count(peer) == 0;
-    state.peers_[peer] = now;
+    const auto [entry, is_new] = state.peers_.try_emplace(peer);
+    entry->second.last_listed_at_ = now;
     if (is_new)
     {
-        out.send_to_peer(peer, pvt::make_hello(state));
+        entry->second.last_heard_at_ = now;
+        out.send_to_peer(peer, pvt::make_hello(state, now));
     }
 }
 
@@ -259,14 +299,45 @@
     {
         return false;
     }
-    state.peers_[hello.host_] = now;
-    return hello.version_ != pass_rules_version() &&
-           (!state.rules_ || hello.version_ > state.rules_->version_);
+    state.peers_[hello.host_].last_heard_at_ = now;
+    const bool has_newer_rules = hello.version_ > active_version(state);
+    if (hello.rules_read_age_ && !has_newer_rules)
+    {
+        set_later(state.rules_read_at_, now - *hello.rules_read_age_);
+    }
+    // A state that is later than the one of the read has been read after it.
+    const auto order = [](const evacuation_state& s)
+    { return std::tie(s.era_, s.revision_); };
+    if (hello.evacuations_read_age_ &&
+        order(hello.evacuations_) <= order(state.evacuations_))
+    {
+        set_later(state.evacuations_read_at_,
+                  now - *hello.evacuations_read_age_);
+    }
+    return has_newer_rules;
 }
 
-void announce_rules(const pass_balancer_state& state, pass_actions& out)
+void announce_rules(const pass_balancer_state& state, instant now,
+                    pass_actions& out)
+{
+    out.send_to_peers(peers_of(state, now).heard_, pvt::make_hello(state, now));
+}
+
+void note_store_reads(pass_balancer_state& state, const store_reads& reads,
+                      instant now, pass_actions& out)
 {
-    out.send_to_peers(peers_of(state), pvt::make_hello(state));
+    if (reads.rules_at_)
+    {
+        set_later(state.rules_read_at_, *reads.rules_at_);
+    }
+    if (reads.evacuations_at_)
+    {
+        set_later(state.evacuations_read_at_, *reads.evacuations_at_);
+    }
+    if (reads.rules_at_ || reads.evacuations_at_)
+    {
+        announce_rules(state, now, out);
+    }
 }
 
 void send_hellos(pass_balancer_state& state, instant now, pass_actions& out)
@@ -277,7 +348,7 @@
         pvt::update_subscriptions(state, entry.second, now, out);
     }
     send_agent_hellos(state, now, out);
-    send_peer_hellos(state, out);
+    send_peer_hellos(state, now, out);
 }
 
 std::size_t count_live_agents(const pass_balancer_state& state, instant now)
--- a/src/libpass/balancer_pvt.h
+++ b/src/libpass/balancer_pvt.h
@@ -71,7 +71,7 @@
                   instant now);
 
 /// Returns the hello for peers, without a request for statuses.
-hello_message make_hello(const pass_balancer_state& state);
+hello_message make_hello(const pass_balancer_state& state, instant now);
 
 /// Returns the mean time between two probes of an agent without a subscription.
 duration probe_interval(const pass_balancer_state& state);
--- a/src/libpass/balancer_subscriptions.cpp
+++ b/src/libpass/balancer_subscriptions.cpp
@@ -183,7 +183,7 @@
                        const service_agents& agents, agent_record& agent,
                        instant now, pass_actions& out)
 {
-    hello_message hello = make_hello(state);
+    hello_message hello = make_hello(state, now);
     hello.status_interval_ = status_interval(state, agents, agent, now);
     agent.hello_sent_at_ = now;
     out.send_to_peer(host, hello);
--- a/src/libpass/pass.capnp
+++ b/src/libpass/pass.capnp
@@ -95,6 +95,9 @@
   evacuationEra @6 :UInt64;
   evacuationRevision @7 :UInt64;  # Zero if the sender has no list.
   evacuated @8 :List(Text);
+  # Milliseconds, rounded up; zero for none and in messages of earlier versions.
+  rulesReadAgeMillis @9 :UInt32;
+  evacuationsReadAgeMillis @10 :UInt32;
 }
 
 struct Message {
--- a/src/libpass/pass.capnp.h
+++ b/src/libpass/pass.capnp.h
@@ -154,7 +154,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b230522b5c380c18, 5, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b230522b5c380c18, 6, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1126,6 +1126,10 @@
   inline bool hasEvacuated() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEvacuated() const;
 
+  inline  ::uint32_t getRulesReadAgeMillis() const;
+
+  inline  ::uint32_t getEvacuationsReadAgeMillis() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1186,6 +1190,12 @@
   inline void adoptEvacuated(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEvacuated();
 
+  inline  ::uint32_t getRulesReadAgeMillis();
+  inline void setRulesReadAgeMillis( ::uint32_t value);
+
+  inline  ::uint32_t getEvacuationsReadAgeMillis();
+  inline void setEvacuationsReadAgeMillis( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2889,6 +2899,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Hello::Reader::getRulesReadAgeMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Hello::Builder::getRulesReadAgeMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setRulesReadAgeMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Hello::Reader::getEvacuationsReadAgeMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Hello::Builder::getEvacuationsReadAgeMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setEvacuationsReadAgeMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::galenafork::pvt::pass_schema::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libpass/pass_messages.cpp
+++ b/src/libpass/pass_messages.cpp
@@ -234,6 +234,28 @@
     return m;
 }
 
+// Returns the age in milliseconds, rounded up so that the receiver takes
+// nothing for more recent than it is. Ages beyond the range are of no use to
+// peers.
+std::uint32_t to_age_millis(const std::optional<duration>& age)
+{
+    constexpr duration limit = std::chrono::hours(1);
+    if (!age || *age < duration(0) || *age > limit)
+    {
+        return 0;
+    }
+    return static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(*age).count() +
+        1);
+}
+
+std::optional<duration> age_from(std::uint32_t millis)
+{
+    return millis == 0
+               ? std::nullopt
+               : std::optional<duration>(std::chrono::milliseconds(millis));
+}
+
 void write(schema::Hello::Builder out, const hello_message& m)
 {
     out.setHost(m.host_.value());
@@ -246,6 +268,8 @@
     const evacuation_state& evacuations = m.evacuations_;
     out.setEvacuationEra(evacuations.era_.value());
     out.setEvacuationRevision(evacuations.revision_.value());
+    out.setRulesReadAgeMillis(to_age_millis(m.rules_read_age_));
+    out.setEvacuationsReadAgeMillis(to_age_millis(m.evacuations_read_age_));
     auto names = out.initEvacuated(
         static_cast<unsigned>(evacuations.data_centres_.size()));
     for (unsigned i = 0; i < names.size(); ++i)
@@ -265,6 +289,8 @@
     m.probe_ = in.getProbe();
     m.evacuations_.era_ = store_era(in.getEvacuationEra());
     m.evacuations_.revision_ = object_version(in.getEvacuationRevision());
+    m.rules_read_age_ = age_from(in.getRulesReadAgeMillis());
+    m.evacuations_read_age_ = age_from(in.getEvacuationsReadAgeMillis());
     for (const auto name : in.getEvacuated())
     {
         m.evacuations_.data_centres_.emplace_back(name.cStr());
--- a/src/libpass/pass_messages_test.cpp
+++ b/src/libpass/pass_messages_test.cpp
@@ -107,7 +107,11 @@
     hello_message sent{balancer_x, pass_rules_version(8), 40, true};
     sent.evacuations_ = {
         store_era(2), object_version(77), {data_centre("a"), data_centre("b")}};
+    sent.rules_read_age_ = std::chrono::microseconds(1500);
     const auto hello = std::get<hello_message>(round_trip(sent));
+    // Rounded up: the receiver must not take the read for more recent.
+    CHECK(hello.rules_read_age_ == std::chrono::milliseconds(2));
+    CHECK_FALSE(hello.evacuations_read_age_);
     CHECK(hello.version_ == pass_rules_version(8));
     CHECK(hello.agents_ == 40);
     CHECK(hello.leaving_);
--- a/src/libpassd/rules_follower.cpp
+++ b/src/libpassd/rules_follower.cpp
@@ -5,6 +5,7 @@
 #include <platform/store_dialect.h>
 
 #include <algorithm>
+#include <kj/debug.h>
 
 namespace galenafork
 {
@@ -29,22 +30,21 @@
 } // namespace
 
 rules_follower::rules_follower(collection_store& store, kj::Timer& timer,
-                               std::function<double()> random,
-                               follower_settings settings,
-                               rules_callback on_rules,
+                               read_pacer pacer, follower_settings settings,
+                               rules_callback on_rules, read_callback on_read,
                                fetch_rules_function fetch)
-    : store_(store), timer_(timer), settings_(settings),
-      on_rules_(std::move(on_rules)), fetch_(std::move(fetch)),
-      random_(std::move(random))
+    : store_(store), timer_(timer), pacer_(std::move(pacer)),
+      settings_(settings), on_rules_(std::move(on_rules)),
+      on_read_(std::move(on_read)), fetch_(std::move(fetch))
 {
 }
 
 kj::Promise<void> rules_follower::follow()
 {
-    return read(read_trigger::shared_event);
+    return read().then([this] { return watch_and_read(); });
 }
 
-void rules_follower::apply_text(const std::string& text, rules_source source)
+bool rules_follower::apply_text(const std::string& text, rules_source source)
 {
     auto rules = platform_adapter::parse_pass_rules(text);
     if (!rules)
@@ -52,11 +52,11 @@
         log_event(log_level::error, "rules_unreadable",
                   {{"source", to_string(source)},
                    {"reason", rules.error().message_}});
-        return;
+        return false;
     }
     if (rules->version_ <= current_.version_)
     {
-        return;
+        return true;
     }
     log_event(log_level::info, "rules_taken",
               {{"source", to_string(source)},
@@ -68,6 +68,7 @@
     current_ = {rules->version_, text};
     on_rules_(std::make_shared<const pass_rules>(std::move(*rules)),
               source != rules_source::watch);
+    return true;
 }
 
 void rules_follower::apply_newest(const std::vector<rules_text>& responses)
@@ -93,62 +94,115 @@
     }
 }
 
-kj::Promise<void> rules_follower::retry()
+kj::Promise<void> rules_follower::wait_for_retry()
 {
-    return timer_.afterDelay(to_kj(settings_.retry_interval_))
-        .then([this] { return read(read_trigger::shared_event); });
+    return timer_.afterDelay(to_kj(settings_.retry_interval_));
 }
 
-kj::Promise<void> rules_follower::read(read_trigger trigger)
+// Begins a new watch each time that a read has shown that the current one
+// reports nothing.
+kj::Promise<void> rules_follower::watch_and_read()
 {
+    return watch()
+        .exclusiveJoin(read_until_watch_fails())
+        .then([this] { return watch_and_read(); });
+}
+
+// Reads the rules, again after each failure. Joins a read that is under way:
+// while the store is away, the watch and the timer need the same one.
+kj::Promise<void> rules_follower::read()
+{
+    if (!read_active_)
+    {
+        read_active_ = true;
+        shared_read_ =
+            read_until_response().then([this] { read_active_ = false; }).fork();
+    }
+    return KJ_ASSERT_NONNULL(shared_read_).addBranch();
+}
+
+kj::Promise<void> rules_follower::read_until_response()
+{
+    const instant began_at = pacer_.now();
     return store_
         .read_collection(platform_adapter::rules_collection, freshness::current)
         .then(
-            [this, trigger](tl::expected<object_page, error>&& page)
+            [this, began_at](
+                tl::expected<object_page, error>&& page) -> kj::Promise<void>
             {
                 if (!page)
                 {
                     handle_store_failure(page.error());
-                    return retry();
+                    return wait_for_retry().then(
+                        [this] { return read_until_response(); });
                 }
-                if (!store_reachable_)
-                {
-                    store_reachable_ = true;
-                    log_event(log_level::info, "store_back", {});
-                }
-                schedule_read(trigger);
-                store_version_ = page->version_;
-                for (const platform_object& object : page->objects_)
+                handle_page(*page, began_at);
+                return kj::READY_NOW;
+            });
+}
+
+void rules_follower::handle_page(const object_page& page, instant began_at)
+{
+    if (!store_reachable_)
+    {
+        store_reachable_ = true;
+        log_event(log_level::info, "store_back", {});
+    }
+    store_version_ = page.version_;
+    bool readable = true;
+    for (const platform_object& object : page.objects_)
+    {
+        if (object.name_ == platform_adapter::rules_object)
+        {
+            readable = apply_text(object.value_, rules_source::store);
+        }
+    }
+    pacer_.note_read(began_at);
+    if (readable)
+    {
+        on_read_(began_at);
+    }
+}
+
+// Reads the rules whenever a read is due. Completes after a read that shows
+// that the watch reports nothing: it found newer rules, or its connection was
+// silent.
+kj::Promise<void> rules_follower::read_until_watch_fails()
+{
+    return pacer_.wait_until_due().then(
+        [this]() -> kj::Promise<void>
+        {
+            const pass_rules_version before = current_.version_;
+            const instant began_at = pacer_.now();
+            return read().then(
+                [this, before, began_at]() -> kj::Promise<void>
                 {
-                    if (object.name_ == platform_adapter::rules_object)
+                    const bool is_silent =
+                        pacer_.now() - began_at > settings_.silent_read_time_;
+                    if (is_silent || current_.version_ != before)
                     {
-                        apply_text(object.value_, rules_source::store);
+                        log_event(log_level::info, "watch_renewed",
+                                  {{"reason",
+                                    is_silent ? "slow_read" : "missed_change"},
+                                   {"rules", current_.version_.value()},
+                                   {"before", before.value()}});
+                        return kj::READY_NOW;
                     }
-                }
-                return watch();
-            });
+                    return read_until_watch_fails();
+                });
+        });
 }
 
-void rules_follower::schedule_read(read_trigger trigger)
+kj::Promise<void> rules_follower::read_and_watch()
 {
-    next_read_at_ = timer_.now() +
-                    to_kj(rules_watch_length(balancers_, random_(), trigger));
+    return read().then([this] { return watch(); });
 }
 
-// A change does not postpone the next scheduled read. All balancers receive the
-// change at the same moment; if they all postponed their reads, none of them
-// would soon find a later change that the watches miss.
 kj::Promise<void> rules_follower::watch()
 {
-    const kj::TimePoint now = timer_.now();
-    if (now >= next_read_at_)
-    {
-        return read(read_trigger::scheduled);
-    }
-    const duration wait((next_read_at_ - now) / kj::MICROSECONDS);
     return store_
         .watch_collection(platform_adapter::rules_collection, store_version_,
-                          wait)
+                          settings_.watch_time_)
         .then([this](tl::expected<object_changes, error>&& changes)
               { return handle_changes(std::move(changes)); });
 }
@@ -160,19 +214,17 @@
     {
         log_event(log_level::info, "history_gone",
                   {{"after", store_version_.value()}});
-        return read(read_trigger::shared_event);
+        return read_and_watch();
     }
-    const bool watch_timed_out =
-        !changes && changes.error().code_ == error_code::timed_out;
-    if (watch_timed_out || (changes && changes->changes_.empty()))
+    if (!changes && changes.error().code_ == error_code::timed_out)
     {
-        // A watch may miss a change without an error; only a read shows it.
-        return read(read_trigger::scheduled);
+        // The store did not end the watch in time, so changes may be missing.
+        return read_and_watch();
     }
     if (!changes)
     {
         handle_store_failure(changes.error());
-        return retry();
+        return wait_for_retry().then([this] { return read_and_watch(); });
     }
     store_version_ = std::max(store_version_, changes->version_);
     const platform_object* newest = nullptr;
--- a/src/libpassd/rules_follower.h
+++ b/src/libpassd/rules_follower.h
@@ -1,13 +1,15 @@
 /// \file
 /// Keeps a balancer's rules up to date from the store, or from peers while the
-/// store can't be reached.
+/// store can't be reached. A watch reports most changes at once. It can miss
+/// one without an error, for example if its connection is silent, so the rules
+/// are also read at intervals that the process's own clock bounds.
 
 #ifndef LIBPASSD_RULES_FOLLOWER_H
 #define LIBPASSD_RULES_FOLLOWER_H
 
 #include <galenafork/pass_types.h>
 #include <galenafork/platform.h>
-#include <galenafork/rules_watch.h>
+#include <libpassd/read_pacer.h>
 
 #include <functional>
 #include <kj/timer.h>
@@ -46,6 +48,11 @@
 {
     /// Time from a failed call to the store until the rules are read again.
     duration retry_interval_ = std::chrono::milliseconds(400);
+    /// Length of a watch.
+    duration watch_time_ = std::chrono::seconds(25);
+    /// A read that takes longer had an attempt without a response. Its
+    /// connection was silent, and the watch's may be as well.
+    duration silent_read_time_ = std::chrono::milliseconds(900);
     /// Minimum time between two fetches from peers.
     duration peer_fetch_interval_ = std::chrono::milliseconds(250);
 };
@@ -64,21 +71,17 @@
         std::function<kj::Promise<tl::expected<rules_text, error>>(
             host_address)>;
 
-    rules_follower(collection_store& store, kj::Timer& timer,
-                   std::function<double()> random, follower_settings settings,
-                   rules_callback on_rules, fetch_rules_function fetch);
+    /// Called after a read that found no rules newer than the current ones,
+    /// which may be rules that this read found; gets when the read began.
+    using read_callback = std::function<void(instant began_at)>;
+
+    rules_follower(collection_store& store, kj::Timer& timer, read_pacer pacer,
+                   follower_settings settings, rules_callback on_rules,
+                   read_callback on_read, fetch_rules_function fetch);
 
     /// Reads the rules and their changes until the promise is dropped.
     kj::Promise<void> follow();
 
-    /// Sets how many balancers follow the rules, this one included. They share
-    /// the reads: the more balancers, the longer the time between two reads of
-    /// each.
-    void set_balancers(std::size_t count)
-    {
-        balancers_ = count;
-    }
-
     /// Fetches and applies the rules of a peer if they are newer than the
     /// current ones. A call during a fetch or within `peer_fetch_interval_`
     /// after it is ignored.
@@ -92,8 +95,9 @@
     }
 
     /// Applies the rules in `text` if they are newer than the current ones.
-    /// Rules that can't be parsed are logged and ignored.
-    void apply_text(const std::string& text, rules_source source);
+    /// Rules that can't be parsed are logged and ignored; the function then
+    /// returns false.
+    bool apply_text(const std::string& text, rules_source source);
 
     /// Applies the newest of the rules that several peers gave, if they are
     /// newer than the current ones. A peer that was paused or cut off may have
@@ -102,27 +106,32 @@
     void apply_newest(const std::vector<rules_text>& responses);
 
 private:
-    kj::Promise<void> read(read_trigger trigger);
+    kj::Promise<void> watch_and_read();
+    kj::Promise<void> read();
+    kj::Promise<void> read_until_response();
+    void handle_page(const object_page& page, instant began_at);
+    kj::Promise<void> read_until_watch_fails();
     kj::Promise<void> watch();
+    kj::Promise<void> read_and_watch();
     kj::Promise<void>
     handle_changes(tl::expected<object_changes, error> changes);
-    void schedule_read(read_trigger trigger);
-    kj::Promise<void> retry();
+    kj::Promise<void> wait_for_retry();
     void handle_store_failure(const error& cause);
 
     collection_store& store_;
     kj::Timer& timer_;
+    read_pacer pacer_;
     follower_settings settings_;
     rules_callback on_rules_;
+    read_callback on_read_;
     fetch_rules_function fetch_;
     rules_text current_;
     /// The store's version at the last read or change; watches continue there.
     object_version store_version_ = no_object_version;
-    std::function<double()> random_;
-    std::size_t balancers_ = 1;
-    /// When the next scheduled read is due, on the timer's clock.
-    kj::TimePoint next_read_at_ = kj::origin<kj::TimePoint>();
     bool store_reachable_ = true;
+    /// The read that `shared_read_` stands for has not ended.
+    bool read_active_ = false;
+    kj::Maybe<kj::ForkedPromise<void>> shared_read_;
     /// A fetch from a peer runs, or ended less than `peer_fetch_interval_` ago.
     bool peer_fetch_active_ = false;
 };
