Balancers read evacuations by their own clock, whatever the store lists

Cause: the time between two reads was 0.7 s times the listed balancers, at most 20 s, and nobody removes the entries of instances that are gone. Tests: testsuite/gone_members failed before (not applied within 5.3 s beside 60 entries).

--- a/src/galena_pass_balancer/balancer_daemon.cpp
+++ b/src/galena_pass_balancer/balancer_daemon.cpp
@@ -114,16 +114,17 @@
           },
           [this](host_address host)
           { return fetch_rules(*loop_, rpc_address(host)); }),
-      evacuations_(
-          store_, loop_->timer(),
-          [this] { return std::uniform_real_distribution<double>()(random_); },
-          {},
-          [this](const evacuation_state& state)
-          {
-              balancer_commands commands;
-              commands.evacuations_ = state;
-              traffic_.commands().post(std::move(commands));
-          }),
+      evacuations_(store_, loop_->timer(),
+                   make_pacer(settings.evacuate_within_.value_or(duration(0)),
+                              traffic_.status().evacuations_read_at_),
+                   {},
+                   [this](const evacuation_state& state, instant began_at)
+                   {
+                       balancer_commands commands;
+                       commands.evacuations_ = state;
+                       commands.reads_.evacuations_at_ = began_at;
+                       traffic_.commands().post(std::move(commands));
+                   }),
       registration_(store_, loop_->timer(), [this] { return random_bits(); },
                     {})
 {
@@ -308,7 +309,6 @@
                             {
                                 commands.balancers_ = hosts_of(peers->objects_);
                                 balancers_ = commands.balancers_;
-                                evacuations_.set_balancers(balancers_.size());
                             }
                             commands.complete_ =
                                 registered && agents_read && peers.has_value();
--- a/src/include/galenafork/evacuation.h
+++ b/src/include/galenafork/evacuation.h
@@ -1,12 +1,10 @@
 /// \file
-/// Evacuations of data centres: how their states are ordered and compared, and
-/// how often balancers read them from the store.
+/// Evacuations of data centres: how their states are ordered and compared.
 
 #ifndef GALENAFORK_EVACUATION_H
 #define GALENAFORK_EVACUATION_H
 
 #include <galenafork/pass_types.h>
-#include <galenafork/rules_watch.h>
 
 #include <cstddef>
 #include <set>
@@ -56,14 +54,9 @@
 evacuation_names select_evacuations(const std::vector<std::string>& names,
                                     const std::set<data_centre>& known);
 
-/// Intervals of the balancers' reads of the evacuations.
+/// Intervals of a balancer's reads of the evacuations.
 struct evacuation_read_settings
 {
-    /// Mean time between two reads by any balancer of the fleet. Each read is
-    /// charged for; the balancer that finds a change notifies the others.
-    duration fleet_interval_ = std::chrono::milliseconds(700);
-    /// Maximum of the mean time between two reads by one balancer.
-    duration max_interval_ = std::chrono::seconds(20);
     /// Time from a failed read to the next one.
     duration retry_interval_ = std::chrono::milliseconds(500);
     /// The store counts as failing if it has given no response for this time. A
@@ -71,15 +64,6 @@
     duration failing_after_ = std::chrono::seconds(2);
 };
 
-/// Returns the time from a successful read to the next one. `random` in [0, 1)
-/// keeps the reads of `balancers` balancers from coinciding. After a shared
-/// event, at which all balancers read at the same time, it distributes the next
-/// reads over the whole interval; otherwise there would be no read by any
-/// balancer for most of the first interval.
-duration evacuation_read_delay(const evacuation_read_settings& settings,
-                               std::size_t balancers, double random,
-                               read_trigger last);
-
 } // namespace galenafork
 
 #endif
--- a/src/libpass/evacuation.cpp
+++ b/src/libpass/evacuation.cpp
@@ -79,21 +79,4 @@
     return result;
 }
 
-duration evacuation_read_delay(const evacuation_read_settings& settings,
-                               std::size_t balancers, double random,
-                               read_trigger last)
-{
-    // Smallest and largest factor of a scheduled read's delay.
-    constexpr double min_factor = 0.75;
-    constexpr double max_factor = 1.25;
-    const double mean =
-        std::min(static_cast<double>(settings.fleet_interval_.count()) *
-                     static_cast<double>(std::max<std::size_t>(balancers, 1)),
-                 static_cast<double>(settings.max_interval_.count()));
-    const double factor = last == read_trigger::shared_event
-                              ? random
-                              : min_factor + (max_factor - min_factor) * random;
-    return duration(static_cast<duration::rep>(mean * factor));
-}
-
 } // namespace galenafork
--- a/src/libpassd/evacuation_follower.cpp
+++ b/src/libpassd/evacuation_follower.cpp
@@ -15,11 +15,11 @@
 
 } // namespace
 
-evacuation_follower::evacuation_follower(
-    collection_store& store, kj::Timer& timer, std::function<double()> random,
-    evacuation_read_settings settings,
-    std::function<void(const evacuation_state&)> on_state)
-    : store_(store), timer_(timer), random_(std::move(random)),
+evacuation_follower::evacuation_follower(collection_store& store,
+                                         kj::Timer& timer, read_pacer pacer,
+                                         evacuation_read_settings settings,
+                                         state_callback on_state)
+    : store_(store), timer_(timer), pacer_(std::move(pacer)),
       settings_(settings), on_state_(std::move(on_state))
 {
 }
@@ -54,36 +54,44 @@
     {
         unanswered_since_ = timer_.now();
     }
+    const instant began_at = pacer_.now();
     return store_
         .read_collection(platform_adapter::evacuations_collection,
                          freshness::current)
         .then(
-            [this](tl::expected<object_page, error>&& page)
-            { return timer_.afterDelay(to_kj(handle_page(std::move(page)))); })
+            [this, began_at](
+                tl::expected<object_page, error>&& page) -> kj::Promise<void>
+            {
+                if (!page)
+                {
+                    return handle_failure(page.error());
+                }
+                handle_page(*page, began_at);
+                return pacer_.wait_until_due();
+            })
         .then([this] { return read(); });
 }
 
-// Returns the time until the next read.
-duration evacuation_follower::handle_page(tl::expected<object_page, error> page)
+kj::Promise<void> evacuation_follower::handle_failure(const error& cause)
 {
-    if (!page)
+    if (!failure_logged_)
     {
-        last_failed_ = true;
-        if (!failure_logged_)
-        {
-            failure_logged_ = true;
-            log_event(log_level::warning, "evacuations_unreadable",
-                      {{"reason", page.error().message_},
-                       {"data_centres", evacuated_.size()}});
-        }
-        return settings_.retry_interval_;
+        failure_logged_ = true;
+        log_event(
+            log_level::warning, "evacuations_unreadable",
+            {{"reason", cause.message_}, {"data_centres", evacuated_.size()}});
     }
+    return timer_.afterDelay(to_kj(settings_.retry_interval_));
+}
+
+void evacuation_follower::handle_page(const object_page& page, instant began_at)
+{
     unanswered_since_.reset();
     failure_logged_ = false;
     const std::size_t prefix_size =
         std::string(platform_adapter::evacuations_collection).size() + 1;
     std::vector<std::string> names;
-    for (const platform_object& object : page->objects_)
+    for (const platform_object& object : page.objects_)
     {
         names.push_back(
             object.name_.substr(std::min(prefix_size, object.name_.size())));
@@ -91,15 +99,8 @@
     evacuation_names selected = select_evacuations(names, known_);
     log_ignored(selected.ignored_);
     evacuated_ = std::move(selected.data_centres_);
-    on_state_({page->era_, page->version_, evacuated_});
-    // When the fleet starts, each balancer knows only itself at first and reads
-    // again as soon as it knows the others.
-    const bool shared = last_failed_ || balancers_ > 2 * balancers_at_read_;
-    last_failed_ = false;
-    balancers_at_read_ = balancers_;
-    return evacuation_read_delay(settings_, balancers_, random_(),
-                                 shared ? read_trigger::shared_event
-                                        : read_trigger::scheduled);
+    pacer_.note_read(began_at);
+    on_state_({page.era_, page.version_, evacuated_}, began_at);
 }
 
 void evacuation_follower::log_ignored(std::size_t ignored)
--- a/src/libpassd/evacuation_follower.h
+++ b/src/libpassd/evacuation_follower.h
@@ -6,6 +6,7 @@
 
 #include <galenafork/evacuation.h>
 #include <galenafork/platform.h>
+#include <libpassd/read_pacer.h>
 
 #include <functional>
 #include <kj/timer.h>
@@ -16,26 +17,22 @@
 {
 
 /// Reads the collection of evacuations at intervals. It is not watched: a watch
-/// by each balancer would cost more than the reads that all of them share.
+/// by each balancer would cost more than the reads, which all of them share.
 class evacuation_follower
 {
 public:
-    /// `random` returns numbers in [0, 1). `on_state` is called with the state
-    /// of each successful read, changed or not.
+    /// Called with the state of each successful read, changed or not, and when
+    /// the read began.
+    using state_callback =
+        std::function<void(const evacuation_state&, instant began_at)>;
+
     evacuation_follower(collection_store& store, kj::Timer& timer,
-                        std::function<double()> random,
-                        evacuation_read_settings settings,
-                        std::function<void(const evacuation_state&)> on_state);
+                        read_pacer pacer, evacuation_read_settings settings,
+                        state_callback on_state);
 
     /// Reads the collection until the promise is dropped.
     kj::Promise<void> follow();
 
-    /// Sets how many balancers share the reads, this one included.
-    void set_balancers(std::size_t count)
-    {
-        balancers_ = count;
-    }
-
     /// Adds data centres that have members. Evacuations of any other have no
     /// effect; each is logged once, after the next call.
     void add_known_data_centres(const std::vector<data_centre>& known);
@@ -46,24 +43,20 @@
 
 private:
     kj::Promise<void> read();
-    duration handle_page(tl::expected<object_page, error> page);
+    kj::Promise<void> handle_failure(const error& cause);
+    void handle_page(const object_page& page, instant began_at);
     void log_ignored(std::size_t ignored);
     void log_unknown(const std::vector<data_centre>& evacuated);
 
     collection_store& store_;
     kj::Timer& timer_;
-    std::function<double()> random_;
+    read_pacer pacer_;
     evacuation_read_settings settings_;
-    std::function<void(const evacuation_state&)> on_state_;
-    std::size_t balancers_ = 1;
-    /// The number of balancers at the last successful read.
-    std::size_t balancers_at_read_ = 0;
+    state_callback on_state_;
     /// When the first read without a response since the last successful one
     /// began, on the timer's clock.
     std::optional<kj::TimePoint> unanswered_since_;
     bool failure_logged_ = false;
-    /// The last read failed, or there was none.
-    bool last_failed_ = true;
     std::vector<data_centre> evacuated_;
     std::set<data_centre> known_;
     /// Evacuated data centres without members that have been logged.
--- a/testsuite/gone_members/gone_members.py
+++ b/testsuite/gone_members/gone_members.py
@@ -1,7 +1,7 @@
-"""Checks that balancers apply new rules in time while the store lists balancers
-whose instances are gone. Guards against review/9: balancers waited longer
-between two reads the more entries the store held, so that a change which a
-silent watch missed was applied up to 25 s late."""
+"""Checks that balancers apply new rules and evacuations in time while the store
+lists balancers whose instances are gone. Guards against review/9 and review/7:
+balancers waited longer between two reads the more entries the store held, so
+that a change which a silent watch missed was applied up to 25 s late."""
 
 import asyncio
 import os
@@ -21,9 +21,9 @@
 
 NET = "127.31"
 BALANCERS = "galenafork-balancers"
-# Time limit in the settings of the balancers, and the time for which all
-# processes and connections are undisturbed before the limit applies.
-RULES_SECONDS, STABLE_SECONDS = 3, 4
+# Time limits in the settings of the balancers, and the time for which all
+# processes and connections are undisturbed before a limit applies.
+RULES_SECONDS, EVACUATION_SECONDS, STABLE_SECONDS = 3, 5, 4
 # Time in which a log line reaches its file.
 LOG_SECONDS = 0.3
 START_SECONDS = 10
@@ -87,6 +87,7 @@
             f'  - {self.internal[0]}\n  - {self.internal[1]}\nseeds: []\n'
             'bootstrap: false\nheartbeat_ms: 500\nbounds:\n  grace_s: 6\n'
             f'  config_apply_ms: {1000 * RULES_SECONDS}\n'
+            f'  evacuate_ms: {1000 * EVACUATION_SECONDS}\n'
             f'platform:\n  address: "{NET}.0.1:{store}"\n')
         with open(self.folder / f"{host}.log", "ab") as log:
             self.processes[host] = subprocess.Popen(
@@ -114,6 +115,17 @@
                              RULES_SECONDS + LOG_SECONDS,
                              f"version {self.version} of the rules")
 
+    async def check_evacuation(self, name):
+        for entry in (name, "-"):
+            if entry == "-":
+                self.store.remove(("evacuations", name))
+            else:
+                self.store.write(("evacuations", name), {})
+            await self.await_log(
+                rf"event=evacuation_changed data_centres={entry} before="
+                rf"{name if entry == '-' else '-'} ",
+                EVACUATION_SECONDS + LOG_SECONDS, f"evacuation of {entry}")
+
     def close(self):
         for process in self.processes.values():
             process.kill()
@@ -133,7 +145,8 @@
     await bed.await_log("event=rules_taken ", START_SECONDS, "the first rules")
     # Time for several reads of the list of balancers.
     await asyncio.sleep(STABLE_SECONDS + 1)
-    for _ in range(2):
+    for name in ("b", "c"):
+        await bed.check_evacuation(name)
         await bed.check_rules()
 
 
