Balancers remove their entry from the store when they are stopped

Cause: only agents removed their entry at SIGTERM. Change: a balancer removes its entry during its drain, in the background and within the grace period. If the store is away or loses the answer, the entry stays; no interval depends on it. If the removal takes effect late, after the next process on the instance has started, that process writes its entry again at its next check. Test: testsuite/gone_members failed before (the entry outlived the process).

--- a/src/galena_pass_balancer/balancer_daemon.cpp
+++ b/src/galena_pass_balancer/balancer_daemon.cpp
@@ -207,14 +207,17 @@
     }
     loop_->add_task(
         "maintain_registration",
-        registration_.maintain(
-            entry_name(platform_adapter::balancers_collection, settings_.host_),
-            entry_value(settings_)));
+        registration_.maintain(own_entry(), entry_value(settings_)));
     loop_->add_task("follow_members", follow_members());
     loop_->add_task("query_seeds", query_seeds());
     return loop_->run();
 }
 
+std::string balancer_daemon::own_entry() const
+{
+    return entry_name(platform_adapter::balancers_collection, settings_.host_);
+}
+
 readiness balancer_daemon::check_readiness() const
 {
     if (leaving_)
@@ -402,7 +405,8 @@
                     traffic_.status().segments_received_;
                 const duration elapsed = std::chrono::duration_cast<duration>(
                     read_monotonic_clock() - leaving_since_);
-                const bool idle = segments == segments_before;
+                const bool idle =
+                    segments == segments_before && !removing_entry_;
                 if ((idle && elapsed >= min_drain_time) ||
                     elapsed >= settings_.stop_grace_ - grace_reserve)
                 {
@@ -420,6 +424,12 @@
     balancer_commands commands;
     commands.leaving_ = true;
     traffic_.commands().post(std::move(commands));
+    // The removal runs in the background, because the store may not respond
+    // and the drain ends before the grace period does.
+    removing_entry_ = true;
+    loop_->add_task("remove_entry",
+                    registration_.remove(own_entry())
+                        .then([this] { removing_entry_ = false; }));
     return wait_until_idle(traffic_.status().segments_received_);
 }
 
--- a/src/galena_pass_balancer/balancer_daemon.h
+++ b/src/galena_pass_balancer/balancer_daemon.h
@@ -48,6 +48,7 @@
     http_response handle_request(const http_request& request) const;
     readiness check_readiness() const;
     endpoint rpc_address(host_address host) const;
+    std::string own_entry() const;
     member_lists members() const;
     bool follows_evacuations() const;
     void note_members(const std::vector<platform_object>& entries);
@@ -79,6 +80,8 @@
     std::vector<host_address> balancers_;
     bool members_read_ = false;
     bool leaving_ = false;
+    /// The own entry is being removed from the store.
+    bool removing_entry_ = false;
     instant leaving_since_{};
     mutable bool was_ready_ = false;
 };
--- a/testsuite/gone_members/gone_members.py
+++ b/testsuite/gone_members/gone_members.py
@@ -27,6 +27,7 @@
 # Time in which a log line reaches its file.
 LOG_SECONDS = 0.3
 START_SECONDS = 10
+GRACE_SECONDS = 6
 
 
 class SilentStore(Store):
@@ -85,7 +86,8 @@
             f'  readiness: "{host}:{readiness}"\n'
             f'  control_plane: "{host}:{reports}"\ninternal_ports:\n'
             f'  - {self.internal[0]}\n  - {self.internal[1]}\nseeds: []\n'
-            'bootstrap: false\nheartbeat_ms: 500\nbounds:\n  grace_s: 6\n'
+            'bootstrap: false\nheartbeat_ms: 500\nbounds:\n'
+            f'  grace_s: {GRACE_SECONDS}\n'
             f'  config_apply_ms: {1000 * RULES_SECONDS}\n'
             f'  evacuate_ms: {1000 * EVACUATION_SECONDS}\n'
             f'platform:\n  address: "{NET}.0.1:{store}"\n')
@@ -132,6 +134,17 @@
             process.wait()
 
 
+async def check_removal(bed):
+    """A balancer that is stopped removes its entry before its process ends."""
+    host = next(iter(bed.processes))
+    process = bed.processes.pop(host)
+    process.send_signal(signal.SIGTERM)
+    await asyncio.get_running_loop().run_in_executor(
+        None, lambda: process.wait(GRACE_SECONDS))
+    if (BALANCERS, host) in bed.store.objects:
+        raise Failed(f"the entry of {host} outlives its process")
+
+
 async def play(bed, gone, running):
     """Checks `running` balancers beside entries of `gone` others."""
     await bed.store.listen(f"{NET}.0.1", bed.ports[3])
@@ -148,6 +161,7 @@
     for name in ("b", "c"):
         await bed.check_evacuation(name)
         await bed.check_rules()
+    await check_removal(bed)
 
 
 def main(binaries, gone, running):
