Agents send no change of status to balancers that have been silent for long

Each change of an agent's status went to all listed balancers, running or not. Cause: each read of the list renewed the time when a balancer was last seen. Change: a balancer that has sent no hello for five minutes gets one status a minute until it sends one. Test: 'balancers that are gone get no statuses at each change' failed before (30,000 statuses to 500 such balancers in a minute, now at most 500).

--- a/src/include/galenafork/pass_agent.h
+++ b/src/include/galenafork/pass_agent.h
@@ -115,6 +115,13 @@
     /// A balancer that is neither listed nor sends a hello for this time is
     /// forgotten.
     duration forget_balancer_after_ = std::chrono::seconds(60);
+    /// A listed balancer that has sent no hello for this time is silent: its
+    /// instance is probably gone. In the largest fleets a running balancer
+    /// probes each agent every two minutes.
+    duration balancer_silence_timeout_ = std::chrono::minutes(5);
+    /// Time between two statuses to a silent balancer, in case it is running
+    /// and could not be reached.
+    duration silent_balancer_interval_ = std::chrono::minutes(1);
     /// An agent that handled nothing for longer than this was paused or starved
     /// of processor time. The time is well below the silence after which
     /// balancers send retransmissions to another agent.
@@ -151,8 +158,10 @@
 /// A balancer that an agent knows.
 struct known_balancer
 {
-    /// When the balancer was last listed or sent a hello.
-    instant last_seen_{};
+    instant last_listed_at_{};
+    /// When the balancer last sent a hello; when it was first listed if it has
+    /// sent none.
+    instant last_heard_at_{};
     /// When the balancer last asked for periodic statuses; unset if it did not
     /// or has ended its subscription.
     std::optional<instant> subscribed_at_;
--- a/src/libpass/agent_status.cpp
+++ b/src/libpass/agent_status.cpp
@@ -18,14 +18,22 @@
                                           state.settings_.subscription_timeout_;
 }
 
+bool is_silent(const pass_agent_state& state, const known_balancer& balancer,
+               instant now)
+{
+    return now - balancer.last_heard_at_ >
+           state.settings_.balancer_silence_timeout_;
+}
+
 void forget_balancers(pass_agent_state& state, instant now)
 {
     for (auto it = state.balancers_.begin(); it != state.balancers_.end();)
     {
-        it =
-            now - it->second.last_seen_ > state.settings_.forget_balancer_after_
-                ? state.balancers_.erase(it)
-                : std::next(it);
+        const instant last_seen =
+            std::max(it->second.last_listed_at_, it->second.last_heard_at_);
+        it = now - last_seen > state.settings_.forget_balancer_after_
+                 ? state.balancers_.erase(it)
+                 : std::next(it);
     }
 }
 
@@ -59,7 +67,7 @@
 {
     known_balancer& balancer = state.balancers_[hello.host_];
     const bool was_subscribed = is_subscribed(state, balancer, now);
-    balancer.last_seen_ = now;
+    balancer.last_heard_at_ = now;
     balancer.subscribed_at_ =
         hello.probe_ ? std::nullopt : std::optional<instant>(now);
     balancer.status_interval_ = hello.status_interval_ > duration(0)
@@ -75,10 +83,18 @@
 void add_listed_balancer(pass_agent_state& state, host_address balancer,
                          instant now, pass_actions& out)
 {
-    const bool is_new = state.balancers_.count(balancer) == 0;
-    state.balancers_[balancer].last_seen_ = now;
+    const auto [entry, is_new] = state.balancers_.try_emplace(balancer);
+    known_balancer& known = entry->second;
+    known.last_listed_at_ = now;
     if (is_new)
     {
+        known.last_heard_at_ = now;
+    }
+    if (is_new || (is_silent(state, known, now) &&
+                   now - known.status_sent_at_ >=
+                       state.settings_.silent_balancer_interval_))
+    {
+        known.status_sent_at_ = now;
         out.send_to_peer(balancer, status_of(state, now));
     }
 }
@@ -92,7 +108,7 @@
         const bool due =
             is_subscribed(state, balancer, now) &&
             now - balancer.status_sent_at_ >= balancer.status_interval_;
-        if (state.status_changed_ || due)
+        if ((state.status_changed_ && !is_silent(state, balancer, now)) || due)
         {
             balancer.status_sent_at_ = now;
             receivers.push_back(host);
--- a/src/libpass/members_test.cpp
+++ b/src/libpass/members_test.cpp
@@ -465,3 +465,41 @@
     CHECK(probes_of_gone <= 60 * 40 / 0.75);
     CHECK(gone_timeout(state, state.agents_.at(agent_a)) <= seconds(13));
 }
+
+// Guards against statuses whose number grows with balancers that are gone.
+TEST_CASE("balancers that are gone get no statuses at each change")
+{
+    constexpr std::uint32_t gone = 500;
+    pass_agent_state state = make_agent();
+    std::size_t statuses = 0;
+    instant now = start;
+    const auto run = [&](duration length)
+    {
+        statuses = 0;
+        for (const instant end = now + length; now < end; now += seconds(1))
+        {
+            pass_actions out;
+            for (std::uint32_t i = 0; i < gone; ++i)
+            {
+                add_listed_balancer(state, host_address(first_balancer + i),
+                                    now, out);
+            }
+            state.status_changed_ = true;
+            send_statuses(state, now, out);
+            statuses += out.datagrams_.size();
+        }
+    };
+    run(seconds(310));
+    run(seconds(60));
+    // One a minute to each, in case it is running.
+    CHECK(statuses <= gone);
+    // A balancer that comes back gets them again.
+    pass_actions out;
+    hello_message hello;
+    hello.host_ = host_address(first_balancer);
+    handle_hello(state, hello, now, out);
+    state.status_changed_ = true;
+    pass_actions changed;
+    send_statuses(state, now, changed);
+    CHECK(changed.datagrams_.size() == 1);
+}
