Balancers remember the owner of a flow for its configured idle timeout

Cause: not known. Suspected: the search for the owner, which each second request depended on, as balancers forgot a flow after 20 s and the configured timeout was used nowhere.

--- a/src/include/galenafork/pass_balancer.h
+++ b/src/include/galenafork/pass_balancer.h
@@ -103,8 +103,12 @@
     /// slot), so that balancers with the same statuses do not all choose the
     /// same agent.
     double load_jitter_ = 0.7;
-    /// Flows that are idle for longer are removed.
+    /// Flows that are idle for longer are removed, unless the idle timeout of
+    /// the rules and `idle_margin_` are longer together.
     duration flow_idle_timeout_ = std::chrono::seconds(20);
+    /// Time for a caller's last segment before the timeout to arrive, with its
+    /// retransmissions.
+    duration idle_margin_ = std::chrono::seconds(5);
     /// Time for which a finished flow is kept after its last segment.
     duration flow_linger_ = std::chrono::seconds(4);
     /// Minimum time between two rounds of questions in the search for the owner
--- a/src/libpass/balancer.cpp
+++ b/src/libpass/balancer.cpp
@@ -92,13 +92,30 @@
     return true;
 }
 
+namespace
+{
+
+// Returns how long the owner of an idle flow is remembered: while callers may
+// use the flow again according to the rules, so that they need no search.
+duration idle_retention(const pass_balancer_state& state)
+{
+    const pass_balancer_settings& settings = state.settings_;
+    const duration configured =
+        state.rules_ ? state.rules_->idle_timeout_ + settings.idle_margin_
+                     : duration(0);
+    return std::max(settings.flow_idle_timeout_,
+                    std::min(configured, settings.flow_lifetime_));
+}
+
+} // namespace
+
 void handle_tick(pass_balancer_state& state, instant now, pass_actions& out)
 {
+    const duration retention = idle_retention(state);
     for (auto it = state.flows_.begin(); it != state.flows_.end();)
     {
-        const duration limit = it->second.finished_
-                                   ? state.settings_.flow_linger_
-                                   : state.settings_.flow_idle_timeout_;
+        const duration limit =
+            it->second.finished_ ? state.settings_.flow_linger_ : retention;
         it = now - it->second.last_active_ > limit ? state.flows_.erase(it)
                                                    : std::next(it);
     }
--- a/src/libpass/balancer_test.cpp
+++ b/src/libpass/balancer_test.cpp
@@ -841,3 +841,48 @@
     handle_tick(state, start + milliseconds(200), tick);
     CHECK(count(tick, pass_target::reset) == 1);
 }
+
+// Guards against review/2: a caller that paused for less than the configured
+// idle timeout depended on a search for its flow's owner.
+TEST_CASE("a flow within the idle timeout of the rules needs no search")
+{
+    struct idle_case
+    {
+        duration timeout_;
+        duration pause_;
+        bool is_known_;
+    };
+    for (const idle_case& c :
+         {idle_case{seconds(40), seconds(24), true},
+          idle_case{seconds(40), milliseconds(39900), true},
+          idle_case{seconds(40), seconds(46), false},
+          idle_case{seconds(15), seconds(16), true},
+          idle_case{seconds(15), seconds(21), false},
+          idle_case{seconds(300), seconds(59), true},
+          idle_case{seconds(300), seconds(61), false},
+          idle_case{duration(0), seconds(19), true}})
+    {
+        CAPTURE(c.timeout_.count());
+        CAPTURE(c.pause_.count());
+        pass_balancer_state state = make_balancer();
+        auto rules = std::make_shared<pass_rules>(*make_rules(4));
+        rules->idle_timeout_ = c.timeout_;
+        update_rules(state, rules);
+        pass_actions out;
+        handle_caller_segment(state, make_opening(1), sample_bytes(), start,
+                              out);
+        handle_caller_segment(state, make_request(1, 9000), sample_bytes(),
+                              start, out);
+        const instant resumed_at = start + c.pause_;
+        handle_tick(state, resumed_at, out);
+        note_attention(state, resumed_at, out);
+        pass_actions resumed;
+        handle_caller_segment(state, make_request(1, 9000), sample_bytes(),
+                              resumed_at, resumed);
+        CHECK(state.searches_.empty() == c.is_known_);
+        if (c.is_known_)
+        {
+            CHECK(count_messages<locate_message>(resumed) == 0);
+        }
+    }
+}
