Rules follower: no compiler extension in the shared read

Cause: KJ_ASSERT_NONNULL is a statement expression, which the linter rejects. Change: the promise of the last read is never empty. Measured: galena_passd_test passed.

--- a/src/libpassd/rules_follower.cpp
+++ b/src/libpassd/rules_follower.cpp
@@ -5,7 +5,6 @@
 #include <platform/store_dialect.h>
 
 #include <algorithm>
-#include <kj/debug.h>
 
 namespace galenafork
 {
@@ -118,7 +117,7 @@
         shared_read_ =
             read_until_response().then([this] { read_active_ = false; }).fork();
     }
-    return KJ_ASSERT_NONNULL(shared_read_).addBranch();
+    return shared_read_.addBranch();
 }
 
 kj::Promise<void> rules_follower::read_until_response()
--- a/src/libpassd/rules_follower.h
+++ b/src/libpassd/rules_follower.h
@@ -131,7 +131,8 @@
     bool store_reachable_ = true;
     /// The read that `shared_read_` stands for has not ended.
     bool read_active_ = false;
-    kj::Maybe<kj::ForkedPromise<void>> shared_read_;
+    kj::ForkedPromise<void> shared_read_ =
+        kj::Promise<void>(kj::READY_NOW).fork();
     /// A fetch from a peer runs, or ended less than `peer_fetch_interval_` ago.
     bool peer_fetch_active_ = false;
 };
