Store client: format two files as clang-format does

Cause: landed before the formatter had run over it. Change: line breaks and the order of includes only.

--- a/src/libplatform/http_exchange.cpp
+++ b/src/libplatform/http_exchange.cpp
@@ -222,8 +222,7 @@
                              const endpoint& address, const char* era_header)
     : timer_(timer), host_(to_string(address)), era_header_(era_header),
       if_match_(builder_.add("If-Match")), headers_(builder_.build()),
-      address_(network_address(network, address)),
-      client_(new_client())
+      address_(network_address(network, address)), client_(new_client())
 {
 }
 
@@ -267,9 +266,8 @@
     {
         headers.set(kj::HttpHeaderId::CONTENT_TYPE, "application/json");
     }
-    auto http_request =
-        (*client)->request(request.method_, request.url_.c_str(), headers,
-                           size);
+    auto http_request = (*client)->request(request.method_,
+                                           request.url_.c_str(), headers, size);
     kj::Promise<void> written = kj::READY_NOW;
     if (size != 0)
     {
--- a/src/libplatform/http_exchange_test.cpp
+++ b/src/libplatform/http_exchange_test.cpp
@@ -1,8 +1,8 @@
 #include <libplatform/http_exchange.h>
 
 #include <doctest/doctest.h>
-#include <kj/async-io.h>
 #include <iostream>
+#include <kj/async-io.h>
 #include <rapidcheck.h>
 
 using namespace galenafork;
