Searches do not ask agents that were listed and never heard

Beside 300 entries of agents that are gone one search by a balancer that has just started sent 1,503 questions in two seconds. Cause: each round asked all listed agents that were not ruled out, which takes the lifetime of a flow. Change: an agent that was listed two seconds ago or earlier and has never sent a status is probed, but gets no questions. It still keeps a search from ending in a reset, and is asked once it sends a status. Test: 'a search does not ask agents that were listed and never heard' failed before (1,503 questions, now at most 6).

--- a/src/libpass/balancer_search.cpp
+++ b/src/libpass/balancer_search.cpp
@@ -89,8 +89,13 @@
 // Agents that have not responded and may have the flow.
 struct remaining_agents
 {
-    /// Those in the scope of the search, which were asked.
+    /// Those in the scope of the search.
     std::vector<host_address> in_scope_;
+    /// Those of `in_scope_` that are worth a question. An agent that was listed
+    /// some time ago and has never sent a status is only probed: it may be gone
+    /// for long, and a question to each such entry would multiply the messages
+    /// of all searches after a start.
+    std::vector<host_address> to_ask_;
     std::vector<host_address> out_of_scope_;
     /// Those of `in_scope_` that are probably running.
     std::uint32_t awaited_ = 0;
@@ -132,8 +137,12 @@
         }
         const bool in_scope = is_in_scope(state, flow, search.scope_, agent);
         (in_scope ? result.in_scope_ : result.out_of_scope_).push_back(host);
-        const bool awaited = in_scope && is_probably_running(state, agent, now);
-        result.awaited_ += awaited ? 1 : 0;
+        const bool running = is_probably_running(state, agent, now);
+        result.awaited_ += in_scope && running ? 1 : 0;
+        if (in_scope && (running || agent.has_status_))
+        {
+            result.to_ask_.push_back(host);
+        }
     }
     return result;
 }
@@ -306,7 +315,7 @@
                                  : search_scope::all_agents;
         remaining = find_remaining(state, key, search, now);
         search.awaited_ = remaining.awaited_;
-        ask(state, key, search, remaining.in_scope_, true,
+        ask(state, key, search, remaining.to_ask_, true,
             was_near ? "other_data_centres" : "other_services",
             remaining.ruled_out_, now, out);
         if (search.awaited_ > 0)
@@ -394,7 +403,7 @@
     search.waits_for_silent_ = !remaining.in_scope_.empty();
     ++search.rounds_;
     search.awaited_ = remaining.awaited_;
-    ask(state, key, search, remaining.in_scope_, true, "unknown_flow_again",
+    ask(state, key, search, remaining.to_ask_, true, "unknown_flow_again",
         remaining.ruled_out_, now, out);
     if (remaining.in_scope_.empty() && search.told_to_ask_.empty() &&
         search.asking_upstream_.empty())
@@ -523,7 +532,7 @@
     const remaining_agents remaining =
         find_remaining(state, s.flow_, search, now);
     search.awaited_ = remaining.awaited_;
-    ask(state, s.flow_, search, remaining.in_scope_, true, "unknown_flow",
+    ask(state, s.flow_, search, remaining.to_ask_, true, "unknown_flow",
         remaining.ruled_out_, now, out);
     advance_search(state, s.flow_, search, now, out);
 }
--- a/src/libpass/balancer_test.cpp
+++ b/src/libpass/balancer_test.cpp
@@ -886,3 +886,47 @@
         }
     }
 }
+
+// Guards against searches whose messages grow with entries of agents that are
+// gone, and against a reset while one of these may be running after all.
+TEST_CASE("a search does not ask agents that were listed and never heard")
+{
+    constexpr std::uint32_t gone = 300;
+    const host_address first_gone(agent_c.value() + 1);
+    pass_balancer_state state = make_balancer();
+    pass_actions out;
+    for (std::uint32_t i = 0; i < gone; ++i)
+    {
+        add_listed_agent(state, host_address(first_gone.value() + i), start,
+                         out);
+    }
+    instant now = start + seconds(5);
+    note_members_read(state, now);
+    note_attention(state, now, out);
+    for (const host_address running : {agent_a, agent_b, agent_c})
+    {
+        handle_status(state, make_status(running, "a"), now, out);
+    }
+    pass_actions search;
+    handle_caller_segment(state, make_request(1, 9000), sample_bytes(), now,
+                          search);
+    CHECK(count_messages<locate_message>(search) <= 3);
+    for (const host_address running : {agent_a, agent_b, agent_c})
+    {
+        handle_flow_owner(state, {make_flow(1), {}, false, running}, now,
+                          search);
+    }
+    for (int i = 0; i < 20; ++i)
+    {
+        now += milliseconds(100);
+        handle_tick(state, now, search);
+    }
+    CHECK(count_messages<locate_message>(search) <= 6);
+    CHECK(count(search, pass_target::reset) == 0);
+    // One of them is running after all.
+    pass_actions heard;
+    handle_status(state, make_status(first_gone, "a"), now, heard);
+    now += milliseconds(700);
+    handle_tick(state, now, heard);
+    CHECK(count_messages<locate_message>(heard) == 1);
+}
