--- a/review/lib-3/bed.py
+++ b/review/lib-3/bed.py
@@ -40,7 +40,7 @@
     "rollback_slack_ms": 250, "max_skew_ms": 15000, "recovery_s": 15,
     "flow_reorder_ms": 2000, "flow_max_s": 60}
 STABILITY_SECONDS = BOUNDS["stability_window_ms"] / 1000
-ROUTE = ("198.18.0.1", 8443)
+ROUTE = ("127.63.0.1", 8443)
 SERVICE = "petition-core"
 
 
@@ -639,6 +639,11 @@
 
     def start_program(self, host, is_agent, internal=None, store=1):
         command = self.commands["side" if is_agent else "frontend"]
+        old = self.processes.get(host)
+        if old and old.poll() is None:
+            # The platform kills a process that outlives its grace time.
+            old.kill()
+            old.wait()
         path = self.settings(host, is_agent, internal or
                              self.ports["internal"], store)
         log = open(pathlib.Path(self.temp.name) / f"{host}.log", "ab")
